--- /dev/null
+++ b/include/brambledoor/core.h
@@ -0,0 +1,271 @@
+/* The pure state machine: commands and the time go in, effects come out. No input or output, no
+ * clock and no threads live here, so that scenarios can play any order of events. */
+#ifndef BD_CORE_H
+#define BD_CORE_H
+#include "brambledoor/settings.h"
+#include "brambledoor/wire.h"
+#include <stdint.h>
+#include <time.h>
+#include <uthash.h>
+
+#define BD_NO_MACHINE UINT32_MAX
+#define BD_IMAGES 24
+
+enum bd_task_state {
+    BD_T_WAIT,    /* on no machine; may be placed */
+    BD_T_PLAN,    /* placed; its intent is not known to be committed: nothing was sent */
+    BD_T_LAUNCH,  /* intent committed; the launch is repeated until a report shows it */
+    BD_T_LIVE,    /* a report showed it */
+    BD_T_UNKNOWN, /* an earlier term's intent without a report: its room stays held */
+    BD_T_DONE
+};
+
+enum {
+    BD_F_STOP = 1,    /* is to be halted */
+    BD_F_DO = 2,      /* a direct launch has no answer yet: it may still run late */
+    BD_F_RECEIPT = 4, /* the receipt is committed */
+    BD_F_EXITED = 8,  /* exited, but held until the late launch is excluded */
+    BD_F_SENT = 16,   /* a launch was sent in any form */
+    BD_F_FORCE = 32,  /* halt without grace */
+    BD_F_SHOWN = 128  /* in the report being read */
+};
+
+struct bd_task {
+    uint64_t attempt;
+    uint32_t machine;
+    uint8_t state, sub, flags, fails;
+};
+
+struct bd_spec {
+    int klass, team, image, zone; /* zone -1: any */
+    uint32_t types;               /* bits of allowed types, all set for any */
+    bool any_type;
+    enum bd_shape shape;
+    enum bd_rank rank;
+    double cpus, gpus, mem, image_gb, estimate, checkpoint, save, due;
+    bool together, scatter, spot;
+};
+
+struct bd_job {
+    UT_hash_handle hh;
+    char id[BD_ID];
+    uint64_t mark;
+    enum bd_mood mood;
+    bool stale;        /* a transaction saw another mark; wait for the change itself */
+    bool dirty;        /* has receipts to commit */
+    bool done_pending; /* all receipts are in memory; the done record is to be committed */
+    uint32_t ntasks, ndone, nwait, nlive, nrun, shown_done, shown_run;
+    uint64_t receipt_chunks; /* bits of chunks committed */
+    uint32_t dirty_chunks;
+    double at;
+    struct timespec first_seen, hold_until;
+    uint32_t errors, error_machines;
+    struct bd_spec spec;
+    bool has_spec, in_guarantee;
+    json_t *record_spec;   /* the record's own text of the job, kept for rewriting */
+    struct bd_task *tasks; /* only while leading */
+};
+
+struct bd_ref {
+    struct bd_job *job;
+    uint32_t task;
+};
+
+struct bd_type {
+    char label[BD_LABEL];
+    bool known;
+    double cpus, gpus, mem, cache_gb, fetch, price, spot_price, boot;
+    uint32_t zones;
+};
+
+struct bd_machine {
+    UT_hash_handle hh;
+    char id[BD_LABEL], addr[BD_LABEL];
+    uint32_t index;
+    int type, zone; /* -1: not known yet */
+    bool spot, listed, listed_now, failed, fenced, gone, returning;
+    uint64_t session, seq, seal, lapsed_session;
+    struct timespec age_known, return_after;
+    struct timespec lapse_at; /* from here on nothing of the last session runs */
+    struct timespec heard, known_at, idle_since, refuse_until;
+    double age_at_known;
+    double notice_left; /* < 0: none */
+    bool do_busy;       /* one direct command at a time */
+    uint32_t do_fails;  /* without an answer, in a row */
+    struct timespec do_after;
+    uint64_t do_seal; /* highest seal of a direct launch without an answer, 0: none */
+    struct timespec do_since;
+    struct bd_ref *refs;
+    uint32_t nrefs, cap;
+    double cpus, gpus, mem; /* in use */
+    int images[BD_IMAGES];
+    int nimages;
+    uint32_t errors; /* failed tasks in a row, of different jobs */
+    struct bd_job *error_job;
+    bool bad;
+    struct timespec bad_until;
+};
+
+struct bd_intent {
+    struct bd_job *job;
+    uint32_t task, machine;
+    uint64_t attempt;
+};
+
+struct bd_round { /* one intent record in the state service */
+    char key[BD_LABEL];
+    struct bd_intent *e;
+    uint32_t n;
+    bool dropping;
+};
+
+struct bd_rental { /* one request to the cloud, from its first sending to its machines' listing */
+    char request[BD_LABEL];
+    int type, zone, count;
+    bool spot, answered;
+    struct timespec sent;
+};
+
+struct bd_market { /* one type, zone and kind */
+    struct timespec refuse_until;
+    double backoff;
+};
+
+enum bd_effect_kind {
+    BD_E_REPLY,
+    BD_E_USER_COMMIT,
+    BD_E_COMMIT,
+    BD_E_DO,
+    BD_E_RENT,
+    BD_E_RETURN,
+    BD_E_BARRIER,
+    BD_E_LOST
+};
+
+struct bd_effect {
+    enum bd_effect_kind kind;
+    void *request;   /* REPLY, USER_COMMIT */
+    int status;      /* REPLY */
+    int retry_after; /* REPLY: 0 none */
+    char key[BD_LABEL];
+    char *body;
+    char addr[BD_LABEL]; /* DO */
+    uint64_t seal;
+    uint32_t machine;
+    bool launch;
+    struct bd_effect *next;
+};
+
+enum bd_role { BD_FOLLOWER, BD_LEADER };
+
+struct bd_names {
+    UT_hash_handle hh;
+    int index;
+    char name[BD_LABEL];
+};
+
+struct bd_commit;
+
+struct bd_core {
+    const struct bd_settings *set;
+    const struct bd_log *log;
+    struct timespec now;
+    double wall;
+
+    struct bd_job *jobs; /* hash by id */
+    struct bd_machine *machines;
+    struct bd_machine **by_index;
+    uint32_t nmachines, cap_machines;
+    struct bd_names *images, *classes;
+    struct bd_type types[BD_MAX_TYPES];
+    int ntypes;
+    char zones[BD_MAX_ZONES][BD_LABEL];
+    int nzones;
+    bool types_known;
+
+    /* replica */
+    uint64_t ring;
+    bool replica_ready;
+    struct timespec fresh; /* when the newest answered look at the state service was sent */
+    struct bd_wait *waiting, *asked;
+    bool barrier_out;
+
+    /* leadership */
+    enum bd_role role;
+    char leader_name[BD_LABEL];
+    uint64_t base_term, term, grant;
+    char nonce[BD_LABEL];
+    uint64_t counter; /* attempts */
+    struct timespec valid_until, renewed, gained;
+    struct timespec others_lapse; /* sessions renewed by earlier terms are over by then */
+    bool listed_once;
+    uint64_t witness_mark, witness_n, round_n, request_n;
+    struct bd_commit *commit;
+    struct bd_round *rounds;
+    uint32_t nrounds, cap_rounds;
+    struct timespec next_round, next_fleet, next_gc, next_tick, next_bump, last_bump;
+    bool want_bump, round_wanted;
+    double write_tokens;
+    struct timespec token_at;
+
+    /* teams */
+    double team_cpus[BD_MAX_TEAMS], team_gpus[BD_MAX_TEAMS];
+
+    /* cloud */
+    struct bd_rental rentals[64];
+    int nrentals;
+    struct bd_market markets[BD_MAX_TYPES][BD_MAX_ZONES][2];
+    int cloud_out;
+
+    struct bd_effect *first, *last;
+};
+
+struct bd_core *bd_core_new(const struct bd_settings *set, const struct bd_log *log);
+void bd_core_free(struct bd_core *c);
+struct bd_effect *bd_core_effects(struct bd_core *c); /* takes the list */
+void bd_effect_free(struct bd_effect *e);
+void bd_core_time(struct bd_core *c, struct timespec now, double wall);
+
+/* users */
+void bd_core_submit(struct bd_core *c, void *request, const char *body, size_t len);
+void bd_core_get(struct bd_core *c, void *request, const char *id);
+void bd_core_withdraw(struct bd_core *c, void *request, const char *id);
+/* status 200 with ring, 409, or 0 and others: not known */
+void bd_core_user_committed(struct bd_core *c, void *request, const char *key, const char *body,
+                            long status, uint64_t ring);
+/* replica */
+void bd_core_change(struct bd_core *c, const struct bd_change *ch);
+void bd_core_followed(struct bd_core *c, uint64_t after, uint64_t ring, struct timespec sent,
+                      bool barrier, bool ok);
+void bd_core_relisted(struct bd_core *c, uint64_t ring, struct timespec sent);
+/* leadership */
+struct bd_gain {
+    uint64_t term, grant, witness_mark, witness_n;
+    const char *nonce;
+    struct timespec renewed; /* when the request that made the grant was sent */
+    bool clean;              /* taken over without waiting for the old grant's end */
+    json_t *receipts;        /* arrays of pairs */
+    json_t *intents;
+};
+void bd_core_leader_is(struct bd_core *c, const char *name);
+void bd_core_gained(struct bd_core *c, const struct bd_gain *g);
+void bd_core_renewed(struct bd_core *c, uint64_t grant, struct timespec sent);
+void bd_core_lost(struct bd_core *c);
+/* outcome: 1 committed, 0 refused (failed lists the keys), -1 leadership is gone */
+void bd_core_committed(struct bd_core *c, int outcome, uint64_t ring, json_t *failed);
+/* workers */
+void bd_core_checkin(struct bd_core *c, void *request, const struct bd_report *r);
+void bd_core_did(struct bd_core *c, uint32_t machine, uint64_t seal, bool launch, long status,
+                 const struct bd_report *r);
+/* cloud */
+void bd_core_types(struct bd_core *c, const struct bd_type_text *t, int n);
+void bd_core_machines(struct bd_core *c, const struct bd_cloud_machine *m, size_t n,
+                      struct timespec asked);
+void bd_core_rented(struct bd_core *c, const char *request, long status, char (*names)[BD_LABEL],
+                    int n);
+void bd_core_returned(struct bd_core *c, char (*names)[BD_LABEL], int n, bool ok);
+void bd_core_tick(struct bd_core *c);
+struct timespec bd_core_next(const struct bd_core *c);
+bool bd_core_may_answer(const struct bd_core *c);
+bool bd_core_valid(const struct bd_core *c);
+#endif
--- /dev/null
+++ b/include/brambledoor/http.h
@@ -0,0 +1,22 @@
+/* Blocking HTTP client: one reusable connection holder per thread. */
+#ifndef BD_HTTP_H
+#define BD_HTTP_H
+#include <stddef.h>
+
+struct bd_http;
+
+struct bd_reply {
+    long status; /* 0: no answer, the request may or may not have been executed */
+    char *body;  /* always terminated, freed by bd_reply_drop */
+    size_t len;
+};
+
+int bd_http_start(void);
+void bd_http_end(void);
+struct bd_http *bd_http_new(long keep);
+void bd_http_free(struct bd_http *h);
+/* method GET, POST or DELETE; body may be NULL */
+void bd_http_call(struct bd_http *h, const char *method, const char *url, const char *body,
+                  double timeout_s, struct bd_reply *out);
+void bd_reply_drop(struct bd_reply *r);
+#endif
--- /dev/null
+++ b/include/brambledoor/node.h
@@ -0,0 +1,79 @@
+/* One running controller: the owner thread and the adapters around it. */
+#ifndef BD_NODE_H
+#define BD_NODE_H
+#include "brambledoor/core.h"
+#include "brambledoor/log.h"
+#include "brambledoor/queue.h"
+#include "brambledoor/settings.h"
+#include <stdatomic.h>
+
+struct bd_front;
+
+enum bd_cmd_kind {
+    BD_C_SUBMIT,
+    BD_C_GET,
+    BD_C_WITHDRAW,
+    BD_C_CHECKIN,
+    BD_C_USER_COMMITTED,
+    BD_C_FOLLOWED,
+    BD_C_RELISTED,
+    BD_C_LEADER_IS,
+    BD_C_GAINED,
+    BD_C_RENEWED,
+    BD_C_LOST,
+    BD_C_COMMITTED,
+    BD_C_DID,
+    BD_C_TYPES,
+    BD_C_MACHINES,
+    BD_C_RENTED,
+    BD_C_RETURNED
+};
+
+/* What the adapters tell the owner. Owned by the receiver. */
+struct bd_cmd {
+    enum bd_cmd_kind kind;
+    void *request;
+    char *text;
+    size_t len;
+    char name[BD_LABEL];
+    long status;
+    int outcome;
+    uint64_t ring, after, number, term;
+    struct timespec sent;
+    bool flag;
+    uint32_t machine;
+    json_t *json;
+    void *data; /* one block, by kind */
+    size_t n;
+    struct bd_gain gain;
+};
+
+struct bd_node {
+    struct bd_settings set;
+    struct bd_log log;
+    struct bd_queue to_owner, to_commit, to_users, to_dispatch, to_cloud;
+    struct bd_front *front;
+    struct bd_core *core;
+    /* what adapters need to know of the owner's state */
+    atomic_bool leading, want_barrier, types_known, step_down, up;
+    atomic_ullong ring;
+    struct bd_queue reader_wake;
+    struct bd_cmd *pending_gain;
+};
+
+/* 0, or -1 with a logged reason */
+int bd_node_start(struct bd_node *n);
+void bd_owner_run(struct bd_node *n); /* does not return */
+
+struct bd_cmd *bd_cmd_new(enum bd_cmd_kind kind);
+void bd_cmd_free(struct bd_cmd *cmd);
+void bd_tell(struct bd_node *n, struct bd_cmd *cmd);
+int bd_thread(void *(*run)(void *), void *arg, size_t stack);
+
+int bd_front_start(struct bd_node *n);
+void bd_front_reply(struct bd_node *n, void *request, int status, char *body, int retry_after);
+int bd_store_start(struct bd_node *n);
+int bd_leader_start(struct bd_node *n);
+int bd_cloud_start(struct bd_node *n);
+int bd_dispatch_start(struct bd_node *n);
+#endif
--- /dev/null
+++ b/include/brambledoor/settings.h
@@ -0,0 +1,57 @@
+/* The platform's JSON settings and the operators' own, in S-expressions. */
+#ifndef BD_SETTINGS_H
+#define BD_SETTINGS_H
+#include <stdbool.h>
+#include <stddef.h>
+#include <time.h>
+
+#define BD_NAME 64
+#define BD_MAX_PEERS 16
+#define BD_MAX_ZONES 16
+#define BD_MAX_TEAMS 64
+#define BD_MAX_AIMS 64
+
+struct bd_peer {
+    char name[BD_NAME], zone[BD_NAME], addr[BD_NAME];
+};
+
+struct bd_team_limits {
+    char name[BD_NAME];
+    double cpus, cpus_max, gpus, gpus_max; /* 0: none */
+};
+
+enum bd_aim_kind { BD_AIM_WAIT, BD_AIM_FINISHED, BD_AIM_GUARANTEE, BD_AIM_OTHER };
+
+struct bd_aim {
+    enum bd_aim_kind kind;
+    char klass[BD_NAME];
+    double within_s, share;
+};
+
+struct bd_settings {
+    char node[BD_NAME], zone[BD_NAME], front[BD_NAME], mesh[BD_NAME];
+    struct bd_peer peers[BD_MAX_PEERS];
+    int npeers;
+    char cloud[BD_NAME], state[BD_NAME];
+    char zones[BD_MAX_ZONES][BD_NAME];
+    int nzones;
+    struct bd_team_limits teams[BD_MAX_TEAMS];
+    int nteams;
+    struct bd_aim aims[BD_MAX_AIMS];
+    int naims;
+    int nodes;
+    struct timespec report, lease, gang_wait, gang_peer, cancel, list_lag, clock_error;
+    double state_rps, state_write_rps, cloud_rps;
+    size_t value_bytes, txn_ops;
+    double cpu, ram_mb;
+    int max_sockets;
+    /* operators' own */
+    struct timespec leader_ttl; /* zero: derived from the worker lease */
+    double spare_share;         /* room kept free for production work, share of its use */
+    double idle_return_s;       /* an idle machine is returned after this */
+};
+
+/* 0, or -1 with one line in err naming file and field */
+int bd_settings_load(struct bd_settings *s, const char *path, char *err, size_t errlen);
+int bd_settings_operator(struct bd_settings *s, const char *path, char *err, size_t errlen);
+#endif
--- /dev/null
+++ b/include/brambledoor/store.h
@@ -0,0 +1,10 @@
+/* Calls to the state service, shared by the threads that make them. */
+#ifndef BD_STORE_H
+#define BD_STORE_H
+#include "brambledoor/http.h"
+#include "brambledoor/node.h"
+
+long bd_store_call(struct bd_node *n, struct bd_http *h, const char *method, const char *path,
+                   const char *body, double timeout_s, json_t **out);
+json_t *bd_store_list(struct bd_node *n, struct bd_http *h, const char *prefix, uint64_t *ring);
+#endif
--- /dev/null
+++ b/include/brambledoor/wire.h
@@ -0,0 +1,138 @@
+/* The only place that knows the platform's field names. Everything that goes over a wire to
+ * users, workers, cloud or state service is read and written here. */
+#ifndef BD_WIRE_H
+#define BD_WIRE_H
+#include <jansson.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#define BD_ID 32
+#define BD_LABEL 64
+#define BD_MAX_TYPES 32
+#define BD_MAX_TASKS 100000u
+
+enum bd_shape { BD_ARRAY, BD_GANG, BD_SERVICE };
+enum bd_rank { BD_IDLE, BD_STANDARD, BD_HIGH, BD_PRODUCTION };
+
+/* a job as its user wrote it, names not yet looked up */
+struct bd_spec_text {
+    char klass[BD_LABEL], team[BD_LABEL], image[BD_LABEL], zone[BD_LABEL];
+    char types[BD_MAX_TYPES][BD_LABEL];
+    int ntypes; /* -1: any */
+    enum bd_shape shape;
+    enum bd_rank rank;
+    uint32_t tasks;
+    double cpus, gpus, mem, image_gb, estimate, checkpoint, save, due; /* due < 0: none */
+    bool together, scatter, spot;
+};
+
+enum bd_sub { BD_FETCHING, BD_GATHERING, BD_RUNNING, BD_SAVING, BD_EXITED };
+enum bd_why {
+    BD_WHY_NONE,
+    BD_WHY_DONE,
+    BD_WHY_STOPPED,
+    BD_WHY_PEERS,
+    BD_WHY_ALONE,
+    BD_WHY_ERROR,
+    BD_WHY_NO_ROOM,
+    BD_WHY_BUSY,
+    BD_WHY_UNKNOWN
+};
+
+struct bd_seen_task {
+    char job[BD_ID];
+    uint32_t task;
+    uint64_t attempt;
+    enum bd_sub sub;
+    enum bd_why why;
+    bool kept;
+};
+
+struct bd_report {
+    char machine[BD_LABEL], addr[BD_LABEL], type[BD_LABEL], zone[BD_LABEL];
+    bool spot;
+    uint64_t session, seq, seal;
+    double notice; /* < 0: none */
+    size_t n;
+    struct bd_seen_task *tasks;
+};
+
+enum bd_verb { BD_LAUNCH, BD_HALT, BD_FORGET };
+
+struct bd_order {
+    enum bd_verb verb;
+    char job[BD_ID];
+    uint32_t task;
+    uint64_t attempt;
+    double grace;
+};
+
+struct bd_type_text {
+    char label[BD_LABEL];
+    double cpus, gpus, mem, cache_gb, fetch, price, spot_price, boot;
+    char zones[16][BD_LABEL];
+    int nzones;
+};
+
+enum bd_mood { BD_LIVE, BD_DONE, BD_CANCELLED };
+
+struct bd_record {
+    enum bd_mood mood;
+    uint32_t tasks;
+    double at; /* time of day of the submission */
+    bool has_spec;
+    struct bd_spec_text spec;
+};
+
+struct bd_cloud_machine {
+    char id[BD_LABEL], addr[BD_LABEL], type[BD_LABEL], zone[BD_LABEL];
+    bool spot;
+    enum { BD_BOOTING, BD_UP, BD_FAILED } mood;
+    double age;
+};
+
+bool bd_wire_job_id(const char *id);
+/* "job-1/3" */
+bool bd_wire_task_name(const char *s, char job[BD_ID], uint32_t *task);
+/* NULL, or what is wrong; *id gets the job's id as soon as one was found */
+const char *bd_wire_submission(json_t *o, char id[BD_ID], struct bd_spec_text *out);
+json_t *bd_wire_spec(const struct bd_spec_text *s);
+json_t *bd_wire_record(const struct bd_record *r);
+bool bd_wire_read_record(json_t *v, struct bd_record *out);
+char *bd_wire_state(const char *id, const char *mood, uint32_t done, uint32_t running);
+bool bd_wire_report(json_t *o, struct bd_report *out);
+void bd_wire_report_drop(struct bd_report *r);
+/* session 0: an answer to a report, else the body of a direct command */
+char *bd_wire_orders(uint64_t seal, uint64_t session, const struct bd_order *o, size_t n);
+int bd_wire_types(json_t *o, struct bd_type_text *out, int max);
+int bd_wire_machines(json_t *o, struct bd_cloud_machine *out, int max, bool *more);
+char *bd_wire_rent(const char *request, const char *type, const char *zone, bool spot, int count);
+char *bd_wire_return(char (*names)[BD_LABEL], int n);
+int bd_wire_rented(json_t *o, char (*names)[BD_LABEL], int max);
+char *bd_wire_steer(const char *node);
+
+/* state service */
+struct bd_txn {
+    json_t *conds, *ops;
+};
+bool bd_txn_start(struct bd_txn *t);
+void bd_txn_if(struct bd_txn *t, const char *key, uint64_t mark);
+void bd_txn_set(struct bd_txn *t, const char *key, json_t *value, uint64_t grant);
+void bd_txn_drop(struct bd_txn *t, const char *key);
+char *bd_txn_end(struct bd_txn *t);
+
+struct bd_change {
+    const char *key;
+    json_t *value; /* NULL: gone */
+    uint64_t mark;
+};
+uint64_t bd_wire_ring(json_t *o);
+json_t *bd_wire_failed(json_t *o);
+json_t *bd_wire_pairs(json_t *o, bool *more);
+json_t *bd_wire_log(json_t *o);
+bool bd_wire_change(json_t *o, struct bd_change *c); /* an entry of pairs or of log */
+bool bd_wire_pair(json_t *o, struct bd_change *c, uint64_t *grant); /* GET of one key */
+uint64_t bd_wire_grant(json_t *o);
+char *bd_wire_ttl(double s);
+#endif
--- /dev/null
+++ b/src/cloud.c
@@ -0,0 +1,181 @@
+/* The cloud: machine types and the list for the leader, rentals and returns in order. */
+#include "brambledoor/http.h"
+#include "brambledoor/node.h"
+#include "brambledoor/timeutil.h"
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* named defaults */
+#define ANSWER_S 4.0
+#define TYPES_S 30.0
+#define TYPES_IDLE_S 300.0
+#define RENT_TRIES 12
+#define PAGE 500
+#define BUDGET 0.8 /* of the cloud's calls a second */
+
+struct desk {
+    struct bd_node *n;
+    struct bd_http *h;
+    struct timespec next_call, next_types, next_list;
+    struct bd_type_text types[BD_MAX_TYPES];
+    double list_s;
+    int fails;
+};
+
+static long call(struct desk *d, const char *method, const char *path, const char *body,
+                 json_t **out)
+{
+    char url[256];
+    struct bd_reply r;
+    double wait = bd_between(bd_now(), d->next_call);
+    if (wait > 0)
+        bd_pause(wait);
+    d->next_call = bd_add(bd_now(), bd_secs(1.0 / (d->n->set.cloud_rps * BUDGET)));
+    snprintf(url, sizeof url, "http://%s%s", d->n->set.cloud, path);
+    bd_http_call(d->h, method, url, body, ANSWER_S, &r);
+    long status = r.status;
+    *out = r.body ? json_loadb(r.body, r.len, 0, NULL) : NULL;
+    bd_reply_drop(&r);
+    return status;
+}
+
+static void failed(struct desk *d)
+{
+    if (d->fails < 5)
+        d->fails++;
+    bd_pause(0.25 * (double)d->fails);
+}
+
+static void get_types(struct desk *d)
+{
+    json_t *o = NULL;
+    long status = call(d, "GET", "/machine_types", NULL, &o);
+    int n = status == 200 ? bd_wire_types(o, d->types, BD_MAX_TYPES) : -1;
+    json_decref(o);
+    if (n <= 0) {
+        failed(d);
+        return;
+    }
+    d->fails = 0;
+    struct bd_cmd *cmd = bd_cmd_new(BD_C_TYPES);
+    cmd->data = malloc((size_t)n * sizeof *d->types);
+    if (!cmd->data)
+        abort();
+    memcpy(cmd->data, d->types, (size_t)n * sizeof *d->types);
+    cmd->n = (size_t)n;
+    bd_tell(d->n, cmd);
+    double pause = atomic_load(&d->n->leading) ? TYPES_S : TYPES_IDLE_S;
+    d->next_types = bd_add(bd_now(), bd_secs(pause));
+}
+
+static void get_list(struct desk *d)
+{
+    struct bd_cmd *cmd = bd_cmd_new(BD_C_MACHINES);
+    struct bd_cloud_machine *all = NULL;
+    char path[160], after[BD_LABEL] = "";
+    bool more = true;
+    cmd->sent = bd_now();
+    while (more) {
+        json_t *o = NULL;
+        snprintf(path, sizeof path, "/machines?%s%s%slimit=%d", *after ? "after=" : "", after,
+                 *after ? "&" : "", PAGE);
+        long status = call(d, "GET", path, NULL, &o);
+        struct bd_cloud_machine *grown = realloc(all, (cmd->n + PAGE) * sizeof *all);
+        if (!grown)
+            abort();
+        all = grown;
+        int n = status == 200 ? bd_wire_machines(o, all + cmd->n, PAGE, &more) : -1;
+        json_decref(o);
+        if (n < 0) {
+            free(all);
+            bd_cmd_free(cmd);
+            failed(d);
+            return;
+        }
+        cmd->n += (size_t)n;
+        more = more && n > 0;
+        if (n > 0)
+            snprintf(after, sizeof after, "%s", all[cmd->n - 1].id);
+    }
+    d->fails = 0;
+    cmd->data = all;
+    bd_tell(d->n, cmd);
+    d->next_list = bd_add(bd_now(), bd_secs(d->list_s));
+}
+
+/* A request without a clear answer is repeated by its name: the name rents once only. */
+static void do_rent(struct desk *d, struct bd_effect *e)
+{
+    struct bd_cmd *cmd = bd_cmd_new(BD_C_RENTED);
+    snprintf(cmd->name, sizeof cmd->name, "%s", e->key);
+    for (int i = 0; i < RENT_TRIES; i++) {
+        json_t *o = NULL;
+        cmd->status = call(d, "POST", "/machines", e->body, &o);
+        const char *why = json_string_value(json_object_get(o, "error"));
+        bool trouble = cmd->status == 503 && why && strcmp(why, "trouble") == 0;
+        if (cmd->status == 200) {
+            char(*names)[BD_LABEL] = calloc(64, sizeof *names);
+            int n = names ? bd_wire_rented(o, names, 64) : -1;
+            cmd->data = names;
+            cmd->n = n > 0 ? (size_t)n : 0;
+        }
+        json_decref(o);
+        if (cmd->status == 200 || cmd->status == 400 || (cmd->status == 503 && !trouble))
+            break;
+        if (!atomic_load(&d->n->leading))
+            break;
+        failed(d);
+    }
+    bd_tell(d->n, cmd);
+}
+
+static void do_return(struct desk *d, struct bd_effect *e)
+{
+    struct bd_cmd *cmd = bd_cmd_new(BD_C_RETURNED);
+    json_t *o = NULL;
+    cmd->status = call(d, "POST", "/machines/return", e->body, &o);
+    json_decref(o);
+    json_t *sent = json_loads(e->body, 0, NULL);
+    char(*names)[BD_LABEL] = calloc(128, sizeof *names);
+    int n = names ? bd_wire_rented(sent, names, 128) : -1;
+    cmd->data = names;
+    cmd->n = n > 0 ? (size_t)n : 0;
+    json_decref(sent);
+    bd_tell(d->n, cmd);
+}
+
+static void *run(void *arg)
+{
+    struct desk *d = arg;
+    for (;;) {
+        void *item;
+        if (bd_queue_take(&d->n->to_cloud, &item, 1, bd_add(bd_now(), bd_secs(0.2))) == 1) {
+            struct bd_effect *e = item;
+            if (e->kind == BD_E_RENT)
+                do_rent(d, e);
+            else
+                do_return(d, e);
+            bd_effect_free(e);
+        }
+        struct timespec now = bd_now();
+        if (!atomic_load(&d->n->types_known) || bd_before(d->next_types, now))
+            get_types(d);
+        if (atomic_load(&d->n->leading) && bd_before(d->next_list, now))
+            get_list(d);
+    }
+    return NULL;
+}
+
+int bd_cloud_start(struct bd_node *n)
+{
+    struct desk *d = calloc(1, sizeof *d);
+    if (!d)
+        return -1;
+    d->n = n;
+    d->h = bd_http_new(1);
+    double lag = bd_to_secs(n->set.list_lag);
+    double least = 2.0 / n->set.cloud_rps;
+    d->list_s = lag / 3 > least ? lag / 3 : least;
+    return d->h ? bd_thread(run, d, 131072) : -1;
+}
--- /dev/null
+++ b/src/core.c
@@ -0,0 +1,583 @@
+/* Users' requests, the replica of job records, and names. */
+#include "core_in.h"
+#include <stdio.h>
+
+struct bd_core *bd_core_new(const struct bd_settings *set, const struct bd_log *log)
+{
+    struct bd_core *c = calloc(1, sizeof *c);
+    if (!c)
+        return NULL;
+    c->set = set;
+    c->log = log;
+    for (int i = 0; i < set->nzones; i++)
+        (void)bd_zone_index(c, set->zones[i]);
+    return c;
+}
+
+static void free_names(struct bd_names **t)
+{
+    struct bd_names *n, *tmp;
+    HASH_ITER(hh, *t, n, tmp)
+    {
+        HASH_DEL(*t, n);
+        free(n);
+    }
+}
+
+static void free_waits(struct bd_wait **list)
+{
+    while (*list) {
+        struct bd_wait *w = *list;
+        *list = w->next;
+        free(w);
+    }
+}
+
+static void free_rounds(struct bd_core *c)
+{
+    for (uint32_t i = 0; i < c->nrounds; i++)
+        free(c->rounds[i].e);
+    free(c->rounds);
+    c->rounds = NULL;
+    c->nrounds = c->cap_rounds = 0;
+}
+
+void bd_commit_free(struct bd_commit *k)
+{
+    if (!k)
+        return;
+    free(k->plan);
+    free(k->receipts);
+    free(k);
+}
+
+void bd_core_free(struct bd_core *c)
+{
+    if (!c)
+        return;
+    struct bd_job *j, *jt;
+    struct bd_machine *m, *mt;
+    HASH_ITER(hh, c->jobs, j, jt)
+    {
+        HASH_DEL(c->jobs, j);
+        json_decref(j->record_spec);
+        free(j->tasks);
+        free(j);
+    }
+    HASH_ITER(hh, c->machines, m, mt)
+    {
+        HASH_DEL(c->machines, m);
+        free(m->refs);
+        free(m);
+    }
+    free(c->by_index);
+    free_names(&c->images);
+    free_names(&c->classes);
+    free_waits(&c->waiting);
+    free_waits(&c->asked);
+    free_rounds(c);
+    bd_commit_free(c->commit);
+    struct bd_effect *e = bd_core_effects(c);
+    while (e) {
+        struct bd_effect *next = e->next;
+        bd_effect_free(e);
+        e = next;
+    }
+    free(c);
+}
+
+struct bd_effect *bd_emit(struct bd_core *c, enum bd_effect_kind kind)
+{
+    struct bd_effect *e = calloc(1, sizeof *e);
+    if (!e)
+        abort(); /* out of memory: the supervisor restarts us, the state service has it all */
+    e->kind = kind;
+    if (c->last)
+        c->last->next = e;
+    else
+        c->first = e;
+    c->last = e;
+    return e;
+}
+
+void bd_reply(struct bd_core *c, void *request, int status, char *body, int retry_after)
+{
+    struct bd_effect *e = bd_emit(c, BD_E_REPLY);
+    e->request = request;
+    e->status = status;
+    e->body = body;
+    e->retry_after = retry_after;
+}
+
+static void refuse(struct bd_core *c, void *request, int status, const char *why, int retry_after)
+{
+    char buf[160];
+    snprintf(buf, sizeof buf, "{\"error\":\"%s\"}", why);
+    bd_reply(c, request, status, strdup(buf), retry_after);
+}
+
+struct bd_effect *bd_core_effects(struct bd_core *c)
+{
+    struct bd_effect *e = c->first;
+    c->first = c->last = NULL;
+    return e;
+}
+
+void bd_effect_free(struct bd_effect *e)
+{
+    free(e->body);
+    free(e);
+}
+
+void bd_core_time(struct bd_core *c, struct timespec now, double wall)
+{
+    c->now = now;
+    c->wall = wall;
+}
+
+int bd_intern(struct bd_names **table, const char *name)
+{
+    struct bd_names *n = NULL;
+    HASH_FIND_STR(*table, name, n);
+    if (n)
+        return n->index;
+    n = calloc(1, sizeof *n);
+    if (!n)
+        abort();
+    snprintf(n->name, sizeof n->name, "%s", name);
+    n->index = (int)HASH_COUNT(*table);
+    HASH_ADD_STR(*table, name, n);
+    return n->index;
+}
+
+int bd_type_index(struct bd_core *c, const char *label)
+{
+    for (int i = 0; i < c->ntypes; i++)
+        if (strcmp(c->types[i].label, label) == 0)
+            return i;
+    if (c->ntypes == BD_MAX_TYPES)
+        return -1;
+    snprintf(c->types[c->ntypes].label, BD_LABEL, "%s", label);
+    return c->ntypes++;
+}
+
+int bd_zone_index(struct bd_core *c, const char *name)
+{
+    for (int i = 0; i < c->nzones; i++)
+        if (strcmp(c->zones[i], name) == 0)
+            return i;
+    if (c->nzones == BD_MAX_ZONES)
+        return -1;
+    snprintf(c->zones[c->nzones], BD_LABEL, "%s", name);
+    return c->nzones++;
+}
+
+int bd_team_index(const struct bd_core *c, const char *name)
+{
+    for (int i = 0; i < c->set->nteams; i++)
+        if (strcmp(c->set->teams[i].name, name) == 0)
+            return i;
+    return -1;
+}
+
+struct bd_job *bd_job_find(struct bd_core *c, const char *id)
+{
+    struct bd_job *j = NULL;
+    HASH_FIND_STR(c->jobs, id, j);
+    return j;
+}
+
+void bd_spec_resolve(struct bd_core *c, const struct bd_spec_text *t, struct bd_spec *s)
+{
+    memset(s, 0, sizeof *s);
+    s->klass = bd_intern(&c->classes, t->klass);
+    s->team = bd_team_index(c, t->team);
+    s->image = bd_intern(&c->images, t->image);
+    s->zone = *t->zone ? bd_zone_index(c, t->zone) : -1;
+    s->any_type = t->ntypes < 0;
+    for (int i = 0; i < t->ntypes; i++) {
+        int k = bd_type_index(c, t->types[i]);
+        if (k >= 0)
+            s->types |= 1u << k;
+    }
+    s->shape = t->shape;
+    s->rank = t->rank;
+    s->cpus = t->cpus;
+    s->gpus = t->gpus;
+    s->mem = t->mem;
+    s->image_gb = t->image_gb;
+    s->estimate = t->estimate;
+    s->checkpoint = t->checkpoint;
+    s->save = t->save;
+    s->due = t->due;
+    s->together = t->together;
+    s->scatter = t->scatter;
+    s->spot = t->spot;
+}
+
+/* ---- users ---- */
+
+static void answer_state(struct bd_core *c, void *request, const struct bd_job *j)
+{
+    const char *mood = "pending";
+    uint32_t done = j->ndone, run = j->nrun;
+    if (c->role != BD_LEADER) {
+        done = j->shown_done;
+        run = j->shown_run;
+    }
+    if (j->mood == BD_CANCELLED)
+        mood = "cancelled";
+    else if (j->mood == BD_DONE)
+        mood = "done";
+    else if (run > 0)
+        mood = "running";
+    if (j->mood != BD_LIVE)
+        run = 0;
+    if (j->mood == BD_DONE)
+        done = j->ntasks;
+    bd_reply(c, request, 200, bd_wire_state(j->id, mood, done, run), 0);
+}
+
+static bool fits_type(const struct bd_type *t, const struct bd_spec *s)
+{
+    return t->known && s->cpus <= t->cpus + 1e-9 && s->gpus <= t->gpus + 1e-9 &&
+           s->mem <= t->mem + 1e-9 && (s->zone < 0 || (t->zones >> s->zone & 1));
+}
+
+static bool over(double max, double use)
+{
+    return max > 0 && use > max + 1e-9;
+}
+
+/* Whether the job could run at all, on an empty fleet. */
+static bool can_run(const struct bd_core *c, const struct bd_spec *s, uint32_t tasks)
+{
+    if (s->team < 0)
+        return false;
+    const struct bd_team_limits *t = &c->set->teams[s->team];
+    double n = s->shape == BD_ARRAY ? 1 : tasks;
+    if (over(t->cpus_max, s->cpus * n) || over(t->gpus_max, s->gpus * n))
+        return false;
+    for (int i = 0; i < c->ntypes; i++)
+        if ((s->any_type || (s->types >> i & 1)) && fits_type(&c->types[i], s))
+            return true;
+    return false;
+}
+
+static void user_commit(struct bd_core *c, void *request, const char *id, uint64_t mark,
+                        json_t *record)
+{
+    struct bd_effect *e = bd_emit(c, BD_E_USER_COMMIT);
+    struct bd_txn t;
+    char key[BD_LABEL];
+    snprintf(key, sizeof key, "j/%s", id);
+    if (!bd_txn_start(&t))
+        abort();
+    bd_txn_if(&t, key, mark);
+    bd_txn_set(&t, key, record, 0);
+    e->request = request;
+    snprintf(e->key, sizeof e->key, "%s", id);
+    e->body = bd_txn_end(&t);
+}
+
+static const int outage_retry_s = 2;
+
+static void wait_barrier(struct bd_core *c, void *request, const char *id, enum bd_wait_how how)
+{
+    struct bd_wait *w = calloc(1, sizeof *w);
+    if (!w)
+        abort();
+    w->request = request;
+    w->how = how;
+    snprintf(w->id, sizeof w->id, "%s", id);
+    w->next = c->waiting;
+    c->waiting = w;
+}
+
+/* Whether the state service answered lately: without it nothing can be accepted, and the user is
+ * told so at once. */
+static bool reachable(const struct bd_core *c)
+{
+    return c->replica_ready && bd_between(c->fresh, c->now) < 2.0;
+}
+
+void bd_core_submit(struct bd_core *c, void *request, const char *body, size_t len)
+{
+    struct bd_record r = {.mood = BD_LIVE, .at = c->wall, .has_spec = true};
+    char id[BD_ID] = "";
+    json_t *o = json_loadb(body, len, JSON_REJECT_DUPLICATES, NULL);
+    const char *bad = o ? bd_wire_submission(o, id, &r.spec) : "body";
+    json_decref(o);
+    struct bd_job *j = *id ? bd_job_find(c, id) : NULL;
+    if (j) { /* known: its state, whatever the body says now */
+        bd_core_get(c, request, id);
+        return;
+    }
+    struct bd_spec s;
+    bool wrong = false;
+    if (!bad && c->types_known) {
+        bd_spec_resolve(c, &r.spec, &s);
+        wrong = !can_run(c, &s, r.spec.tasks);
+    }
+    /* an id that another node may have accepted must not get 400 or 422 */
+    if ((bad || wrong) && *id) {
+        wait_barrier(c, request, id, bad ? BD_WAIT_BAD : BD_WAIT_NEVER);
+    } else if (bad) {
+        char why[96];
+        snprintf(why, sizeof why, "malformed: %s", bad);
+        refuse(c, request, 400, why, 0);
+    } else if (!c->types_known || !reachable(c)) {
+        refuse(c, request, 503, "not ready", outage_retry_s);
+    } else {
+        r.tasks = r.spec.tasks;
+        user_commit(c, request, id, 0, bd_wire_record(&r));
+    }
+}
+
+void bd_core_get(struct bd_core *c, void *request, const char *id)
+{
+    struct bd_job *j = bd_job_find(c, id);
+    if (j && j->mood != BD_LIVE)
+        answer_state(c, request, j);
+    else if (!bd_wire_job_id(id) || strlen(id) >= BD_ID - 1)
+        refuse(c, request, 404, "no such job", 0);
+    else if (!reachable(c))
+        refuse(c, request, 503, "state service not reached", outage_retry_s);
+    else
+        wait_barrier(c, request, id, BD_WAIT_STATE);
+}
+
+static json_t *cancelled_record(const struct bd_job *j)
+{
+    struct bd_record r = {.mood = BD_CANCELLED, .tasks = j->ntasks, .at = j->at};
+    json_t *o = bd_wire_record(&r);
+    if (o && j->record_spec)
+        json_object_set(o, "job", j->record_spec);
+    return o;
+}
+
+void bd_core_withdraw(struct bd_core *c, void *request, const char *id)
+{
+    struct bd_job *j = bd_job_find(c, id);
+    if (j && j->mood != BD_LIVE) {
+        answer_state(c, request, j);
+    } else if (!bd_wire_job_id(id) || strlen(id) >= BD_ID - 1) {
+        refuse(c, request, 404, "no such job", 0);
+    } else if (!reachable(c)) {
+        refuse(c, request, 503, "state service not reached", outage_retry_s);
+    } else if (j) {
+        user_commit(c, request, id, j->mark, cancelled_record(j));
+    } else { /* perhaps accepted by another node a moment ago */
+        wait_barrier(c, request, id, BD_WAIT_WITHDRAW);
+    }
+}
+
+void bd_core_user_committed(struct bd_core *c, void *request, const char *id, const char *body,
+                            long status, uint64_t ring)
+{
+    if (status == 200) {
+        json_t *o = json_loads(body, 0, NULL);
+        json_t *ops = json_object_get(o, "apply");
+        struct bd_change ch;
+        json_t *op = json_array_get(ops, 0);
+        if (op) {
+            json_object_set_new(op, "mark", json_integer((json_int_t)ring));
+            if (bd_wire_change(op, &ch))
+                bd_core_change(c, &ch);
+        }
+        json_decref(o);
+        struct bd_job *j = bd_job_find(c, id);
+        if (j && j->mood == BD_LIVE) {
+            char buf[96];
+            snprintf(buf, sizeof buf, "{\"id\":\"%s\",\"mood\":\"pending\"}", id);
+            bd_reply(c, request, 201, strdup(buf), 0);
+        } else if (j) {
+            answer_state(c, request, j);
+        } else {
+            refuse(c, request, 503, "not ready", 1);
+        }
+    } else if (status == 409) { /* somebody was faster: look again, then answer what is */
+        bool withdraw = strstr(body, "\"s\":\"cancelled\"") != NULL;
+        wait_barrier(c, request, id, withdraw ? BD_WAIT_WITHDRAW : BD_WAIT_STATE);
+    } else {
+        refuse(c, request, 503, "state service not reached", 1);
+    }
+}
+
+/* ---- replica ---- */
+
+static void job_mood(struct bd_core *c, struct bd_job *j, enum bd_mood mood)
+{
+    if (j->mood == mood)
+        return;
+    j->mood = mood;
+    if (mood == BD_CANCELLED && j->tasks) {
+        for (uint32_t i = 0; i < j->ntasks; i++) {
+            if (j->tasks[i].state == BD_T_LAUNCH || j->tasks[i].state == BD_T_LIVE ||
+                j->tasks[i].state == BD_T_UNKNOWN)
+                bd_task_stop(c, j, i, true);
+        }
+    }
+    if (mood == BD_DONE) {
+        json_decref(j->record_spec);
+        j->record_spec = NULL;
+    }
+}
+
+void bd_core_change(struct bd_core *c, const struct bd_change *ch)
+{
+    struct bd_record r;
+    if (strncmp(ch->key, "j/", 2) != 0 || !ch->value)
+        return;
+    const char *id = ch->key + 2;
+    if (strlen(id) >= BD_ID || !bd_wire_read_record(ch->value, &r)) {
+        bd_say(c->log, BD_ERROR, "record %s cannot be read", ch->key);
+        return;
+    }
+    struct bd_job *j = bd_job_find(c, id);
+    if (j && ch->mark <= j->mark)
+        return;
+    if (!j) {
+        j = calloc(1, sizeof *j);
+        if (!j)
+            abort();
+        snprintf(j->id, sizeof j->id, "%s", id);
+        j->ntasks = r.tasks;
+        j->first_seen = c->now;
+        HASH_ADD_STR(c->jobs, id, j);
+    }
+    j->mark = ch->mark;
+    j->stale = false;
+    j->at = r.at;
+    if (r.has_spec && !j->has_spec) {
+        bd_spec_resolve(c, &r.spec, &j->spec);
+        j->has_spec = true;
+        if (r.mood != BD_DONE)
+            j->record_spec = json_deep_copy(json_object_get(ch->value, "job"));
+    }
+    if (c->role == BD_LEADER && !j->tasks && r.mood == BD_LIVE && !bd_job_lead(c, j))
+        bd_say(c->log, BD_ERROR, "%s: no memory for its tasks yet", j->id);
+    job_mood(c, j, r.mood);
+    c->round_wanted = true;
+}
+
+static void answer_wait(struct bd_core *c, const struct bd_wait *w)
+{
+    const char *id = w->id;
+    struct bd_job *j = bd_job_find(c, id);
+    if (j && w->how == BD_WAIT_WITHDRAW && j->mood == BD_LIVE)
+        user_commit(c, w->request, id, j->mark, cancelled_record(j));
+    else if (j)
+        answer_state(c, w->request, j);
+    else if (w->how == BD_WAIT_BAD)
+        refuse(c, w->request, 400, "malformed", 0);
+    else if (w->how == BD_WAIT_NEVER)
+        refuse(c, w->request, 422, "can never run", 0);
+    else
+        refuse(c, w->request, 404, "no such job", 0);
+}
+
+void bd_core_followed(struct bd_core *c, uint64_t after, uint64_t ring, struct timespec sent,
+                      bool barrier, bool ok)
+{
+    if (ok && after <= c->ring && ring > c->ring)
+        c->ring = ring;
+    if (ok)
+        c->fresh = bd_max(c->fresh, sent);
+    if (!barrier)
+        return;
+    c->barrier_out = false;
+    struct bd_wait *w = c->asked;
+    c->asked = NULL;
+    while (w) {
+        struct bd_wait *next = w->next;
+        if (ok)
+            answer_wait(c, w);
+        else
+            refuse(c, w->request, 503, "state service not reached", outage_retry_s);
+        free(w);
+        w = next;
+    }
+}
+
+void bd_core_relisted(struct bd_core *c, uint64_t ring, struct timespec sent)
+{
+    c->ring = ring;
+    c->replica_ready = true;
+    c->fresh = bd_max(c->fresh, sent);
+}
+
+/* ---- leadership ---- */
+
+bool bd_core_valid(const struct bd_core *c)
+{
+    return c->role == BD_LEADER && bd_before(c->now, c->valid_until);
+}
+
+/* How long after its last sign from the state service a leader may go on answering check-ins.
+ * A withdrawal it cannot see must still end within cancel_s, by the workers' leases running out. */
+double bd_grace_s(const struct bd_settings *s)
+{
+    const double margin = 2.0;
+    double ttl = bd_to_secs(s->leader_ttl);
+    double most = bd_to_secs(s->cancel) - bd_to_secs(s->lease) * (1 + DRIFT) - margin;
+    return most > ttl ? most : ttl;
+}
+
+bool bd_core_may_answer(const struct bd_core *c)
+{
+    if (c->role != BD_LEADER)
+        return false;
+    struct timespec seen = bd_min(c->renewed, c->fresh);
+    double grace = bd_grace_s(c->set) * (1 - DRIFT) - 0.1;
+    return bd_before(c->now, bd_add(seen, bd_secs(grace)));
+}
+
+void bd_core_leader_is(struct bd_core *c, const char *name)
+{
+    snprintf(c->leader_name, sizeof c->leader_name, "%s", name);
+}
+
+void bd_core_lost(struct bd_core *c)
+{
+    if (c->role != BD_LEADER)
+        return;
+    bd_say(c->log, BD_INFO, "term %llu is over", (unsigned long long)c->term);
+    c->role = BD_FOLLOWER;
+    if (strcmp(c->leader_name, c->set->node) == 0)
+        c->leader_name[0] = '\0';
+    struct bd_job *j, *jt;
+    HASH_ITER(hh, c->jobs, j, jt)
+    {
+        bd_job_unlead(j);
+    }
+    struct bd_machine *m, *mt;
+    HASH_ITER(hh, c->machines, m, mt)
+    {
+        HASH_DEL(c->machines, m);
+        free(m->refs);
+        free(m);
+    }
+    free(c->by_index);
+    c->by_index = NULL;
+    c->nmachines = c->cap_machines = 0;
+    free_rounds(c);
+    bd_commit_free(c->commit);
+    c->commit = NULL;
+    c->nrentals = 0;
+    c->cloud_out = 0;
+    memset(c->team_cpus, 0, sizeof c->team_cpus);
+    memset(c->team_gpus, 0, sizeof c->team_gpus);
+    memset(c->markets, 0, sizeof c->markets);
+    (void)bd_emit(c, BD_E_LOST);
+}
+
+void bd_core_renewed(struct bd_core *c, uint64_t grant, struct timespec sent)
+{
+    if (c->role != BD_LEADER || grant != c->grant)
+        return;
+    struct timespec ttl = c->set->leader_ttl;
+    double valid = bd_to_secs(ttl) * (1 - DRIFT) - 0.1;
+    c->valid_until = bd_max(c->valid_until, bd_add(sent, bd_secs(valid)));
+    c->renewed = bd_max(c->renewed, sent);
+}
--- /dev/null
+++ b/src/core_in.h
@@ -0,0 +1,75 @@
+/* Shared by the core's own files only. */
+#ifndef BD_CORE_IN_H
+#define BD_CORE_IN_H
+#include "brambledoor/core.h"
+#include "brambledoor/log.h"
+#include "brambledoor/timeutil.h"
+#include <stdlib.h>
+#include <string.h>
+
+#define CHUNK 4096u /* tasks a receipt record covers: 1 KiB of hex */
+#define DRIFT 0.001 /* twice the steady clocks' bound */
+
+enum bd_wait_how { BD_WAIT_STATE, BD_WAIT_WITHDRAW, BD_WAIT_BAD, BD_WAIT_NEVER };
+
+struct bd_wait { /* a poll that waits for a read barrier */
+    void *request;
+    char id[BD_ID];
+    enum bd_wait_how how;
+    struct bd_wait *next;
+};
+
+struct bd_commit { /* the one leader transaction in flight */
+    struct bd_intent *plan;
+    uint32_t nplan, cap;
+    struct bd_receipt {
+        struct bd_job *job;
+        uint32_t chunk;
+        unsigned char bits[CHUNK / 8];
+    } * receipts;
+    uint32_t nreceipts;
+    struct bd_job *done[64];
+    uint32_t ndone;
+    char round_key[BD_LABEL];
+    char dropped[64][BD_LABEL];
+    uint32_t ndropped;
+    bool bump;
+    uint64_t old_term;
+};
+
+struct bd_effect *bd_emit(struct bd_core *c, enum bd_effect_kind kind);
+void bd_reply(struct bd_core *c, void *request, int status, char *body, int retry_after);
+int bd_intern(struct bd_names **table, const char *name);
+int bd_type_index(struct bd_core *c, const char *label);
+int bd_zone_index(struct bd_core *c, const char *name);
+int bd_team_index(const struct bd_core *c, const char *name);
+struct bd_job *bd_job_find(struct bd_core *c, const char *id);
+struct bd_machine *bd_machine_get(struct bd_core *c, const char *id);
+struct bd_machine *bd_machine_of(struct bd_core *c, uint32_t index);
+void bd_spec_resolve(struct bd_core *c, const struct bd_spec_text *t, struct bd_spec *s);
+
+/* tasks: the only ways their state changes */
+void bd_task_set(struct bd_core *c, struct bd_job *j, uint32_t i, enum bd_task_state st);
+void bd_task_assign(struct bd_core *c, struct bd_job *j, uint32_t i, struct bd_machine *m,
+                    uint64_t attempt, enum bd_task_state st);
+void bd_task_free(struct bd_core *c, struct bd_job *j, uint32_t i);
+void bd_task_done(struct bd_core *c, struct bd_job *j, uint32_t i);
+void bd_task_stop(struct bd_core *c, struct bd_job *j, uint32_t i, bool force);
+bool bd_job_lead(struct bd_core *c, struct bd_job *j);
+void bd_job_unlead(struct bd_job *j);
+void bd_machine_lapse(struct bd_core *c, struct bd_machine *m);
+void bd_machine_gone(struct bd_core *c, struct bd_machine *m);
+bool bd_machine_usable(const struct bd_core *c, const struct bd_machine *m);
+struct timespec bd_lease_end(const struct bd_core *c, struct timespec answered);
+void bd_orders_send(struct bd_core *c, struct bd_machine *m);
+
+double bd_grace_s(const struct bd_settings *s);
+
+/* rounds */
+void bd_round_place(struct bd_core *c);  /* fills c->commit's plan */
+void bd_round_commit(struct bd_core *c); /* builds and sends the transaction */
+void bd_commit_free(struct bd_commit *k);
+uint32_t bd_jobs_in_order(struct bd_core *c, struct bd_job ***out);
+bool bd_allowed(const struct bd_core *c, const struct bd_spec *s, int type, int zone, bool spot);
+void bd_fleet_tick(struct bd_core *c);
+#endif
--- /dev/null
+++ b/src/fleet.c
@@ -0,0 +1,423 @@
+/* The machines: what the cloud lists, what is rented and what goes back. */
+#include "core_in.h"
+#include <math.h>
+#include <stdio.h>
+
+/* named defaults */
+#define BACKOFF_FIRST_S 3.0
+#define BACKOFF_MOST_S 40.0
+#define BOOT_PATIENCE 4.0 /* times the usual boot time before a machine is given up */
+#define BOOT_EXTRA_S 20.0
+#define RENT_MOST 50
+#define RETURN_MOST 100
+#define RENTS_A_TICK 3
+#define DEAD_EXTRA_S 15.0
+#define BINS 256
+
+void bd_core_types(struct bd_core *c, const struct bd_type_text *t, int n)
+{
+    for (int i = 0; i < n; i++) {
+        int k = bd_type_index(c, t[i].label);
+        if (k < 0)
+            continue;
+        struct bd_type *d = &c->types[k];
+        d->known = true;
+        d->cpus = t[i].cpus;
+        d->gpus = t[i].gpus;
+        d->mem = t[i].mem;
+        d->cache_gb = t[i].cache_gb;
+        d->fetch = t[i].fetch;
+        d->price = t[i].price;
+        d->spot_price = t[i].spot_price;
+        d->boot = t[i].boot;
+        d->zones = 0;
+        for (int z = 0; z < t[i].nzones; z++) {
+            int zi = bd_zone_index(c, t[i].zones[z]);
+            if (zi >= 0)
+                d->zones |= 1u << zi;
+        }
+    }
+    if (n > 0)
+        c->types_known = true;
+}
+
+/* ---- the list ---- */
+
+static void take_listed(struct bd_core *c, const struct bd_cloud_machine *l)
+{
+    struct bd_machine *m = bd_machine_get(c, l->id);
+    if (m->gone)
+        return;
+    m->listed = true;
+    m->listed_now = true;
+    m->type = bd_type_index(c, l->type);
+    m->zone = bd_zone_index(c, l->zone);
+    m->spot = l->spot;
+    m->age_at_known = l->age;
+    m->age_known = c->now;
+    if (!*m->addr)
+        snprintf(m->addr, sizeof m->addr, "%s", l->addr);
+    if (l->mood == BD_FAILED && !m->failed) {
+        m->failed = true;
+        bd_say(c->log, BD_INFO, "%s failed", m->id);
+        bd_machine_lapse(c, m);
+    }
+}
+
+/* A machine that existed at some moment and is missing from a list of a later moment is gone. */
+static void take_missing(struct bd_core *c, struct bd_machine *m, struct timespec asked)
+{
+    double lag = 2 * bd_to_secs(c->set->list_lag) + 1.0;
+    struct timespec existed = bd_max(m->heard, m->known_at);
+    if (m->gone || m->listed_now || bd_between(existed, asked) < lag)
+        return;
+    bd_say(c->log, BD_INFO, "%s is gone from the list, %u tasks lost", m->id, m->nrefs);
+    bd_machine_gone(c, m);
+}
+
+void bd_core_machines(struct bd_core *c, const struct bd_cloud_machine *l, size_t n,
+                      struct timespec asked)
+{
+    if (c->role != BD_LEADER)
+        return;
+    for (uint32_t i = 0; i < c->nmachines; i++)
+        c->by_index[i]->listed_now = false;
+    for (size_t i = 0; i < n; i++)
+        take_listed(c, &l[i]);
+    for (uint32_t i = 0; i < c->nmachines; i++)
+        take_missing(c, c->by_index[i], asked);
+    c->listed_once = true;
+}
+
+/* ---- rentals ---- */
+
+static struct bd_market *market(struct bd_core *c, int type, int zone, bool spot)
+{
+    return &c->markets[type][zone][spot ? 1 : 0];
+}
+
+static void backoff(struct bd_core *c, struct bd_market *k)
+{
+    k->backoff = k->backoff <= 0 ? BACKOFF_FIRST_S : fmin(k->backoff * 2, BACKOFF_MOST_S);
+    k->refuse_until = bd_add(c->now, bd_secs(k->backoff));
+}
+
+void bd_core_rented(struct bd_core *c, const char *request, long status, char (*names)[BD_LABEL],
+                    int n)
+{
+    int k = 0;
+    while (k < c->nrentals && strcmp(c->rentals[k].request, request) != 0)
+        k++;
+    if (c->role != BD_LEADER || k == c->nrentals)
+        return;
+    struct bd_rental r = c->rentals[k];
+    c->rentals[k] = c->rentals[--c->nrentals];
+    struct bd_market *mk = market(c, r.type, r.zone, r.spot);
+    if (status != 200 || n < r.count)
+        backoff(c, mk);
+    else
+        mk->backoff = 0;
+    for (int i = 0; status == 200 && i < n; i++) {
+        struct bd_machine *m = bd_machine_get(c, names[i]);
+        if (m->gone)
+            continue;
+        m->type = r.type;
+        m->zone = r.zone;
+        m->spot = r.spot;
+        m->age_at_known = bd_between(r.sent, c->now);
+        m->age_known = c->now;
+    }
+    bd_say(c->log, BD_INFO, "rental of %d %s in %s%s: status %ld, %d machines", r.count,
+           c->types[r.type].label, c->zones[r.zone], r.spot ? " (spot)" : "", status, n);
+}
+
+void bd_core_returned(struct bd_core *c, char (*names)[BD_LABEL], int n, bool ok)
+{
+    if (c->role != BD_LEADER)
+        return;
+    for (int i = 0; i < n; i++) {
+        struct bd_machine *m = NULL;
+        HASH_FIND_STR(c->machines, names[i], m);
+        if (!m)
+            continue;
+        if (ok) {
+            bd_machine_gone(c, m);
+        } else { /* it may be gone all the same: it is not used again, and asked for again */
+            m->return_after = bd_add(c->now, bd_secs(3.0));
+        }
+    }
+}
+
+static void rent(struct bd_core *c, int type, int zone, bool spot, int count)
+{
+    if (c->nrentals == (int)(sizeof c->rentals / sizeof *c->rentals))
+        return;
+    struct bd_rental *r = &c->rentals[c->nrentals++];
+    memset(r, 0, sizeof *r);
+    /* never used again: the term is ours alone, and so is the number within it */
+    snprintf(r->request, sizeof r->request, "r-%llu-%llu", (unsigned long long)c->base_term,
+             (unsigned long long)++c->request_n);
+    r->type = type;
+    r->zone = zone;
+    r->spot = spot;
+    r->count = count < RENT_MOST ? count : RENT_MOST;
+    r->sent = c->now;
+    struct bd_effect *e = bd_emit(c, BD_E_RENT);
+    snprintf(e->key, sizeof e->key, "%s", r->request);
+    e->body = bd_wire_rent(r->request, c->types[type].label, c->zones[zone], spot, r->count);
+}
+
+/* ---- demand ---- */
+
+struct bin { /* a machine that is not up yet, or would have to be rented */
+    int type, zone;
+    bool spot, wanted;
+    double cpus, gpus, mem;
+};
+
+struct demand {
+    struct bd_core *c;
+    struct bin bins[BINS];
+    int n;
+    double team_cpus[BD_MAX_TEAMS], team_gpus[BD_MAX_TEAMS];
+};
+
+static struct bin *add_bin(struct demand *d, int type, int zone, bool spot, bool wanted)
+{
+    if (d->n == BINS)
+        return NULL;
+    const struct bd_type *t = &d->c->types[type];
+    d->bins[d->n] = (struct bin){type, zone, spot, wanted, t->cpus, t->gpus, t->mem};
+    return &d->bins[d->n++];
+}
+
+static bool booting(const struct bd_core *c, const struct bd_machine *m)
+{
+    return !m->gone && !m->returning && !m->failed && !m->session && m->type >= 0 && m->zone >= 0 &&
+           c->types[m->type].known;
+}
+
+static double age(const struct bd_core *c, const struct bd_machine *m)
+{
+    return m->age_at_known + bd_between(m->age_known, c->now);
+}
+
+static void bins_coming(struct demand *d)
+{
+    struct bd_core *c = d->c;
+    for (uint32_t i = 0; i < c->nmachines; i++) {
+        struct bd_machine *m = c->by_index[i];
+        if (booting(c, m) && age(c, m) < 2.5 * c->types[m->type].boot + BOOT_EXTRA_S)
+            (void)add_bin(d, m->type, m->zone, m->spot, false);
+    }
+    for (int k = 0; k < c->nrentals; k++)
+        for (int i = 0; i < c->rentals[k].count; i++)
+            (void)add_bin(d, c->rentals[k].type, c->rentals[k].zone, c->rentals[k].spot, false);
+}
+
+static bool bin_fits(const struct bin *b, const struct bd_spec *s)
+{
+    return s->cpus <= b->cpus + 1e-9 && s->gpus <= b->gpus + 1e-9 && s->mem <= b->mem + 1e-9;
+}
+
+static void bin_take(struct bin *b, const struct bd_spec *s)
+{
+    b->cpus -= s->cpus;
+    b->gpus -= s->gpus;
+    b->mem -= s->mem;
+}
+
+static int tasks_a_machine(const struct bd_type *t, const struct bd_spec *s)
+{
+    double n = 1e6;
+    if (s->cpus > 0)
+        n = fmin(n, floor(t->cpus / s->cpus + 1e-9));
+    if (s->gpus > 0)
+        n = fmin(n, floor(t->gpus / s->gpus + 1e-9));
+    if (s->mem > 0)
+        n = fmin(n, floor(t->mem / s->mem + 1e-9));
+    return (int)n;
+}
+
+/* The cheapest kind of machine for `left` more tasks, or false. */
+static bool choose(struct demand *d, const struct bd_spec *s, uint32_t left, int zone_want,
+                   int *type, int *zone, bool *spot)
+{
+    struct bd_core *c = d->c;
+    double low = INFINITY;
+    for (int t = 0; t < c->ntypes; t++) {
+        if (!c->types[t].known)
+            continue;
+        int n = tasks_a_machine(&c->types[t], s);
+        if (n < 1)
+            continue;
+        n = (uint32_t)n < left ? n : (int)left;
+        for (int z = 0; z < c->nzones; z++) {
+            for (int sp = 0; sp < 2; sp++) {
+                if (!(c->types[t].zones >> z & 1) || !bd_allowed(c, s, t, z, sp) ||
+                    (zone_want >= 0 && z != zone_want) ||
+                    bd_before(c->now, c->markets[t][z][sp].refuse_until))
+                    continue;
+                double v = (sp ? c->types[t].spot_price : c->types[t].price) / n;
+                if (v < low - 1e-12) {
+                    low = v;
+                    *type = t;
+                    *zone = z;
+                    *spot = sp;
+                }
+            }
+        }
+    }
+    return low < INFINITY;
+}
+
+static uint32_t under_quota(struct demand *d, const struct bd_spec *s, uint32_t n)
+{
+    const struct bd_team_limits *t = &d->c->set->teams[s->team];
+    if (t->cpus_max > 0 && s->cpus > 0)
+        n = (uint32_t)fmin(n, fmax(0, floor((t->cpus_max - d->team_cpus[s->team]) / s->cpus)));
+    if (t->gpus_max > 0 && s->gpus > 0)
+        n = (uint32_t)fmin(n, fmax(0, floor((t->gpus_max - d->team_gpus[s->team]) / s->gpus)));
+    d->team_cpus[s->team] += n * s->cpus;
+    d->team_gpus[s->team] += n * s->gpus;
+    return n;
+}
+
+static void want_job(struct demand *d, const struct bd_spec *s, uint32_t n)
+{
+    int type = 0, zone = 0;
+    bool spot = false;
+    for (int i = 0; i < d->n && n > 0; i++) {
+        struct bin *b = &d->bins[i];
+        while (n > 0 && bd_allowed(d->c, s, b->type, b->zone, b->spot) && bin_fits(b, s)) {
+            bin_take(b, s);
+            n--;
+        }
+    }
+    while (n > 0 && choose(d, s, n, -1, &type, &zone, &spot)) {
+        struct bin *b = add_bin(d, type, zone, spot, true);
+        if (!b)
+            return;
+        while (n > 0 && bin_fits(b, s)) {
+            bin_take(b, s);
+            n--;
+        }
+    }
+}
+
+static void rent_wanted(struct demand *d)
+{
+    struct bd_core *c = d->c;
+    int sent = 0;
+    for (int i = 0; i < d->n && sent < RENTS_A_TICK && c->nrentals < 8; i++) {
+        if (!d->bins[i].wanted)
+            continue;
+        int count = 0;
+        struct bin b = d->bins[i];
+        for (int k = i; k < d->n; k++) {
+            struct bin *o = &d->bins[k];
+            if (o->wanted && o->type == b.type && o->zone == b.zone && o->spot == b.spot) {
+                o->wanted = false;
+                count++;
+            }
+        }
+        rent(c, b.type, b.zone, b.spot, count);
+        sent++;
+    }
+}
+
+static void rent_for_demand(struct bd_core *c)
+{
+    struct demand *d = calloc(1, sizeof *d);
+    struct bd_job **jobs;
+    if (!d)
+        return;
+    d->c = c;
+    memcpy(d->team_cpus, c->team_cpus, sizeof d->team_cpus);
+    memcpy(d->team_gpus, c->team_gpus, sizeof d->team_gpus);
+    bins_coming(d);
+    uint32_t n = bd_jobs_in_order(c, &jobs);
+    for (uint32_t i = 0; i < n; i++)
+        if (jobs[i]->nwait > 0 && bd_before(jobs[i]->hold_until, c->now))
+            want_job(d, &jobs[i]->spec, under_quota(d, &jobs[i]->spec, jobs[i]->nwait));
+    free(jobs);
+    rent_wanted(d);
+    free(d);
+}
+
+/* ---- returns ---- */
+
+static bool boot_given_up(const struct bd_core *c, const struct bd_machine *m)
+{
+    return booting(c, m) && m->nrefs == 0 &&
+           age(c, m) > BOOT_PATIENCE * c->types[m->type].boot + BOOT_EXTRA_S;
+}
+
+static bool dead(const struct bd_core *c, const struct bd_machine *m)
+{
+    return m->session && m->nrefs == 0 && !m->fenced &&
+           bd_between(m->heard, c->now) > bd_to_secs(c->set->lease) + DEAD_EXTRA_S;
+}
+
+static bool wants_return(struct bd_core *c, struct bd_machine *m)
+{
+    if (m->gone || bd_before(c->now, m->return_after))
+        return false;
+    if (m->returning || m->failed)
+        return true;
+    if (m->nrefs > 0)
+        return false;
+    if (boot_given_up(c, m) || dead(c, m))
+        return true;
+    if (!m->fenced)
+        return false;
+    return m->bad || m->notice_left >= 0 ||
+           bd_between(m->idle_since, c->now) > c->set->idle_return_s;
+}
+
+static void return_machines(struct bd_core *c)
+{
+    char names[RETURN_MOST][BD_LABEL];
+    int n = 0;
+    for (uint32_t i = 0; i < c->nmachines && n < RETURN_MOST; i++) {
+        struct bd_machine *m = c->by_index[i];
+        if (!wants_return(c, m))
+            continue;
+        m->returning = true;
+        m->return_after = bd_add(c->now, bd_secs(6.0));
+        snprintf(names[n++], BD_LABEL, "%s", m->id);
+        bd_say(c->log, BD_INFO, "%s goes back%s", m->id, m->bad ? " (faulty)" : "");
+    }
+    if (n == 0)
+        return;
+    struct bd_effect *e = bd_emit(c, BD_E_RETURN);
+    e->body = bd_wire_return(names, n);
+}
+
+/* Tasks that can save leave a machine that the cloud takes back or that fails its tasks. */
+static void drain(struct bd_core *c)
+{
+    for (uint32_t i = 0; i < c->nmachines; i++) {
+        struct bd_machine *m = c->by_index[i];
+        if (m->gone || (m->notice_left < 0 && !m->bad))
+            continue;
+        for (uint32_t k = m->nrefs; k > 0; k--) {
+            if (k > m->nrefs)
+                continue;
+            struct bd_ref r = m->refs[k - 1];
+            struct bd_task *t = &r.job->tasks[r.task];
+            if ((t->state == BD_T_LIVE || t->state == BD_T_LAUNCH) && !(t->flags & BD_F_STOP) &&
+                (r.job->spec.checkpoint > 0 || m->bad))
+                bd_task_stop(c, r.job, r.task, false);
+        }
+    }
+}
+
+void bd_fleet_tick(struct bd_core *c)
+{
+    drain(c);
+    if (!c->listed_once)
+        return;
+    rent_for_demand(c);
+    return_machines(c);
+}
--- /dev/null
+++ b/src/front.c
@@ -0,0 +1,226 @@
+/* HTTP for users, workers and health checks, on libmicrohttpd: one polling thread, and a
+ * connection is suspended while the owner decides. A thread for each connection would not fit
+ * the machine's memory. */
+#include "brambledoor/node.h"
+#include <arpa/inet.h>
+#include <microhttpd.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define BODY_MAX 65536u
+#define POOL_BYTES 6144u /* memory a connection keeps */
+#define IDLE_S 120u
+#define SOCKETS_KEPT 96  /* for our own outgoing connections */
+#define PENDING_MOST 512 /* requests that wait for the owner */
+
+struct request {
+    struct MHD_Connection *conn;
+    char *buf;
+    size_t len, cap;
+    bool too_large, asked, answered;
+    int status, retry_after;
+    char *body;
+};
+
+struct bd_front {
+    struct MHD_Daemon *daemon;
+    atomic_int pending;
+};
+
+static enum MHD_Result send_now(struct MHD_Connection *conn, int status, char *body, int retry)
+{
+    char text[16];
+    struct MHD_Response *r =
+        MHD_create_response_from_buffer(body ? strlen(body) : 0, body, MHD_RESPMEM_MUST_FREE);
+    if (!r) {
+        free(body);
+        return MHD_NO;
+    }
+    (void)MHD_add_response_header(r, "Content-Type", "application/json");
+    if (retry > 0) {
+        snprintf(text, sizeof text, "%d", retry);
+        (void)MHD_add_response_header(r, "Retry-After", text);
+    }
+    enum MHD_Result rc = MHD_queue_response(conn, (unsigned)status, r);
+    MHD_destroy_response(r);
+    return rc;
+}
+
+static enum MHD_Result say(struct MHD_Connection *conn, int status, const char *why, int retry)
+{
+    char buf[128];
+    snprintf(buf, sizeof buf, "{\"error\":\"%s\"}", why);
+    return send_now(conn, status, strdup(buf), retry);
+}
+
+void bd_front_reply(struct bd_node *n, void *request, int status, char *body, int retry_after)
+{
+    struct request *r = request;
+    r->status = status;
+    r->body = body;
+    r->retry_after = retry_after;
+    r->answered = true;
+    atomic_fetch_sub(&n->front->pending, 1);
+    MHD_resume_connection(r->conn);
+}
+
+static bool take_body(struct request *r, const char *data, size_t size)
+{
+    if (r->too_large || r->len + size > BODY_MAX) {
+        r->too_large = true;
+        return true;
+    }
+    if (r->len + size > r->cap) {
+        size_t cap = r->len + size + 1024;
+        char *grown = realloc(r->buf, cap);
+        if (!grown)
+            return false;
+        r->buf = grown;
+        r->cap = cap;
+    }
+    memcpy(r->buf + r->len, data, size);
+    r->len += size;
+    return true;
+}
+
+/* "/submissions/job-1/withdraw": the id into name; true if the tail matches */
+static bool job_path(const char *url, const char *tail, char *name, size_t cap)
+{
+    const char *prefix = "/submissions/";
+    size_t p = strlen(prefix), t = strlen(tail), u = strlen(url);
+    if (strncmp(url, prefix, p) != 0 || u <= p + t || strcmp(url + u - t, tail) != 0 ||
+        u - p - t >= cap)
+        return false;
+    memcpy(name, url + p, u - p - t);
+    name[u - p - t] = '\0';
+    return strchr(name, '/') == NULL;
+}
+
+static int route(const char *method, const char *url, char *name, size_t cap)
+{
+    bool get = strcmp(method, "GET") == 0, post = strcmp(method, "POST") == 0;
+    if (strcmp(url, "/checkin") == 0)
+        return post ? BD_C_CHECKIN : -405;
+    if (strcmp(url, "/submissions") == 0)
+        return post ? BD_C_SUBMIT : -405;
+    if (job_path(url, "/withdraw", name, cap))
+        return post ? BD_C_WITHDRAW : -405;
+    if (job_path(url, "", name, cap))
+        return get ? BD_C_GET : -405;
+    return -404;
+}
+
+static enum MHD_Result ask_owner(struct bd_node *n, struct request *r, int kind, const char *name)
+{
+    struct bd_cmd *cmd = bd_cmd_new((enum bd_cmd_kind)kind);
+    cmd->request = r;
+    cmd->text = r->buf ? r->buf : strdup("");
+    cmd->len = r->len;
+    r->buf = NULL;
+    snprintf(cmd->name, sizeof cmd->name, "%s", name);
+    r->asked = true;
+    atomic_fetch_add(&n->front->pending, 1);
+    MHD_suspend_connection(r->conn);
+    bd_tell(n, cmd);
+    return MHD_YES;
+}
+
+static enum MHD_Result decide(struct bd_node *n, struct request *r, const char *method,
+                              const char *url)
+{
+    char name[BD_LABEL] = "";
+    if (strcmp(url, "/up") == 0) {
+        if (strcmp(method, "GET") != 0)
+            return say(r->conn, 405, "wrong method", 0);
+        return atomic_load(&n->up) ? send_now(r->conn, 200, strdup("{\"up\":true}"), 0)
+                                   : say(r->conn, 503, "not ready", 1);
+    }
+    int kind = route(method, url, name, sizeof name);
+    if (kind == -404)
+        return say(r->conn, 404, "no such path", 0);
+    if (kind == -405)
+        return say(r->conn, 405, "wrong method", 0);
+    if (r->too_large)
+        return say(r->conn, 413, "body over 64 KiB", 0);
+    if (atomic_load(&n->front->pending) >= PENDING_MOST)
+        return say(r->conn, 503, "busy", 1);
+    return ask_owner(n, r, kind, name);
+}
+
+static enum MHD_Result handle(void *arg, struct MHD_Connection *conn, const char *url,
+                              const char *method, const char *version, const char *data,
+                              size_t *size, void **ctx)
+{
+    (void)version;
+    struct request *r = *ctx;
+    if (!r) {
+        r = calloc(1, sizeof *r);
+        if (!r)
+            return MHD_NO;
+        r->conn = conn;
+        *ctx = r;
+        return MHD_YES;
+    }
+    if (*size > 0) {
+        bool ok = take_body(r, data, *size);
+        *size = 0;
+        return ok ? MHD_YES : MHD_NO;
+    }
+    if (r->answered) {
+        char *body = r->body;
+        r->body = NULL;
+        return send_now(conn, r->status, body, r->retry_after);
+    }
+    if (r->asked)
+        return MHD_YES;
+    return decide(arg, r, method, url);
+}
+
+static void completed(void *arg, struct MHD_Connection *conn, void **ctx,
+                      enum MHD_RequestTerminationCode code)
+{
+    (void)arg;
+    (void)conn;
+    (void)code;
+    struct request *r = *ctx;
+    if (!r)
+        return;
+    free(r->buf);
+    free(r->body);
+    free(r);
+    *ctx = NULL;
+}
+
+static bool parse_addr(const char *text, struct sockaddr_in *out)
+{
+    char host[BD_NAME];
+    const char *colon = strrchr(text, ':');
+    if (!colon || (size_t)(colon - text) >= sizeof host)
+        return false;
+    memcpy(host, text, (size_t)(colon - text));
+    host[colon - text] = '\0';
+    memset(out, 0, sizeof *out);
+    out->sin_family = AF_INET;
+    out->sin_port = htons((uint16_t)strtoul(colon + 1, NULL, 10));
+    return inet_pton(AF_INET, host, &out->sin_addr) == 1;
+}
+
+int bd_front_start(struct bd_node *n)
+{
+    struct sockaddr_in addr;
+    if (!parse_addr(n->set.front, &addr))
+        return -1;
+    n->front = calloc(1, sizeof *n->front);
+    if (!n->front)
+        return -1;
+    int most = n->set.max_sockets - SOCKETS_KEPT;
+    n->front->daemon = MHD_start_daemon(
+        MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL, handle, n,
+        MHD_OPTION_SOCK_ADDR, (struct sockaddr *)&addr, MHD_OPTION_CONNECTION_LIMIT,
+        (unsigned)(most > 8 ? most : 8), MHD_OPTION_CONNECTION_TIMEOUT, IDLE_S,
+        MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)POOL_BYTES, MHD_OPTION_NOTIFY_COMPLETED,
+        completed, NULL, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u, MHD_OPTION_LISTEN_BACKLOG_SIZE,
+        256u, MHD_OPTION_THREAD_STACK_SIZE, (size_t)131072, MHD_OPTION_END);
+    return n->front->daemon ? 0 : -1;
+}
--- /dev/null
+++ b/src/leader.c
@@ -0,0 +1,253 @@
+/* Election by one versioned lease: the key `leader` on a grant of the state service. The mark of
+ * the key at acquisition is the term. */
+#include "brambledoor/node.h"
+#include "brambledoor/store.h"
+#include "brambledoor/timeutil.h"
+#include <gsl/gsl_rng.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/random.h>
+
+/* named defaults */
+#define LOOK_S 0.3
+#define RENEWS 6.0 /* renewals in a grant's life */
+
+struct seat {
+    struct bd_node *n;
+    struct bd_http *h;
+    gsl_rng *rng;
+    char nonce[BD_LABEL], seen[BD_LABEL];
+    uint64_t grant;
+    struct timespec granted;
+    bool leading;
+    double ttl;
+};
+
+static double call_s(const struct seat *s)
+{
+    return s->ttl / 3;
+}
+
+static bool get_grant(struct seat *s)
+{
+    json_t *o = NULL;
+    char *body = bd_wire_ttl(s->ttl);
+    s->granted = bd_now();
+    long status = bd_store_call(s->n, s->h, "POST", "/grants", body, call_s(s), &o);
+    free(body);
+    s->grant = status == 200 ? bd_wire_grant(o) : 0;
+    json_decref(o);
+    return s->grant != 0;
+}
+
+enum view { VIEW_UNKNOWN, VIEW_FREE, VIEW_OURS, VIEW_BEFORE_US, VIEW_OTHER };
+
+/* Who holds the lease now; the mark of the key into *mark. */
+static enum view see(struct seat *s, uint64_t *mark)
+{
+    json_t *o = NULL;
+    struct bd_change ch;
+    uint64_t grant;
+    enum view v = VIEW_UNKNOWN;
+    long status = bd_store_call(s->n, s->h, "GET", "/kv/leader", NULL, call_s(s), &o);
+    if (status == 404)
+        v = VIEW_FREE;
+    if (status == 200 && bd_wire_pair(o, &ch, &grant)) {
+        const char *node = json_string_value(json_object_get(ch.value, "node"));
+        const char *nonce = json_string_value(json_object_get(ch.value, "nonce"));
+        *mark = ch.mark;
+        v = VIEW_OTHER;
+        if (node && strcmp(node, s->n->set.node) == 0)
+            v = nonce && strcmp(nonce, s->nonce) == 0 ? VIEW_OURS : VIEW_BEFORE_US;
+        if (node && strcmp(node, s->seen) != 0) {
+            snprintf(s->seen, sizeof s->seen, "%s", node);
+            struct bd_cmd *cmd = bd_cmd_new(BD_C_LEADER_IS);
+            snprintf(cmd->name, sizeof cmd->name, "%s", node);
+            bd_tell(s->n, cmd);
+        }
+    }
+    if (v == VIEW_FREE && *s->seen) {
+        s->seen[0] = '\0';
+        bd_tell(s->n, bd_cmd_new(BD_C_LEADER_IS));
+    }
+    json_decref(o);
+    return v;
+}
+
+static void fresh_nonce(struct seat *s)
+{
+    unsigned char raw[8] = {0};
+    if (getrandom(raw, sizeof raw, GRND_NONBLOCK) != (ssize_t)sizeof raw) {
+        for (size_t i = 0; i < sizeof raw; i++)
+            raw[i] = (unsigned char)gsl_rng_uniform_int(s->rng, 256);
+    }
+    struct timespec t = bd_now();
+    int len = snprintf(s->nonce, sizeof s->nonce, "%lld-", (long long)t.tv_nsec);
+    for (size_t i = 0; i < sizeof raw; i++)
+        len += snprintf(s->nonce + len, sizeof s->nonce - (size_t)len, "%02x", raw[i]);
+}
+
+/* Takes the lease if it is free (mark 0) or was our own former process's. The term, or 0. */
+static uint64_t acquire(struct seat *s, uint64_t mark)
+{
+    struct bd_txn t;
+    json_t *o = NULL;
+    uint64_t term = 0;
+    fresh_nonce(s);
+    if (!get_grant(s) || !bd_txn_start(&t))
+        return 0;
+    bd_txn_if(&t, "leader", mark);
+    bd_txn_set(&t, "leader", json_pack("{s:s,s:s}", "node", s->n->set.node, "nonce", s->nonce),
+               s->grant);
+    char *body = bd_txn_end(&t);
+    long status = bd_store_call(s->n, s->h, "POST", "/commit", body, call_s(s), &o);
+    free(body);
+    if (status == 200)
+        term = bd_wire_ring(o);
+    json_decref(o);
+    if (status != 200 && status != 409 && status != 400) {
+        uint64_t now = 0;
+        if (see(s, &now) == VIEW_OURS)
+            term = now;
+    }
+    return term;
+}
+
+/* True if the grant still lives, 0 if it is over, -1 if not known. */
+static int renew(struct seat *s)
+{
+    char path[64];
+    json_t *o = NULL;
+    struct timespec sent = bd_now();
+    snprintf(path, sizeof path, "/grants/%llu/renew", (unsigned long long)s->grant);
+    long status = bd_store_call(s->n, s->h, "POST", path, "{}", call_s(s), &o);
+    json_decref(o);
+    if (status == 404)
+        return 0;
+    if (status != 200)
+        return -1;
+    s->granted = sent;
+    struct bd_cmd *cmd = bd_cmd_new(BD_C_RENEWED);
+    cmd->number = s->grant;
+    cmd->sent = sent;
+    bd_tell(s->n, cmd);
+    return 1;
+}
+
+static bool witness(struct seat *s, struct bd_gain *g)
+{
+    json_t *o = NULL;
+    struct bd_change ch;
+    uint64_t grant;
+    long status = bd_store_call(s->n, s->h, "GET", "/kv/w", NULL, call_s(s), &o);
+    if (status == 200 && bd_wire_pair(o, &ch, &grant))
+        g->witness_mark = ch.mark;
+    json_decref(o);
+    return status == 200 || status == 404;
+}
+
+/* Reads what earlier terms left. The grant is renewed between the steps. */
+static bool load(struct seat *s, struct bd_gain *g)
+{
+    for (int step = 0; step < 3;) {
+        bool ok = false;
+        if (step == 0)
+            ok = witness(s, g);
+        else if (step == 1)
+            ok = (g->receipts = bd_store_list(s->n, s->h, "r/", NULL)) != NULL;
+        else
+            ok = (g->intents = bd_store_list(s->n, s->h, "i/", NULL)) != NULL;
+        step += ok;
+        if (renew(s) == 0)
+            return false;
+        if (!ok)
+            bd_pause(0.1);
+    }
+    return true;
+}
+
+static void lost(struct seat *s)
+{
+    s->leading = false;
+    bd_tell(s->n, bd_cmd_new(BD_C_LOST));
+}
+
+static void take_seat(struct seat *s, uint64_t mark)
+{
+    uint64_t term = acquire(s, mark);
+    if (term == 0)
+        return;
+    bd_say(&s->n->log, BD_INFO, "holds the lease, term %llu", (unsigned long long)term);
+    struct bd_cmd *cmd = bd_cmd_new(BD_C_GAINED);
+    cmd->gain.term = term;
+    cmd->gain.grant = s->grant;
+    snprintf(cmd->name, sizeof cmd->name, "%s", s->nonce);
+    if (!load(s, &cmd->gain)) {
+        bd_cmd_free(cmd);
+        return;
+    }
+    cmd->gain.renewed = s->granted;
+    atomic_store(&s->n->step_down, false);
+    s->leading = true;
+    bd_tell(s->n, cmd);
+    (void)bd_queue_put(&s->n->reader_wake, s);
+}
+
+static void follow_once(struct seat *s)
+{
+    uint64_t mark = 0;
+    enum view v = see(s, &mark);
+    if (v == VIEW_FREE)
+        take_seat(s, 0);
+    else if (v == VIEW_BEFORE_US || v == VIEW_OURS)
+        take_seat(s, mark);
+    if (!s->leading) /* uneven, so that nodes do not collide for ever */
+        bd_pause(LOOK_S * (0.7 + 0.6 * gsl_rng_uniform(s->rng)));
+}
+
+static void lead_once(struct seat *s)
+{
+    uint64_t mark = 0;
+    if (atomic_exchange(&s->n->step_down, false)) {
+        s->leading = false;
+        return;
+    }
+    if (renew(s) == 0) {
+        enum view v = see(s, &mark);
+        bd_say(&s->n->log, BD_INFO, "grant is over, view %d", (int)v);
+        lost(s);
+        return;
+    }
+    bd_pause(s->ttl / RENEWS);
+}
+
+static void *run(void *arg)
+{
+    struct seat *s = arg;
+    for (;;) {
+        if (s->leading)
+            lead_once(s);
+        else
+            follow_once(s);
+    }
+    return NULL;
+}
+
+int bd_leader_start(struct bd_node *n)
+{
+    struct seat *s = calloc(1, sizeof *s);
+    if (!s)
+        return -1;
+    s->n = n;
+    s->h = bd_http_new(1);
+    s->rng = gsl_rng_alloc(gsl_rng_taus2);
+    if (!s->h || !s->rng)
+        return -1;
+    unsigned long seed = (unsigned long)bd_now().tv_nsec;
+    for (const char *p = n->set.node; *p; p++)
+        seed = seed * 31 + (unsigned char)*p;
+    gsl_rng_set(s->rng, seed);
+    s->ttl = bd_to_secs(n->set.leader_ttl);
+    return bd_thread(run, s, 131072);
+}
--- /dev/null
+++ b/src/log.c
@@ -0,0 +1,36 @@
+#include "brambledoor/log.h"
+#include "brambledoor/timeutil.h"
+#include <stdarg.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+enum bd_level bd_level_of(const char *name)
+{
+    if (name && strcmp(name, "debug") == 0)
+        return BD_DEBUG;
+    if (name && strcmp(name, "error") == 0)
+        return BD_ERROR;
+    return BD_INFO;
+}
+
+void bd_say(const struct bd_log *log, enum bd_level level, const char *fmt, ...)
+{
+    static const char *const names[] = {"error", "info", "debug"};
+    if (!log || level > log->level)
+        return;
+    char line[1024];
+    int n = snprintf(line, sizeof line, "%s %s ", names[level], log->node ? log->node : "-");
+    if (n < 0)
+        return;
+    va_list ap;
+    va_start(ap, fmt);
+    int m = vsnprintf(line + n, sizeof line - (size_t)n - 1, fmt, ap);
+    va_end(ap);
+    if (m < 0)
+        return;
+    size_t len = strlen(line);
+    line[len++] = '\n';
+    if (write(STDERR_FILENO, line, len) < 0)
+        return; /* nowhere left to report to */
+}
--- /dev/null
+++ b/src/owner.c
@@ -0,0 +1,291 @@
+/* The thread that alone owns the core. It drains the commands in batches and hands the effects
+ * to the adapters. */
+#include "brambledoor/http.h"
+#include "brambledoor/node.h"
+#include "brambledoor/timeutil.h"
+#include <limits.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define BATCH 128
+#define QUEUE_CAP 4096
+
+struct bd_cmd *bd_cmd_new(enum bd_cmd_kind kind)
+{
+    struct bd_cmd *cmd = calloc(1, sizeof *cmd);
+    if (!cmd)
+        abort();
+    cmd->kind = kind;
+    return cmd;
+}
+
+void bd_cmd_free(struct bd_cmd *cmd)
+{
+    free(cmd->text);
+    free(cmd->data);
+    json_decref(cmd->json);
+    json_decref(cmd->gain.receipts);
+    json_decref(cmd->gain.intents);
+    free(cmd);
+}
+
+void bd_tell(struct bd_node *n, struct bd_cmd *cmd)
+{
+    /* the adapters' own words are few; the front checks for room before it admits a request */
+    while (!bd_queue_put(&n->to_owner, cmd))
+        bd_pause(0.01);
+}
+
+int bd_thread(void *(*run)(void *), void *arg, size_t stack)
+{
+    pthread_attr_t attr;
+    pthread_t t;
+    if (pthread_attr_init(&attr) != 0)
+        return -1;
+    size_t size = stack < (size_t)PTHREAD_STACK_MIN ? (size_t)PTHREAD_STACK_MIN : stack;
+    int rc = pthread_attr_setstacksize(&attr, size);
+    if (rc == 0)
+        rc = pthread_attr_setdetachstate(&attr, PTHREAD_CREATE_DETACHED);
+    if (rc == 0)
+        rc = pthread_create(&t, &attr, run, arg);
+    (void)pthread_attr_destroy(&attr);
+    return rc == 0 ? 0 : -1;
+}
+
+static void changes(struct bd_core *c, json_t *log)
+{
+    struct bd_change ch;
+    json_t *v;
+    size_t i;
+    json_array_foreach(log, i, v)
+    {
+        if (bd_wire_change(v, &ch))
+            bd_core_change(c, &ch);
+    }
+}
+
+static void checkin(struct bd_node *n, struct bd_cmd *cmd)
+{
+    struct bd_report r;
+    json_t *o = json_loadb(cmd->text, cmd->len, 0, NULL);
+    if (o && bd_wire_report(o, &r)) {
+        bd_core_checkin(n->core, cmd->request, &r);
+        bd_wire_report_drop(&r);
+    } else {
+        bd_front_reply(n, cmd->request, 400, strdup("{\"error\":\"malformed report\"}"), 0);
+    }
+    json_decref(o);
+}
+
+static void did(struct bd_node *n, const struct bd_cmd *cmd)
+{
+    struct bd_report r;
+    json_t *o = cmd->text ? json_loads(cmd->text, 0, NULL) : NULL;
+    bool ok = o && bd_wire_report(o, &r);
+    bd_core_did(n->core, cmd->machine, cmd->number, cmd->flag, cmd->status, ok ? &r : NULL);
+    if (ok)
+        bd_wire_report_drop(&r);
+    json_decref(o);
+}
+
+static void followed(struct bd_node *n, struct bd_cmd *cmd)
+{
+    if (cmd->outcome)
+        changes(n->core, bd_wire_log(cmd->json));
+    bd_core_followed(n->core, cmd->after, cmd->ring, cmd->sent, cmd->flag, cmd->outcome);
+}
+
+static void relisted(struct bd_node *n, struct bd_cmd *cmd)
+{
+    changes(n->core, cmd->json);
+    bd_core_relisted(n->core, cmd->ring, cmd->sent);
+}
+
+static void worker_cmd(struct bd_node *n, struct bd_cmd *cmd)
+{
+    struct bd_core *c = n->core;
+    switch (cmd->kind) {
+    case BD_C_CHECKIN:
+        checkin(n, cmd);
+        break;
+    case BD_C_DID:
+        did(n, cmd);
+        break;
+    case BD_C_TYPES:
+        bd_core_types(c, cmd->data, (int)cmd->n);
+        break;
+    case BD_C_MACHINES:
+        bd_core_machines(c, cmd->data, cmd->n, cmd->sent);
+        break;
+    case BD_C_RENTED:
+        bd_core_rented(c, cmd->name, cmd->status, cmd->data, (int)cmd->n);
+        break;
+    case BD_C_RETURNED:
+        bd_core_returned(c, cmd->data, (int)cmd->n, cmd->status == 200);
+        break;
+    default:
+        break;
+    }
+}
+
+static void apply(struct bd_node *n, struct bd_cmd *cmd)
+{
+    struct bd_core *c = n->core;
+    switch (cmd->kind) {
+    case BD_C_SUBMIT:
+        bd_core_submit(c, cmd->request, cmd->text, cmd->len);
+        break;
+    case BD_C_GET:
+        bd_core_get(c, cmd->request, cmd->name);
+        break;
+    case BD_C_WITHDRAW:
+        bd_core_withdraw(c, cmd->request, cmd->name);
+        break;
+    case BD_C_USER_COMMITTED:
+        bd_core_user_committed(c, cmd->request, cmd->name, cmd->text, cmd->status, cmd->ring);
+        break;
+    case BD_C_FOLLOWED:
+        followed(n, cmd);
+        break;
+    case BD_C_RELISTED:
+        relisted(n, cmd);
+        break;
+    case BD_C_LEADER_IS:
+        bd_core_leader_is(c, cmd->name);
+        break;
+    case BD_C_RENEWED:
+        bd_core_renewed(c, cmd->number, cmd->sent);
+        break;
+    case BD_C_LOST:
+        bd_core_lost(c);
+        break;
+    case BD_C_COMMITTED:
+        /* an answer to an earlier term's transaction says nothing about ours */
+        if (cmd->term == c->base_term && cmd->number == c->witness_n)
+            bd_core_committed(c, cmd->outcome, cmd->ring, bd_wire_failed(cmd->json));
+        break;
+    default:
+        worker_cmd(n, cmd);
+    }
+}
+
+static void give(struct bd_node *n, struct bd_queue *q, struct bd_effect *e)
+{
+    while (!bd_queue_put(q, e)) {
+        bd_say(&n->log, BD_ERROR, "an adapter's queue is full");
+        bd_pause(0.05);
+    }
+}
+
+static void perform(struct bd_node *n, struct bd_effect *e)
+{
+    switch (e->kind) {
+    case BD_E_REPLY:
+        bd_front_reply(n, e->request, e->status, e->body, e->retry_after);
+        e->body = NULL;
+        break;
+    case BD_E_BARRIER:
+        atomic_store(&n->want_barrier, true);
+        (void)bd_queue_put(&n->reader_wake, n);
+        break;
+    case BD_E_LOST:
+        atomic_store(&n->step_down, true);
+        break;
+    case BD_E_USER_COMMIT:
+        if (bd_queue_put(&n->to_users, e))
+            return;
+        bd_front_reply(n, e->request, 503, strdup("{\"error\":\"busy\"}"), 1);
+        break;
+    case BD_E_COMMIT:
+        give(n, &n->to_commit, e);
+        return;
+    case BD_E_DO:
+        give(n, &n->to_dispatch, e);
+        return;
+    case BD_E_RENT:
+    case BD_E_RETURN:
+        give(n, &n->to_cloud, e);
+        return;
+    }
+    bd_effect_free(e);
+}
+
+static void effects(struct bd_node *n)
+{
+    struct bd_effect *e = bd_core_effects(n->core);
+    while (e) {
+        struct bd_effect *next = e->next;
+        perform(n, e);
+        e = next;
+    }
+    atomic_store(&n->leading, n->core->role == BD_LEADER);
+    atomic_store(&n->ring, n->core->ring);
+    atomic_store(&n->up, n->core->replica_ready && n->core->types_known);
+    atomic_store(&n->types_known, n->core->types_known);
+}
+
+/* A gained term takes effect once the replica is at least as new as the term itself. */
+static void gain(struct bd_node *n)
+{
+    struct bd_cmd *g = n->pending_gain;
+    if (!g || !n->core->replica_ready || n->core->ring < g->gain.term)
+        return;
+    n->pending_gain = NULL;
+    g->gain.nonce = g->name;
+    bd_core_gained(n->core, &g->gain);
+    bd_cmd_free(g);
+}
+
+static struct timespec clock_core(struct bd_node *n)
+{
+    struct timespec wall = {0, 0}, now = bd_now();
+    (void)clock_gettime(CLOCK_REALTIME, &wall);
+    bd_core_time(n->core, now, bd_to_secs(wall));
+    return now;
+}
+
+void bd_owner_run(struct bd_node *n)
+{
+    void *batch[BATCH];
+    for (;;) {
+        size_t got = bd_queue_take(&n->to_owner, batch, BATCH, bd_core_next(n->core));
+        (void)clock_core(n);
+        for (size_t i = 0; i < got; i++) {
+            struct bd_cmd *cmd = batch[i];
+            if (cmd->kind == BD_C_GAINED) {
+                n->pending_gain = cmd;
+                continue;
+            }
+            if (cmd->kind == BD_C_LOST && n->pending_gain) {
+                bd_cmd_free(n->pending_gain);
+                n->pending_gain = NULL;
+            }
+            apply(n, cmd);
+            bd_cmd_free(cmd);
+        }
+        gain(n);
+        bd_core_tick(n->core);
+        effects(n);
+    }
+}
+
+int bd_node_start(struct bd_node *n)
+{
+    if (bd_http_start() != 0 || bd_queue_init(&n->to_owner, QUEUE_CAP) != 0 ||
+        bd_queue_init(&n->to_commit, 16) != 0 || bd_queue_init(&n->to_users, 64) != 0 ||
+        bd_queue_init(&n->to_dispatch, QUEUE_CAP) != 0 || bd_queue_init(&n->to_cloud, 64) != 0 ||
+        bd_queue_init(&n->reader_wake, 4) != 0)
+        return -1;
+    n->core = bd_core_new(&n->set, &n->log);
+    if (!n->core)
+        return -1;
+    (void)clock_core(n);
+    if (bd_store_start(n) != 0 || bd_cloud_start(n) != 0 || bd_dispatch_start(n) != 0 ||
+        bd_leader_start(n) != 0)
+        return -1;
+    if (bd_front_start(n) != 0) {
+        bd_say(&n->log, BD_ERROR, "cannot listen on %s", n->set.front);
+        return -1;
+    }
+    return 0;
+}
--- /dev/null
+++ b/src/place.c
@@ -0,0 +1,389 @@
+/* Placement: which waiting tasks go where. Like tasks of a job are decided as a class. */
+#include "core_in.h"
+#include <math.h>
+
+/* named defaults: the weights of a choice, in seconds of later start */
+#define COST_GPU_WASTE 200.0 /* work without GPUs on a machine that has some */
+#define COST_LEFTOVER 5.0    /* the whole machine left free after the placement */
+#define COST_NOT_SPOT 3.0    /* work that may use spot, on an ordinary machine */
+#define EPS 1e-6
+
+struct room {
+    double cpus, gpus, mem;
+};
+
+struct round {
+    struct bd_core *c;
+    struct bd_commit *k;
+    struct bd_job **jobs;
+    uint32_t njobs;
+    size_t bytes, most_bytes;
+    uint32_t conds, most_conds;
+    struct room *claimed; /* by machine: room that waits for tasks being stopped */
+};
+
+static struct room free_room(const struct bd_core *c, const struct bd_machine *m)
+{
+    const struct bd_type *t = &c->types[m->type];
+    return (struct room){t->cpus - m->cpus, t->gpus - m->gpus, t->mem - m->mem};
+}
+
+static uint32_t fit_one(double have, double need, uint32_t most)
+{
+    if (need <= 0)
+        return most;
+    double n = floor((have + EPS) / need);
+    return n <= 0 ? 0 : n < most ? (uint32_t)n : most;
+}
+
+static uint32_t fit(struct room r, const struct bd_spec *s, uint32_t most)
+{
+    most = fit_one(r.cpus, s->cpus, most);
+    most = fit_one(r.gpus, s->gpus, most);
+    return fit_one(r.mem, s->mem, most);
+}
+
+bool bd_allowed(const struct bd_core *c, const struct bd_spec *s, int type, int zone, bool spot)
+{
+    (void)c;
+    return (s->any_type || (s->types >> type & 1)) && (s->zone < 0 || s->zone == zone) &&
+           (s->spot || !spot);
+}
+
+static uint32_t quota_left(const struct bd_core *c, const struct bd_spec *s, uint32_t most)
+{
+    const struct bd_team_limits *t = &c->set->teams[s->team];
+    if (t->cpus_max > 0)
+        most = fit_one(t->cpus_max - c->team_cpus[s->team], s->cpus, most);
+    if (t->gpus_max > 0)
+        most = fit_one(t->gpus_max - c->team_gpus[s->team], s->gpus, most);
+    return most;
+}
+
+/* Tasks of the job per zone, counting all that hold a place, unknown and stopping ones too. */
+static void zone_counts(struct bd_core *c, const struct bd_job *j, uint32_t *n)
+{
+    memset(n, 0, BD_MAX_ZONES * sizeof *n);
+    if (!j->spec.together && !j->spec.scatter)
+        return;
+    for (uint32_t i = 0; i < j->ntasks; i++) {
+        struct bd_machine *m = bd_machine_of(c, j->tasks[i].machine);
+        if (m && m->zone >= 0)
+            n[m->zone]++;
+        else if (m) /* where it is cannot be told: it may be in any zone */
+            for (int z = 0; z < c->nzones; z++)
+                n[z]++;
+    }
+}
+
+static uint32_t zone_left(const struct bd_core *c, const struct bd_job *j, const uint32_t *n, int z,
+                          uint32_t most)
+{
+    if (j->spec.together)
+        for (int k = 0; k < c->nzones; k++)
+            if (k != z && n[k] > 0)
+                return 0;
+    if (j->spec.scatter) {
+        uint32_t half = (j->ntasks + 1) / 2;
+        uint32_t left = n[z] >= half ? 0 : half - n[z];
+        return left < most ? left : most;
+    }
+    return most;
+}
+
+static bool has_image(const struct bd_machine *m, int image)
+{
+    for (int k = 0; k < m->nimages; k++)
+        if (m->images[k] == image)
+            return true;
+    return false;
+}
+
+static double cost(const struct bd_core *c, const struct bd_spec *s, const struct bd_machine *m,
+                   struct room r)
+{
+    const struct bd_type *t = &c->types[m->type];
+    double left = t->cpus > 0 ? (r.cpus - s->cpus) / t->cpus : 0;
+    if (s->gpus > 0 && t->gpus > 0)
+        left = (r.gpus - s->gpus) / t->gpus;
+    double v = left * COST_LEFTOVER;
+    if (s->gpus <= 0 && t->gpus > 0)
+        v += COST_GPU_WASTE;
+    if (!has_image(m, s->image))
+        v += s->image_gb / t->fetch;
+    if (s->spot && !m->spot)
+        v += COST_NOT_SPOT;
+    return v;
+}
+
+static struct bd_machine *best(struct round *r, const struct bd_job *j, const uint32_t *zones)
+{
+    struct bd_core *c = r->c;
+    struct bd_machine *found = NULL;
+    double low = INFINITY;
+    for (uint32_t i = 0; i < c->nmachines; i++) {
+        struct bd_machine *m = c->by_index[i];
+        if (!bd_machine_usable(c, m) || !bd_allowed(c, &j->spec, m->type, m->zone, m->spot))
+            continue;
+        struct room room = free_room(c, m);
+        room.cpus -= r->claimed[i].cpus;
+        room.gpus -= r->claimed[i].gpus;
+        room.mem -= r->claimed[i].mem;
+        if (!fit(room, &j->spec, 1) || !zone_left(c, j, zones, m->zone, 1))
+            continue;
+        double v = cost(c, &j->spec, m, room);
+        if (v < low) {
+            low = v;
+            found = m;
+        }
+    }
+    return found;
+}
+
+static void plan(struct round *r, struct bd_job *j, uint32_t i, struct bd_machine *m,
+                 uint64_t attempt)
+{
+    struct bd_commit *k = r->k;
+    if (k->nplan == k->cap) {
+        uint32_t cap = k->cap ? k->cap * 2 : 32;
+        struct bd_intent *p = realloc(k->plan, cap * sizeof *p);
+        if (!p)
+            abort();
+        k->plan = p;
+        k->cap = cap;
+    }
+    bd_task_assign(r->c, j, i, m, attempt, BD_T_PLAN);
+    k->plan[k->nplan++] = (struct bd_intent){j, i, m->index, attempt};
+}
+
+#define GROUP_BYTES 100u /* job, attempt and machine in an intent record */
+#define TASK_BYTES 7u
+
+static uint32_t record_room(const struct round *r, uint32_t most)
+{
+    if (r->bytes + GROUP_BYTES + TASK_BYTES > r->most_bytes)
+        return 0;
+    size_t n = (r->most_bytes - r->bytes - GROUP_BYTES) / TASK_BYTES;
+    return n < most ? (uint32_t)n : most;
+}
+
+/* Places up to `most` waiting tasks of the job; returns how many found a place. */
+static uint32_t fill(struct round *r, struct bd_job *j, uint32_t most, uint64_t attempt)
+{
+    uint32_t zones[BD_MAX_ZONES], placed = 0, next = 0;
+    zone_counts(r->c, j, zones);
+    while (placed < most) {
+        struct bd_machine *m = best(r, j, zones);
+        if (!m)
+            break;
+        struct room room = free_room(r->c, m);
+        room.cpus -= r->claimed[m->index].cpus;
+        room.gpus -= r->claimed[m->index].gpus;
+        room.mem -= r->claimed[m->index].mem;
+        uint32_t n = fit(room, &j->spec, most - placed);
+        n = record_room(r, zone_left(r->c, j, zones, m->zone, n));
+        if (n == 0)
+            break;
+        r->bytes += GROUP_BYTES + n * TASK_BYTES;
+        for (; n > 0 && next < j->ntasks; next++) {
+            if (j->tasks[next].state != BD_T_WAIT)
+                continue;
+            plan(r, j, next, m, attempt);
+            zones[m->zone]++;
+            placed++;
+            n--;
+        }
+    }
+    return placed;
+}
+
+static void unplan(struct round *r, uint32_t from)
+{
+    for (uint32_t i = from; i < r->k->nplan; i++)
+        bd_task_free(r->c, r->k->plan[i].job, r->k->plan[i].task);
+    r->k->nplan = from;
+}
+
+/* Stops the least valuable lower-ranked work on one machine so that a task fits there. */
+static bool may_stop(const struct bd_job *want, const struct bd_job *j, const struct bd_task *t)
+{
+    return j->spec.rank < want->spec.rank && !(t->flags & BD_F_STOP) &&
+           (t->state == BD_T_LIVE || t->state == BD_T_LAUNCH) && j->spec.shape != BD_SERVICE;
+}
+
+static void add(struct room *r, const struct bd_spec *s, double sign)
+{
+    r->cpus += sign * s->cpus;
+    r->gpus += sign * s->gpus;
+    r->mem += sign * s->mem;
+}
+
+/* Room on the machine once what is stopping has gone, and what else could be stopped. */
+static void later_room(struct round *r, const struct bd_job *want, struct bd_machine *m,
+                       struct room *soon, struct room *most)
+{
+    *soon = free_room(r->c, m);
+    add(soon,
+        &(struct bd_spec){.cpus = r->claimed[m->index].cpus,
+                          .gpus = r->claimed[m->index].gpus,
+                          .mem = r->claimed[m->index].mem},
+        -1);
+    *most = *soon;
+    for (uint32_t k = 0; k < m->nrefs; k++) {
+        struct bd_job *j = m->refs[k].job;
+        struct bd_task *t = &j->tasks[m->refs[k].task];
+        if (t->flags & BD_F_STOP) {
+            add(soon, &j->spec, 1);
+            add(most, &j->spec, 1);
+        } else if (may_stop(want, j, t)) {
+            add(most, &j->spec, 1);
+        }
+    }
+}
+
+static void stop_for(struct round *r, const struct bd_job *want, struct bd_machine *m,
+                     struct room soon)
+{
+    while (!fit(soon, &want->spec, 1)) {
+        struct bd_ref pick = {0};
+        int low = 99;
+        for (uint32_t k = 0; k < m->nrefs; k++) {
+            struct bd_job *j = m->refs[k].job;
+            struct bd_task *t = &j->tasks[m->refs[k].task];
+            if (may_stop(want, j, t) && (int)j->spec.rank < low) {
+                low = (int)j->spec.rank;
+                pick = m->refs[k];
+            }
+        }
+        if (!pick.job)
+            return;
+        add(&soon, &pick.job->spec, 1);
+        bd_task_stop(r->c, pick.job, pick.task, false);
+    }
+}
+
+static void preempt(struct round *r, struct bd_job *j, uint32_t n)
+{
+    struct bd_core *c = r->c;
+    uint32_t zones[BD_MAX_ZONES];
+    zone_counts(c, j, zones);
+    for (uint32_t left = n, i = 0; left > 0 && i < c->nmachines;) {
+        struct bd_machine *m = c->by_index[i];
+        struct room soon, most;
+        bool ok = bd_machine_usable(c, m) && bd_allowed(c, &j->spec, m->type, m->zone, m->spot) &&
+                  zone_left(c, j, zones, m->zone, 1);
+        if (ok)
+            later_room(r, j, m, &soon, &most);
+        if (!ok || !fit(most, &j->spec, 1)) {
+            i++;
+            continue;
+        }
+        stop_for(r, j, m, soon);
+        add(&r->claimed[m->index], &j->spec, 1);
+        zones[m->zone]++;
+        left--;
+    }
+}
+
+static void place_job(struct round *r, struct bd_job *j)
+{
+    uint32_t want = quota_left(r->c, &j->spec, j->nwait);
+    bool gang = j->spec.shape == BD_GANG;
+    if (r->conds >= r->most_conds || want == 0 || (gang && want < j->ntasks))
+        return;
+    uint32_t from = r->k->nplan;
+    size_t bytes = r->bytes;
+    uint64_t attempt = (r->c->base_term << 20) + r->c->counter + 1;
+    uint32_t got = fill(r, j, want, attempt);
+    if (gang && got < j->ntasks) {
+        unplan(r, from);
+        r->bytes = bytes;
+        got = 0;
+    }
+    if (got) {
+        r->c->counter++;
+        r->conds++;
+    }
+    if (got < want && j->spec.rank >= BD_HIGH && j->ntasks <= 64)
+        preempt(r, j, want - got);
+}
+
+static int order_jobs(const void *x, const void *y)
+{
+    const struct bd_job *a = *(struct bd_job *const *)x, *b = *(struct bd_job *const *)y;
+    if (a->spec.rank != b->spec.rank)
+        return a->spec.rank > b->spec.rank ? -1 : 1;
+    if (a->in_guarantee != b->in_guarantee)
+        return a->in_guarantee ? -1 : 1;
+    if (a->at != b->at)
+        return a->at < b->at ? -1 : 1;
+    return strcmp(a->id, b->id);
+}
+
+static int order_age(const void *x, const void *y)
+{
+    const struct bd_job *a = *(struct bd_job *const *)x, *b = *(struct bd_job *const *)y;
+    if (a->at != b->at)
+        return a->at < b->at ? -1 : 1;
+    return strcmp(a->id, b->id);
+}
+
+/* A job is within its team's guarantee if it fits with the team's earlier unfinished jobs. */
+static void mark_guarantees(struct bd_core *c, struct bd_job **jobs, uint32_t n)
+{
+    double cpus[BD_MAX_TEAMS] = {0}, gpus[BD_MAX_TEAMS] = {0};
+    qsort(jobs, n, sizeof(struct bd_job *), order_age);
+    for (uint32_t i = 0; i < n; i++) {
+        struct bd_job *j = jobs[i];
+        const struct bd_team_limits *t = &c->set->teams[j->spec.team];
+        double left = j->ntasks - j->ndone;
+        cpus[j->spec.team] += left * j->spec.cpus;
+        gpus[j->spec.team] += left * j->spec.gpus;
+        j->in_guarantee = (t->cpus > 0 || t->gpus > 0) &&
+                          (t->cpus <= 0 || cpus[j->spec.team] <= t->cpus + EPS) &&
+                          (t->gpus <= 0 || gpus[j->spec.team] <= t->gpus + EPS);
+    }
+}
+
+static uint32_t live_jobs(struct bd_core *c, struct bd_job ***out)
+{
+    struct bd_job *j, *jt, **list = calloc(HASH_COUNT(c->jobs) + 1, sizeof *list);
+    uint32_t n = 0;
+    if (!list)
+        abort();
+    HASH_ITER(hh, c->jobs, j, jt)
+    {
+        if (j->mood == BD_LIVE && j->tasks && j->has_spec && j->spec.team >= 0 &&
+            j->ndone < j->ntasks)
+            list[n++] = j;
+    }
+    *out = list;
+    return n;
+}
+
+/* The live jobs in the order in which they are served. The caller frees the list. */
+uint32_t bd_jobs_in_order(struct bd_core *c, struct bd_job ***out)
+{
+    uint32_t n = live_jobs(c, out);
+    mark_guarantees(c, *out, n);
+    qsort(*out, n, sizeof(struct bd_job *), order_jobs);
+    return n;
+}
+
+void bd_round_place(struct bd_core *c)
+{
+    struct round r = {.c = c, .k = c->commit};
+    r.njobs = bd_jobs_in_order(c, &r.jobs);
+    r.claimed = calloc(c->nmachines + 1, sizeof *r.claimed);
+    r.most_bytes = c->set->value_bytes * 9 / 10;
+    r.most_conds = (uint32_t)(2 * c->set->txn_ops);
+    if (!r.claimed)
+        abort();
+    for (uint32_t i = 0; i < r.njobs; i++) {
+        struct bd_job *j = r.jobs[i];
+        if (j->nwait > 0 && !j->stale && bd_before(j->hold_until, c->now))
+            place_job(&r, j);
+    }
+    free(r.jobs);
+    free(r.claimed);
+}
--- /dev/null
+++ b/src/reports.c
@@ -0,0 +1,369 @@
+/* Workers' reports as evidence, and the orders that go back to them. */
+#include "core_in.h"
+#include <stdio.h>
+
+/* named defaults */
+#define SICK_ERRORS 3u      /* failures in a row, of at least two jobs or on a proven job */
+#define REFUSED_PAUSE_S 3.0 /* a machine that said no_room is left alone */
+#define RETRY_FIRST_S 1.0   /* pause of a job whose tasks fail, doubled each time */
+#define RETRY_MOST_S 30.0
+#define SICK_PAUSE_S 300.0
+#define DIRECT_DOUBLINGS 4u /* longest pause: 16 report intervals */
+
+struct orders {
+    struct bd_order *o;
+    size_t n, cap;
+};
+
+static void order(struct orders *l, enum bd_verb verb, const char *job, uint32_t task,
+                  uint64_t attempt, double grace)
+{
+    if (l->n == l->cap) {
+        size_t cap = l->cap ? l->cap * 2 : 8;
+        struct bd_order *o = realloc(l->o, cap * sizeof *o);
+        if (!o)
+            abort();
+        l->o = o;
+        l->cap = cap;
+    }
+    struct bd_order *o = &l->o[l->n++];
+    o->verb = verb;
+    snprintf(o->job, sizeof o->job, "%s", job);
+    o->task = task;
+    o->attempt = attempt;
+    o->grace = grace;
+}
+
+static double grace_of(const struct bd_job *j, const struct bd_task *t)
+{
+    if (t->flags & BD_F_FORCE || j->spec.checkpoint <= 0)
+        return 0;
+    return j->spec.save + 1.0;
+}
+
+/* Halts and launches that the machine owes us, from the states of the tasks on it. */
+static bool owed(struct bd_core *c, struct bd_machine *m, struct orders *l)
+{
+    bool launch = false;
+    for (uint32_t k = 0; k < m->nrefs; k++) {
+        struct bd_job *j = m->refs[k].job;
+        uint32_t i = m->refs[k].task;
+        struct bd_task *t = &j->tasks[i];
+        if (t->flags & BD_F_EXITED)
+            continue;
+        if (t->flags & BD_F_STOP) {
+            bool force = t->flags & BD_F_FORCE;
+            if (t->state == BD_T_LIVE && (t->sub != BD_SAVING || force))
+                order(l, BD_HALT, j->id, i, t->attempt, grace_of(j, t));
+        } else if (t->state == BD_T_LAUNCH && bd_core_valid(c) && j->mood == BD_LIVE) {
+            order(l, BD_LAUNCH, j->id, i, t->attempt, 0);
+            t->flags |= BD_F_SENT;
+            launch = true;
+        }
+    }
+    return launch;
+}
+
+static void mark_direct(struct bd_machine *m)
+{
+    for (uint32_t k = 0; k < m->nrefs; k++) {
+        struct bd_task *t = &m->refs[k].job->tasks[m->refs[k].task];
+        if (t->state == BD_T_LAUNCH && !(t->flags & BD_F_STOP))
+            t->flags |= BD_F_DO;
+    }
+}
+
+/* Sends what is owed directly, where the machine can be expected to answer. */
+void bd_orders_send(struct bd_core *c, struct bd_machine *m)
+{
+    struct orders l = {0};
+    if (m->do_busy || bd_before(c->now, m->do_after) || !m->fenced || m->gone || !*m->addr ||
+        !bd_core_valid(c))
+        return;
+    bool launch = owed(c, m, &l);
+    if (l.n == 0)
+        return;
+    if (launch)
+        mark_direct(m);
+    struct bd_effect *e = bd_emit(c, BD_E_DO);
+    e->machine = m->index;
+    e->seal = c->term;
+    e->launch = launch;
+    snprintf(e->addr, sizeof e->addr, "%s", m->addr);
+    e->body = bd_wire_orders(c->term, m->session, l.o, l.n);
+    m->do_busy = true;
+    m->do_since = c->now;
+    free(l.o);
+}
+
+static void machine_failed_task(struct bd_core *c, struct bd_machine *m, struct bd_job *j)
+{
+    if (m->error_job != j || j->ndone > 0)
+        m->errors++;
+    m->error_job = j;
+    if (m->errors >= SICK_ERRORS && !m->bad) {
+        m->bad = true;
+        m->bad_until = bd_add(c->now, bd_secs(SICK_PAUSE_S));
+        bd_say(c->log, BD_INFO, "%s fails its tasks and is taken out of use", m->id);
+    }
+}
+
+/* A job that fails everywhere is slowed down; the machines are not blamed for it. */
+static void job_failed_task(struct bd_core *c, struct bd_machine *m, struct bd_job *j)
+{
+    j->errors++;
+    if (!m->bad && m->errors == 0)
+        j->error_machines++;
+    if (m->bad || j->ndone > 0)
+        return;
+    double pause = RETRY_FIRST_S;
+    for (uint32_t k = 2; k < j->errors && pause < RETRY_MOST_S; k++)
+        pause *= 2;
+    j->hold_until = bd_add(c->now, bd_secs(pause < RETRY_MOST_S ? pause : RETRY_MOST_S));
+}
+
+static bool is_current(const struct bd_machine *m, const struct bd_task *t, uint64_t attempt)
+{
+    return t->machine == m->index && t->attempt == attempt && t->state != BD_T_PLAN &&
+           t->state != BD_T_WAIT;
+}
+
+static void ended(struct bd_core *c, struct bd_machine *m, struct bd_job *j, uint32_t i,
+                  const struct bd_seen_task *s)
+{
+    if (s->why == BD_WHY_ERROR) {
+        machine_failed_task(c, m, j);
+        job_failed_task(c, m, j);
+    } else if (s->why == BD_WHY_NO_ROOM || s->why == BD_WHY_BUSY) {
+        m->refuse_until = bd_add(c->now, bd_secs(REFUSED_PAUSE_S));
+    } else if (s->why == BD_WHY_UNKNOWN) {
+        j->hold_until = bd_add(c->now, bd_secs(RETRY_FIRST_S));
+    }
+    bd_task_free(c, j, i);
+}
+
+static void exited(struct bd_core *c, struct bd_machine *m, struct bd_job *j,
+                   const struct bd_seen_task *s, struct orders *l)
+{
+    struct bd_task *t = &j->tasks[s->task];
+    bool current = is_current(m, t, s->attempt);
+    /* a late copy of the launch would start a forgotten attempt again */
+    bool late = current && t->flags & BD_F_DO;
+    if (s->why == BD_WHY_DONE && j->mood == BD_LIVE) {
+        m->errors = 0;
+        if (late) {
+            t->flags |= BD_F_EXITED;
+            return;
+        }
+        bd_task_done(c, j, s->task);
+        if (t->flags & BD_F_RECEIPT)
+            order(l, BD_FORGET, s->job, s->task, s->attempt, 0);
+        return;
+    }
+    if (late) {
+        t->flags |= BD_F_EXITED;
+        return;
+    }
+    if (current)
+        ended(c, m, j, s->task, s);
+    order(l, BD_FORGET, s->job, s->task, s->attempt, 0);
+}
+
+static void alive(struct bd_core *c, struct bd_machine *m, struct bd_job *j,
+                  const struct bd_seen_task *s, struct orders *l)
+{
+    struct bd_task *t = &j->tasks[s->task];
+    if (!is_current(m, t, s->attempt)) {
+        if (t->state != BD_T_WAIT) { /* the task is elsewhere or done: this one must not be */
+            order(l, BD_HALT, s->job, s->task, s->attempt, 0);
+            return;
+        }
+        /* no intent names it, yet it runs: holding it here is what keeps it from running twice */
+        bd_task_assign(c, j, s->task, m, s->attempt, BD_T_LIVE);
+        if (j->mood != BD_LIVE)
+            t->flags |= BD_F_STOP | BD_F_FORCE;
+    }
+    uint8_t flags = t->flags;
+    bd_task_set(c, j, s->task, BD_T_WAIT); /* so that the sums see the new sub-state */
+    t->sub = (uint8_t)s->sub;
+    bd_task_set(c, j, s->task, BD_T_LIVE);
+    t->flags = flags | BD_F_SENT;
+}
+
+/* Tasks that we hold on the machine and that its report does not show. */
+static void missing(struct bd_core *c, struct bd_machine *m, const struct bd_report *r)
+{
+    (void)r;
+    uint32_t k = 0;
+    while (k < m->nrefs) {
+        struct bd_job *j = m->refs[k].job;
+        uint32_t i = m->refs[k].task;
+        struct bd_task *t = &j->tasks[i];
+        bool shown = t->flags & BD_F_SHOWN;
+        t->flags &= (uint8_t)~BD_F_SHOWN;
+        bool hold = shown || t->state == BD_T_PLAN || t->flags & BD_F_DO;
+        if (!hold && t->state == BD_T_LAUNCH && !(t->flags & BD_F_STOP))
+            hold = true; /* the launch is repeated with this answer */
+        if (hold) {
+            k++;
+            continue;
+        }
+        bd_say(c->log, BD_DEBUG, "%s/%u is not on %s", j->id, i, m->id);
+        bd_task_free(c, j, i);
+        k = 0;
+    }
+}
+
+static void mark_shown(struct bd_core *c, struct bd_machine *m, const struct bd_report *r)
+{
+    for (size_t k = 0; k < r->n; k++) {
+        struct bd_job *j = bd_job_find(c, r->tasks[k].job);
+        uint32_t i = r->tasks[k].task;
+        if (j && j->tasks && i < j->ntasks && is_current(m, &j->tasks[i], r->tasks[k].attempt))
+            j->tasks[i].flags |= BD_F_SHOWN;
+    }
+}
+
+/* A session change or a higher seal excludes every direct launch that had no answer. */
+static void exclude_late(struct bd_core *c, struct bd_machine *m)
+{
+    m->do_seal = 0;
+    for (uint32_t k = 0; k < m->nrefs; k++)
+        m->refs[k].job->tasks[m->refs[k].task].flags &= (uint8_t) ~(BD_F_DO | BD_F_EXITED);
+    (void)c;
+}
+
+static void identify(struct bd_core *c, struct bd_machine *m, const struct bd_report *r)
+{
+    snprintf(m->addr, sizeof m->addr, "%s", r->addr);
+    m->type = bd_type_index(c, r->type);
+    m->zone = bd_zone_index(c, r->zone);
+    m->spot = r->spot;
+    m->notice_left = r->notice;
+}
+
+static void evidence(struct bd_core *c, struct bd_machine *m, const struct bd_report *r,
+                     struct orders *l)
+{
+    for (size_t k = 0; k < r->n; k++) {
+        const struct bd_seen_task *s = &r->tasks[k];
+        struct bd_job *j = bd_job_find(c, s->job);
+        if (!j || !j->tasks || s->task >= j->ntasks) {
+            /* done jobs' results may be forgotten; of others nothing is known here */
+            if (s->sub == BD_EXITED && j && j->mood == BD_DONE)
+                order(l, BD_FORGET, s->job, s->task, s->attempt, 0);
+            else if (s->sub != BD_EXITED)
+                order(l, BD_HALT, s->job, s->task, s->attempt, 0);
+            continue;
+        }
+        if (s->sub == BD_EXITED)
+            exited(c, m, j, s, l);
+        else
+            alive(c, m, j, s, l);
+    }
+}
+
+static bool newer(const struct bd_machine *m, const struct bd_report *r)
+{
+    return r->session > m->session || (r->session == m->session && r->seq > m->seq);
+}
+
+/* Takes a report in. False: stale, nothing changed. */
+static bool take_report(struct bd_core *c, struct bd_machine *m, const struct bd_report *r,
+                        struct orders *l)
+{
+    if (!newer(m, r))
+        return false;
+    if (m->session && r->session > m->session) {
+        bd_machine_lapse(c, m);
+    }
+    identify(c, m, r);
+    m->session = r->session;
+    m->seq = r->seq;
+    m->seal = r->seal;
+    m->heard = c->now;
+    if (r->seal < c->base_term)
+        return true; /* an earlier term may still command it: no evidence yet */
+    if (!m->fenced)
+        c->round_wanted = true;
+    m->fenced = true;
+    if (m->do_seal && r->seal > m->do_seal && !m->do_busy)
+        exclude_late(c, m);
+    mark_shown(c, m, r);
+    missing(c, m, r);
+    evidence(c, m, r, l);
+    return true;
+}
+
+static void answer_checkin(struct bd_core *c, void *request, struct bd_machine *m, struct orders *l)
+{
+    /* no launch here while a direct one is on its way: one message at a time says it */
+    if (m->fenced && !m->do_busy)
+        (void)owed(c, m, l);
+    m->lapse_at = bd_lease_end(c, c->now);
+    if (!m->fenced) /* if this answer is lost, an earlier term may still renew it */
+        m->lapse_at = bd_max(m->lapse_at, c->others_lapse);
+    bd_reply(c, request, 200, bd_wire_orders(c->term, 0, l->o, l->n), 0);
+}
+
+void bd_core_checkin(struct bd_core *c, void *request, const struct bd_report *r)
+{
+    if (!bd_core_may_answer(c)) {
+        bool other = *c->leader_name && strcmp(c->leader_name, c->set->node) != 0;
+        bd_reply(c, request, 421, bd_wire_steer(other ? c->leader_name : ""), 0);
+        return;
+    }
+    struct bd_machine *m = bd_machine_get(c, r->machine);
+    /* returned machines are gone; what still comes from one is a late copy */
+    if (m->gone || (m->lapsed_session && r->session <= m->lapsed_session)) {
+        bd_reply(c, request, 503, bd_wire_steer(""), 0);
+        return;
+    }
+    struct orders l = {0};
+    (void)take_report(c, m, r, &l);
+    if (!bd_core_valid(c))
+        l.n = 0;
+    answer_checkin(c, request, m, &l);
+    free(l.o);
+    bd_orders_send(c, m);
+}
+
+/* A machine that does not answer directly is left to its reports for a while. */
+static void direct_failed(struct bd_core *c, struct bd_machine *m)
+{
+    double pause = bd_to_secs(c->set->report);
+    for (uint32_t k = 0; k < m->do_fails && k < DIRECT_DOUBLINGS; k++)
+        pause *= 2;
+    m->do_fails++;
+    m->do_after = bd_add(c->now, bd_secs(pause));
+}
+
+void bd_core_did(struct bd_core *c, uint32_t machine, uint64_t seal, bool launch, long status,
+                 const struct bd_report *r)
+{
+    struct bd_machine *m = bd_machine_of(c, machine);
+    if (c->role != BD_LEADER || !m || seal < c->base_term)
+        return;
+    m->do_busy = false;
+    bool answered = r && (status == 200 || status == 409);
+    if (!answered) {
+        direct_failed(c, m);
+        if (launch && seal > m->do_seal)
+            m->do_seal = seal;
+        return;
+    }
+    m->do_fails = 0;
+    if (strcmp(r->machine, m->id) != 0) {
+        direct_failed(c, m); /* the address serves another machine now */
+        return;
+    }
+    struct orders l = {0};
+    if (launch && m->do_seal == 0)
+        exclude_late(c, m); /* answered: nothing of it is on its way any more */
+    if (m->gone)
+        return;
+    (void)take_report(c, m, r, &l);
+    free(l.o); /* said again with the next report */
+    if (m->nrefs)
+        bd_orders_send(c, m);
+}
--- /dev/null
+++ b/src/rounds.c
@@ -0,0 +1,618 @@
+/* The leader's rounds: intents, receipts and done records go into one fenced transaction at a
+ * time; recovery reads them back. */
+#include "core_in.h"
+#include <stdio.h>
+
+/* named defaults */
+#define ROUND_S 0.05
+#define GC_S 2.0
+#define WRITE_SHARE 0.6 /* of the state service's changes; the rest is the users' */
+#define TXN_BYTES 56000u
+#define BUMP_AFTER_S 1.5
+#define BUMP_EVERY_S 5.0
+
+static const char hex[] = "0123456789abcdef";
+
+/* ---- building ---- */
+
+struct build {
+    struct bd_txn t;
+    size_t ops, most_ops, bytes, conds, most_conds;
+};
+
+static bool room_for(const struct build *b, size_t ops, size_t conds, size_t bytes)
+{
+    return b->ops + ops <= b->most_ops && b->conds + conds <= b->most_conds &&
+           b->bytes + bytes <= TXN_BYTES;
+}
+
+static void spend(struct build *b, size_t ops, size_t conds, size_t bytes)
+{
+    b->ops += ops;
+    b->conds += conds;
+    b->bytes += bytes;
+}
+
+static void if_job(struct build *b, const struct bd_job *j)
+{
+    char key[BD_LABEL];
+    snprintf(key, sizeof key, "j/%s", j->id);
+    bd_txn_if(&b->t, key, j->mark);
+    spend(b, 0, 1, 80);
+}
+
+static json_t *intent_value(struct bd_core *c, const struct bd_intent *e, uint32_t n)
+{
+    json_t *list = json_array();
+    for (uint32_t i = 0; i < n;) {
+        json_t *tasks = json_array();
+        uint32_t k = i;
+        for (; k < n && e[k].job == e[i].job && e[k].machine == e[i].machine &&
+               e[k].attempt == e[i].attempt;
+             k++)
+            json_array_append_new(tasks, json_integer(e[k].task));
+        struct bd_machine *m = bd_machine_of(c, e[i].machine);
+        json_array_append_new(list, json_pack("[s,I,s,o]", e[i].job->id, (json_int_t)e[i].attempt,
+                                              m ? m->id : "?", tasks));
+        i = k;
+    }
+    return json_pack("{s:o}", "e", list);
+}
+
+static void add_intents(struct bd_core *c, struct build *b)
+{
+    struct bd_commit *k = c->commit;
+    struct bd_job *prev = NULL;
+    if (k->nplan == 0)
+        return;
+    for (uint32_t i = 0; i < k->nplan; i++) {
+        if (k->plan[i].job != prev)
+            if_job(b, k->plan[i].job);
+        prev = k->plan[i].job;
+    }
+    snprintf(k->round_key, sizeof k->round_key, "i/%020llu-%08llu",
+             (unsigned long long)c->base_term, (unsigned long long)++c->round_n);
+    bd_txn_set(&b->t, k->round_key, intent_value(c, k->plan, k->nplan), 0);
+    spend(b, 1, 0, c->set->value_bytes);
+}
+
+static bool add_done(struct bd_core *c, struct build *b, struct bd_job *j)
+{
+    struct bd_commit *k = c->commit;
+    if (k->ndone == sizeof k->done / sizeof *k->done || !room_for(b, 1, 1, 300))
+        return false;
+    struct bd_record r = {.mood = BD_DONE, .tasks = j->ntasks, .at = j->at};
+    char key[BD_LABEL];
+    snprintf(key, sizeof key, "j/%s", j->id);
+    if_job(b, j);
+    bd_txn_set(&b->t, key, bd_wire_record(&r), 0);
+    spend(b, 1, 0, 200);
+    k->done[k->ndone++] = j;
+    return true;
+}
+
+static void receipt_bits(const struct bd_job *j, struct bd_receipt *r)
+{
+    uint32_t from = r->chunk * CHUNK;
+    memset(r->bits, 0, sizeof r->bits);
+    for (uint32_t i = 0; i < CHUNK && from + i < j->ntasks; i++)
+        if (j->tasks[from + i].state == BD_T_DONE)
+            r->bits[i / 8] |= (unsigned char)(1u << (i % 8));
+}
+
+static json_t *receipt_value(const struct bd_job *j, const struct bd_receipt *r)
+{
+    char text[CHUNK / 4 + 1];
+    uint32_t left = j->ntasks - r->chunk * CHUNK;
+    uint32_t n = ((left < CHUNK ? left : CHUNK) + 7) / 8;
+    for (uint32_t i = 0; i < n; i++) {
+        text[2 * i] = hex[r->bits[i] >> 4];
+        text[2 * i + 1] = hex[r->bits[i] & 15];
+    }
+    text[2 * n] = '\0';
+    return json_pack("{s:s}", "b", text);
+}
+
+static bool add_receipt(struct bd_core *c, struct build *b, struct bd_job *j, uint32_t chunk)
+{
+    struct bd_commit *k = c->commit;
+    if (!room_for(b, 1, 1, CHUNK / 4 + 200))
+        return false;
+    struct bd_receipt *grown = realloc(k->receipts, (k->nreceipts + 1) * sizeof *grown);
+    if (!grown)
+        return false;
+    k->receipts = grown;
+    struct bd_receipt *r = &k->receipts[k->nreceipts++];
+    r->job = j;
+    r->chunk = chunk;
+    receipt_bits(j, r);
+    char key[BD_LABEL];
+    snprintf(key, sizeof key, "r/%s/%u", j->id, chunk);
+    bd_txn_set(&b->t, key, receipt_value(j, r), 0);
+    spend(b, 1, 0, CHUNK / 4 + 100);
+    return true;
+}
+
+static void add_receipts(struct bd_core *c, struct build *b)
+{
+    struct bd_job *j, *jt;
+    HASH_ITER(hh, c->jobs, j, jt)
+    {
+        if (!j->dirty || !j->tasks || j->mood != BD_LIVE || j->stale)
+            continue;
+        if (j->ndone == j->ntasks) {
+            if (!add_done(c, b, j))
+                return;
+            continue;
+        }
+        bool any = false;
+        for (uint32_t ch = 0; ch * CHUNK < j->ntasks; ch++) {
+            if (!(j->dirty_chunks >> ch & 1))
+                continue;
+            if (!any)
+                if_job(b, j);
+            any = true;
+            if (!add_receipt(c, b, j, ch))
+                return;
+        }
+    }
+}
+
+static bool round_live(struct bd_core *c, const struct bd_round *r)
+{
+    for (uint32_t i = 0; i < r->n; i++) {
+        const struct bd_intent *e = &r->e[i];
+        if (!e->job->tasks)
+            continue;
+        const struct bd_task *t = &e->job->tasks[e->task];
+        if (t->attempt == e->attempt && t->machine == e->machine)
+            return true;
+    }
+    (void)c;
+    return false;
+}
+
+static void drop_key(struct bd_core *c, struct build *b, const char *key)
+{
+    struct bd_commit *k = c->commit;
+    bd_txn_drop(&b->t, key);
+    spend(b, 1, 0, 80);
+    snprintf(k->dropped[k->ndropped++], BD_LABEL, "%s", key);
+}
+
+static bool can_drop(const struct bd_core *c, const struct build *b)
+{
+    return c->commit->ndropped < sizeof c->commit->dropped / BD_LABEL && room_for(b, 1, 0, 80);
+}
+
+/* Records that nothing needs any more. */
+static void add_drops(struct bd_core *c, struct build *b)
+{
+    struct bd_job *j, *jt;
+    char key[BD_LABEL];
+    for (uint32_t i = 0; i < c->nrounds && can_drop(c, b); i++) {
+        c->rounds[i].dropping = !round_live(c, &c->rounds[i]);
+        if (c->rounds[i].dropping)
+            drop_key(c, b, c->rounds[i].key);
+    }
+    HASH_ITER(hh, c->jobs, j, jt)
+    {
+        if (j->mood == BD_LIVE || !j->receipt_chunks)
+            continue;
+        for (uint32_t ch = 0; ch < 64 && can_drop(c, b); ch++) {
+            if (j->receipt_chunks >> ch & 1) {
+                snprintf(key, sizeof key, "r/%s/%u", j->id, ch);
+                drop_key(c, b, key);
+                j->receipt_chunks &= ~(1ull << ch);
+            }
+        }
+    }
+}
+
+static void add_bump(struct bd_core *c, struct build *b)
+{
+    if (!c->want_bump)
+        return;
+    c->want_bump = false;
+    c->commit->bump = true;
+    bd_txn_set(&b->t, "leader", json_pack("{s:s,s:s}", "node", c->set->node, "nonce", c->nonce),
+               c->grant);
+    spend(b, 1, 0, 200);
+}
+
+void bd_round_commit(struct bd_core *c)
+{
+    struct bd_commit *k = c->commit;
+    struct build b = {.most_ops = c->set->txn_ops - 1, .most_conds = 4 * c->set->txn_ops - 2};
+    if (!bd_txn_start(&b.t))
+        abort();
+    bd_txn_if(&b.t, "leader", c->term);
+    bd_txn_if(&b.t, "w", c->witness_mark);
+    add_bump(c, &b);
+    add_intents(c, &b);
+    add_receipts(c, &b);
+    if (bd_before(c->next_gc, c->now)) {
+        add_drops(c, &b);
+        c->next_gc = bd_add(c->now, bd_secs(GC_S));
+    }
+    if (b.ops == 0) {
+        free(bd_txn_end(&b.t));
+        bd_commit_free(k);
+        c->commit = NULL;
+        return;
+    }
+    c->witness_n++;
+    bd_txn_set(&b.t, "w",
+               json_pack("{s:I,s:I}", "t", (json_int_t)c->base_term, "n", (json_int_t)c->witness_n),
+               0);
+    c->write_tokens -= (double)(b.ops + 1);
+    struct bd_effect *e = bd_emit(c, BD_E_COMMIT);
+    e->body = bd_txn_end(&b.t);
+    e->seal = c->witness_n;
+    snprintf(e->key, sizeof e->key, "%llu", (unsigned long long)c->base_term);
+}
+
+/* ---- outcome ---- */
+
+static void keep_round(struct bd_core *c, const char *key, struct bd_intent *e, uint32_t n)
+{
+    if (c->nrounds == c->cap_rounds) {
+        uint32_t cap = c->cap_rounds ? c->cap_rounds * 2 : 64;
+        struct bd_round *r = realloc(c->rounds, cap * sizeof *r);
+        if (!r)
+            abort();
+        c->rounds = r;
+        c->cap_rounds = cap;
+    }
+    struct bd_round *r = &c->rounds[c->nrounds++];
+    memset(r, 0, sizeof *r);
+    snprintf(r->key, sizeof r->key, "%s", key);
+    r->e = e;
+    r->n = n;
+}
+
+static void launch_planned(struct bd_core *c, struct bd_commit *k)
+{
+    for (uint32_t i = 0; i < k->nplan; i++) {
+        struct bd_intent *e = &k->plan[i];
+        struct bd_task *t = e->job->tasks ? &e->job->tasks[e->task] : NULL;
+        if (!t || t->state != BD_T_PLAN || t->attempt != e->attempt)
+            continue;
+        struct bd_machine *m = bd_machine_of(c, t->machine);
+        if (e->job->mood != BD_LIVE || !m || m->gone || m->returning) {
+            bd_task_free(c, e->job, e->task);
+            continue;
+        }
+        bd_task_set(c, e->job, e->task, BD_T_LAUNCH);
+    }
+    for (uint32_t i = 0; i < k->nplan; i++) {
+        struct bd_machine *m = bd_machine_of(c, k->plan[i].machine);
+        if (m)
+            bd_orders_send(c, m);
+    }
+    keep_round(c, k->round_key, k->plan, k->nplan);
+    k->plan = NULL;
+    k->nplan = 0;
+}
+
+static void receipt_kept(struct bd_receipt *r)
+{
+    struct bd_job *j = r->job;
+    if (!j->tasks)
+        return;
+    j->receipt_chunks |= 1ull << r->chunk;
+    uint32_t from = r->chunk * CHUNK;
+    bool all = true;
+    for (uint32_t i = 0; i < CHUNK && from + i < j->ntasks; i++) {
+        struct bd_task *t = &j->tasks[from + i];
+        if (r->bits[i / 8] >> (i % 8) & 1)
+            t->flags |= BD_F_RECEIPT;
+        else if (t->state == BD_T_DONE)
+            all = false;
+    }
+    if (all)
+        j->dirty_chunks &= ~(1u << r->chunk);
+    j->dirty = j->dirty_chunks != 0;
+}
+
+static void forget_rounds(struct bd_core *c, const struct bd_commit *k)
+{
+    for (uint32_t d = 0; d < k->ndropped; d++) {
+        for (uint32_t i = 0; i < c->nrounds; i++) {
+            if (strcmp(c->rounds[i].key, k->dropped[d]) == 0) {
+                free(c->rounds[i].e);
+                c->rounds[i] = c->rounds[--c->nrounds];
+                break;
+            }
+        }
+    }
+}
+
+static void done_kept(struct bd_core *c, struct bd_job *j, uint64_t ring)
+{
+    (void)c;
+    j->mark = ring;
+    j->mood = BD_DONE;
+    bd_job_unlead(j);
+    json_decref(j->record_spec);
+    j->record_spec = NULL;
+}
+
+static void kept(struct bd_core *c, struct bd_commit *k, uint64_t ring)
+{
+    c->witness_mark = ring;
+    if (k->bump) {
+        c->term = ring;
+        c->last_bump = c->now;
+    }
+    for (uint32_t i = 0; i < k->nreceipts; i++)
+        receipt_kept(&k->receipts[i]);
+    forget_rounds(c, k);
+    if (k->nplan)
+        launch_planned(c, k);
+    for (uint32_t i = 0; i < k->ndone; i++)
+        done_kept(c, k->done[i], ring);
+}
+
+static void refused(struct bd_core *c, struct bd_commit *k, json_t *failed)
+{
+    json_t *v;
+    size_t i;
+    json_array_foreach(failed, i, v)
+    {
+        const char *key = json_string_value(v);
+        struct bd_job *j = key && strncmp(key, "j/", 2) == 0 ? bd_job_find(c, key + 2) : NULL;
+        if (j)
+            j->stale = true; /* the change itself comes with the next look */
+    }
+    for (uint32_t n = 0; n < k->nplan; n++) {
+        struct bd_intent *e = &k->plan[n];
+        if (e->job->tasks && e->job->tasks[e->task].state == BD_T_PLAN &&
+            e->job->tasks[e->task].attempt == e->attempt)
+            bd_task_free(c, e->job, e->task);
+    }
+    /* the same number is never used for another content */
+}
+
+void bd_core_committed(struct bd_core *c, int outcome, uint64_t ring, json_t *failed)
+{
+    struct bd_commit *k = c->commit;
+    if (!k || c->role != BD_LEADER)
+        return;
+    if (outcome < 0) {
+        bd_core_lost(c);
+        return;
+    }
+    c->commit = NULL;
+    if (outcome == 1)
+        kept(c, k, ring);
+    else
+        refused(c, k, failed);
+    bd_commit_free(k);
+    c->round_wanted = true;
+}
+
+/* ---- recovery ---- */
+
+static void load_receipt(struct bd_core *c, const char *key, json_t *value)
+{
+    char id[BD_ID];
+    uint32_t chunk = 0;
+    if (strncmp(key, "r/", 2) != 0 || !bd_wire_task_name(key + 2, id, &chunk))
+        return;
+    struct bd_job *j = bd_job_find(c, id);
+    const char *text = json_string_value(json_object_get(value, "b"));
+    if (!j || !text || chunk >= 64)
+        return;
+    j->receipt_chunks |= 1ull << chunk;
+    if (!j->tasks)
+        return;
+    for (uint32_t i = 0; text[i]; i++) {
+        const char *p = strchr(hex, text[i]);
+        for (uint32_t bit = 0; p && bit < 4; bit++) {
+            uint32_t task = chunk * CHUNK + (i / 2) * 8 + (i % 2 ? bit : bit + 4);
+            if (!((p - hex) >> bit & 1) || task >= j->ntasks)
+                continue;
+            if (j->tasks[task].state != BD_T_DONE)
+                bd_task_set(c, j, task, BD_T_DONE);
+            j->tasks[task].flags |= BD_F_RECEIPT;
+        }
+    }
+    if (j->ndone == j->ntasks)
+        j->dirty = true;
+}
+
+static void load_group(struct bd_core *c, json_t *g, struct bd_intent **e, uint32_t *n)
+{
+    struct bd_job *j = bd_job_find(
+        c, json_string_value(json_array_get(g, 0)) ? json_string_value(json_array_get(g, 0)) : "");
+    uint64_t attempt = (uint64_t)json_integer_value(json_array_get(g, 1));
+    const char *machine = json_string_value(json_array_get(g, 2));
+    json_t *tasks = json_array_get(g, 3), *v;
+    size_t i;
+    if (!j || !j->tasks || !machine)
+        return;
+    struct bd_intent *grown = realloc(*e, (*n + json_array_size(tasks) + 1) * sizeof *grown);
+    if (!grown)
+        abort();
+    *e = grown;
+    struct bd_machine *m = bd_machine_get(c, machine);
+    json_array_foreach(tasks, i, v)
+    {
+        uint32_t task = (uint32_t)json_integer_value(v);
+        if (task >= j->ntasks)
+            continue;
+        (*e)[(*n)++] = (struct bd_intent){j, task, m->index, attempt};
+        if (attempt > j->tasks[task].attempt)
+            j->tasks[task].attempt = attempt;
+    }
+}
+
+static void load_intents(struct bd_core *c, json_t *pairs)
+{
+    struct bd_change ch;
+    json_t *v, *g;
+    size_t i, k;
+    json_array_foreach(pairs, i, v)
+    {
+        struct bd_intent *e = NULL;
+        uint32_t n = 0;
+        if (!bd_wire_change(v, &ch))
+            continue;
+        json_array_foreach(json_object_get(ch.value, "e"), k, g)
+        {
+            load_group(c, g, &e, &n);
+        }
+        keep_round(c, ch.key, e, n);
+    }
+}
+
+/* Only the newest intent of a task counts: it was written after all earlier ones were excluded. */
+static void classify(struct bd_core *c)
+{
+    uint32_t unknown = 0;
+    for (uint32_t r = 0; r < c->nrounds; r++) {
+        for (uint32_t k = 0; k < c->rounds[r].n; k++) {
+            struct bd_intent *e = &c->rounds[r].e[k];
+            struct bd_task *t = &e->job->tasks[e->task];
+            struct bd_machine *m = bd_machine_of(c, e->machine);
+            if (t->state != BD_T_WAIT || t->attempt != e->attempt || !m)
+                continue;
+            bd_task_assign(c, e->job, e->task, m, e->attempt, BD_T_UNKNOWN);
+            t->flags |= BD_F_SENT;
+            if (e->job->mood != BD_LIVE)
+                t->flags |= BD_F_STOP | BD_F_FORCE;
+            unknown++;
+        }
+    }
+    bd_say(c->log, BD_INFO, "term %llu: %u intent records, %u tasks to be accounted for",
+           (unsigned long long)c->base_term, c->nrounds, unknown);
+}
+
+void bd_core_gained(struct bd_core *c, const struct bd_gain *g)
+{
+    struct bd_job *j, *jt;
+    struct bd_change ch;
+    json_t *v;
+    size_t i;
+    c->role = BD_LEADER;
+    c->base_term = c->term = g->term;
+    c->grant = g->grant;
+    c->counter = 0;
+    c->round_n = 0;
+    c->request_n = 0;
+    c->witness_mark = g->witness_mark;
+    c->witness_n = g->witness_n;
+    c->gained = c->now;
+    c->listed_once = false;
+    snprintf(c->nonce, sizeof c->nonce, "%s", g->nonce);
+    bd_core_leader_is(c, c->set->node);
+    double rest = bd_grace_s(c->set) - bd_to_secs(c->set->leader_ttl);
+    c->others_lapse = bd_lease_end(c, bd_add(c->now, bd_secs(rest)));
+    HASH_ITER(hh, c->jobs, j, jt)
+    {
+        j->receipt_chunks = 0;
+        /* withdrawn jobs too: what still runs of them counts and must be stopped */
+        if (j->mood != BD_DONE && !bd_job_lead(c, j))
+            bd_say(c->log, BD_ERROR, "%s: no memory for its tasks", j->id);
+    }
+    json_array_foreach(g->receipts, i, v)
+    {
+        if (bd_wire_change(v, &ch))
+            load_receipt(c, ch.key, ch.value);
+    }
+    load_intents(c, g->intents);
+    classify(c);
+    c->valid_until = c->renewed = g->renewed;
+    bd_core_renewed(c, g->grant, g->renewed);
+    c->round_wanted = true;
+}
+
+/* ---- time ---- */
+
+static void lapses(struct bd_core *c)
+{
+    for (uint32_t i = 0; i < c->nmachines; i++) {
+        struct bd_machine *m = c->by_index[i];
+        if (m->gone || m->nrefs == 0 || bd_before(c->now, m->lapse_at))
+            continue;
+        bd_say(c->log, BD_INFO, "%s: lease over, %u tasks lost", m->id, m->nrefs);
+        m->lapsed_session = m->session;
+        m->fenced = false;
+        bd_machine_lapse(c, m);
+        m->lapse_at = bd_add(c->now, bd_secs(1.0)); /* plans that stayed, if any */
+    }
+}
+
+static void late_launches(struct bd_core *c)
+{
+    for (uint32_t i = 0; i < c->nmachines && !c->want_bump; i++) {
+        struct bd_machine *m = c->by_index[i];
+        if (!m->do_seal || m->do_seal < c->term || m->gone ||
+            bd_between(m->do_since, c->now) < BUMP_AFTER_S ||
+            bd_between(m->heard, c->now) > 2 * bd_to_secs(c->set->report))
+            continue;
+        for (uint32_t k = 0; k < m->nrefs; k++)
+            if (m->refs[k].job->tasks[m->refs[k].task].flags & BD_F_DO)
+                c->want_bump = bd_between(c->last_bump, c->now) > BUMP_EVERY_S;
+    }
+}
+
+static void tokens(struct bd_core *c)
+{
+    double rate = c->set->state_write_rps * WRITE_SHARE;
+    c->write_tokens += rate * bd_between(c->token_at, c->now);
+    if (c->write_tokens > rate)
+        c->write_tokens = rate;
+    c->token_at = c->now;
+}
+
+static void round_now(struct bd_core *c)
+{
+    if (c->commit || bd_before(c->now, c->next_round) || c->write_tokens < 2)
+        return;
+    if (!c->round_wanted && !c->want_bump && bd_before(c->now, c->next_gc))
+        return;
+    c->round_wanted = false;
+    c->next_round = bd_add(c->now, bd_secs(ROUND_S));
+    c->commit = calloc(1, sizeof *c->commit);
+    if (!c->commit)
+        abort();
+    if (!c->want_bump)
+        bd_round_place(c);
+    bd_round_commit(c);
+}
+
+void bd_core_tick(struct bd_core *c)
+{
+    if (!c->barrier_out && c->waiting) {
+        c->asked = c->waiting;
+        c->waiting = NULL;
+        c->barrier_out = true;
+        (void)bd_emit(c, BD_E_BARRIER);
+    }
+    if (c->role != BD_LEADER)
+        return;
+    if (bd_before(c->next_tick, c->now)) {
+        c->next_tick = bd_add(c->now, bd_secs(0.25));
+        lapses(c);
+        late_launches(c);
+    }
+    if (!bd_core_valid(c))
+        return;
+    tokens(c);
+    if (c->types_known && bd_before(c->next_fleet, c->now)) {
+        c->next_fleet = bd_add(c->now, bd_secs(1.0));
+        bd_fleet_tick(c);
+        c->round_wanted = true; /* pauses run out without an event */
+    }
+    round_now(c);
+}
+
+struct timespec bd_core_next(const struct bd_core *c)
+{
+    double s = 1.0;
+    if (c->role == BD_LEADER)
+        s = c->round_wanted && !c->commit ? ROUND_S : 0.25;
+    return bd_add(c->now, bd_secs(s));
+}
--- /dev/null
+++ b/src/settings.c
@@ -0,0 +1,281 @@
+#include "brambledoor/settings.h"
+#include "brambledoor/timeutil.h"
+#include <jansson.h>
+#include <math.h>
+#include <sexp.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* One reading of one file; the first fault found is kept. */
+struct reader {
+    const char *path;
+    char *err;
+    size_t errlen;
+    bool bad;
+};
+
+static void fault(struct reader *r, const char *field, const char *what)
+{
+    if (r->bad)
+        return;
+    r->bad = true;
+    snprintf(r->err, r->errlen, "%s: %s: %s", r->path, field, what);
+}
+
+static void text(struct reader *r, json_t *o, const char *key, char *out)
+{
+    json_t *v = json_object_get(o, key);
+    const char *s = json_string_value(v);
+    if (!s || !*s)
+        fault(r, key, "needs a text");
+    else if (strlen(s) >= BD_NAME)
+        fault(r, key, "too long");
+    else
+        strcpy(out, s);
+}
+
+static double number(struct reader *r, json_t *o, const char *key, double min)
+{
+    json_t *v = json_object_get(o, key);
+    double d = json_number_value(v);
+    if (!json_is_number(v) || !isfinite(d))
+        fault(r, key, "needs a number");
+    else if (d < min)
+        fault(r, key, "too small");
+    return d;
+}
+
+static struct timespec span(struct reader *r, json_t *o, const char *key, double min)
+{
+    return bd_secs(number(r, o, key, min));
+}
+
+static json_t *object(struct reader *r, json_t *o, const char *key)
+{
+    json_t *v = json_object_get(o, key);
+    if (!json_is_object(v))
+        fault(r, key, "needs an object");
+    return v;
+}
+
+static json_t *list(struct reader *r, json_t *o, const char *key, size_t max)
+{
+    json_t *v = json_object_get(o, key);
+    if (!json_is_array(v))
+        fault(r, key, "needs a list");
+    else if (json_array_size(v) > max)
+        fault(r, key, "has too many entries");
+    return v;
+}
+
+static void peers(struct reader *r, json_t *root, struct bd_settings *s)
+{
+    json_t *a = list(r, root, "others", BD_MAX_PEERS), *o;
+    size_t i;
+    if (r->bad)
+        return;
+    json_array_foreach(a, i, o)
+    {
+        text(r, o, "node_name", s->peers[i].name);
+        text(r, o, "location", s->peers[i].zone);
+        text(r, o, "addr", s->peers[i].addr);
+        s->npeers = (int)i + 1;
+    }
+}
+
+static void teams(struct reader *r, json_t *facts, struct bd_settings *s)
+{
+    json_t *a = list(r, facts, "teams", BD_MAX_TEAMS), *o;
+    size_t i;
+    if (r->bad)
+        return;
+    json_array_foreach(a, i, o)
+    {
+        struct bd_team_limits *t = &s->teams[i];
+        text(r, o, "name", t->name);
+        t->cpus = number(r, o, "cpus", 0);
+        t->cpus_max = number(r, o, "cpus_max", 0);
+        t->gpus = number(r, o, "gpus", 0);
+        t->gpus_max = number(r, o, "gpus_max", 0);
+        s->nteams = (int)i + 1;
+    }
+}
+
+static enum bd_aim_kind aim_kind(const char *name)
+{
+    if (name && strcmp(name, "wait") == 0)
+        return BD_AIM_WAIT;
+    if (name && strcmp(name, "finished") == 0)
+        return BD_AIM_FINISHED;
+    if (name && strcmp(name, "guarantee") == 0)
+        return BD_AIM_GUARANTEE;
+    return BD_AIM_OTHER;
+}
+
+/* Aims only steer; one that cannot be read is passed over, never a fault. */
+static void aims(json_t *facts, struct bd_settings *s)
+{
+    json_t *a = json_object_get(facts, "objectives"), *o;
+    size_t i;
+    json_array_foreach(a, i, o)
+    {
+        if (s->naims == BD_MAX_AIMS)
+            return;
+        struct bd_aim *m = &s->aims[s->naims++];
+        const char *klass = json_string_value(json_object_get(o, "class"));
+        m->kind = aim_kind(json_string_value(json_object_get(o, "kind")));
+        if (klass)
+            snprintf(m->klass, sizeof m->klass, "%s", klass);
+        m->within_s = json_number_value(json_object_get(o, "within_s"));
+        m->share = json_number_value(json_object_get(o, "share"));
+    }
+}
+
+static void zones(struct reader *r, json_t *facts, struct bd_settings *s)
+{
+    json_t *a = list(r, facts, "zones", BD_MAX_ZONES), *o;
+    size_t i;
+    if (r->bad)
+        return;
+    json_array_foreach(a, i, o)
+    {
+        const char *z = json_string_value(o);
+        if (!z || strlen(z) >= BD_NAME)
+            fault(r, "zones", "needs short texts");
+        else
+            strcpy(s->zones[i], z);
+        s->nzones = (int)i + 1;
+    }
+}
+
+static void facts_in(struct reader *r, json_t *f, struct bd_settings *s)
+{
+    s->nodes = (int)number(r, f, "count", 1);
+    zones(r, f, s);
+    teams(r, f, s);
+    aims(f, s);
+    json_t *w = object(r, f, "workers");
+    s->report = span(r, w, "report_s", 0.01);
+    s->lease = span(r, w, "lease_s", 0.1);
+    s->gang_wait = span(r, w, "gang_wait_s", 0);
+    s->gang_peer = span(r, w, "gang_peer_s", 0);
+    s->cancel = span(r, w, "cancel_s", 0.1);
+    json_t *st = object(r, f, "state");
+    s->state_rps = number(r, st, "rps", 1);
+    s->state_write_rps = number(r, st, "write_rps", 1);
+    s->value_bytes = (size_t)(number(r, st, "value_kb", 1) * 1024);
+    s->txn_ops = (size_t)number(r, st, "txn_ops", 2);
+    json_t *c = object(r, f, "cloud");
+    s->cloud_rps = number(r, c, "rps", 0.01);
+    s->list_lag = span(r, c, "list_lag_s", 0);
+    json_t *l = object(r, f, "limits");
+    s->cpu = number(r, l, "cpu", 0.001);
+    s->ram_mb = number(r, l, "ram_mb", 1);
+    s->max_sockets = (int)number(r, l, "max_sockets", 16);
+    s->clock_error = bd_secs(number(r, f, "clock_error_ms", 0) / 1000.0);
+}
+
+int bd_settings_load(struct bd_settings *s, const char *path, char *err, size_t errlen)
+{
+    struct reader r = {path, err, errlen, false};
+    json_error_t je;
+    memset(s, 0, sizeof *s);
+    s->spare_share = 0.12;
+    s->idle_return_s = 40.0;
+    json_t *root = json_load_file(path, 0, &je);
+    if (!root) {
+        snprintf(err, errlen, "%s: line %d: %s", path, je.line, je.text);
+        return -1;
+    }
+    if (!json_is_object(root))
+        fault(&r, "settings", "needs an object");
+    text(&r, root, "node_name", s->node);
+    text(&r, root, "location", s->zone);
+    text(&r, root, "front", s->front);
+    text(&r, root, "mesh_addr", s->mesh);
+    peers(&r, root, s);
+    json_t *ext = object(&r, root, "external");
+    text(&r, ext, "cloud", s->cloud);
+    text(&r, ext, "state", s->state);
+    json_t *f = object(&r, root, "facts");
+    if (!r.bad)
+        facts_in(&r, f, s);
+    json_decref(root);
+    return r.bad ? -1 : 0;
+}
+
+static char *slurp(const char *path)
+{
+    FILE *f = fopen(path, "rb");
+    if (!f)
+        return NULL;
+    char *buf = calloc(1, 65537);
+    if (buf && fread(buf, 1, 65536, f) == 0 && ferror(f)) {
+        free(buf);
+        buf = NULL;
+    }
+    (void)fclose(f);
+    return buf;
+}
+
+static void operator_field(struct reader *r, struct bd_settings *s, const char *name,
+                           const char *value)
+{
+    char *end = NULL;
+    double d = strtod(value, &end);
+    if (end == value || *end || !isfinite(d) || d < 0)
+        fault(r, name, "needs a number of at least 0");
+    else if (strcmp(name, "leader-ttl-s") == 0)
+        s->leader_ttl = bd_secs(d);
+    else if (strcmp(name, "spare-share") == 0)
+        s->spare_share = d;
+    else if (strcmp(name, "idle-return-s") == 0)
+        s->idle_return_s = d;
+    else
+        fault(r, name, "unknown field");
+}
+
+/* Each (name value) pair may stand at the top or inside one (brambledoor ...) list. */
+static void operator_pairs(struct reader *r, struct bd_settings *s, sexp_t *e)
+{
+    for (; e && !r->bad; e = e->next) {
+        if (e->ty != SEXP_LIST || !e->list || e->list->ty != SEXP_VALUE) {
+            fault(r, "entry", "needs the form (name value)");
+            return;
+        }
+        sexp_t *v = e->list->next;
+        if (strcmp(e->list->val, "brambledoor") == 0)
+            operator_pairs(r, s, v);
+        else if (!v || v->ty != SEXP_VALUE || v->next)
+            fault(r, e->list->val, "needs the form (name value)");
+        else
+            operator_field(r, s, e->list->val, v->val);
+    }
+}
+
+int bd_settings_operator(struct bd_settings *s, const char *path, char *err, size_t errlen)
+{
+    struct reader r = {path, err, errlen, false};
+    char *body = slurp(path);
+    if (!body) {
+        fault(&r, "file", "cannot be read");
+        return -1;
+    }
+    size_t len = strlen(body);
+    char *wrapped = malloc(len + 16);
+    if (wrapped) {
+        snprintf(wrapped, len + 16, "(%s\n)", body);
+        sexp_t *e = parse_sexp(wrapped, strlen(wrapped));
+        if (!e)
+            fault(&r, "file", "is not a well-formed S-expression");
+        else
+            operator_pairs(&r, s, e->list);
+        if (e)
+            destroy_sexp(e);
+        sexp_cleanup();
+    }
+    free(wrapped);
+    free(body);
+    return r.bad ? -1 : 0;
+}
--- /dev/null
+++ b/src/store.c
@@ -0,0 +1,260 @@
+/* The state service: one thread that looks for changes, one that commits the leader's
+ * transactions in order, and a few for the users' own. */
+#include "brambledoor/store.h"
+#include "brambledoor/http.h"
+#include "brambledoor/node.h"
+#include "brambledoor/timeutil.h"
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* named defaults */
+#define LOOK_S 0.2        /* between looks when nobody waits */
+#define LOOK_LEAST_S 0.04 /* between looks when polls wait */
+#define ANSWER_S 1.5
+#define USER_ANSWER_S 2.5
+#define USER_THREADS 2
+#define PAUSE_S 0.25
+
+long bd_store_call(struct bd_node *n, struct bd_http *h, const char *method, const char *path,
+                   const char *body, double timeout_s, json_t **out)
+{
+    char url[512];
+    struct bd_reply r;
+    snprintf(url, sizeof url, "http://%s%s", n->set.state, path);
+    bd_http_call(h, method, url, body, timeout_s, &r);
+    long status = r.status;
+    *out = r.body ? json_loadb(r.body, r.len, 0, NULL) : NULL;
+    if (status == 200 && !*out && strcmp(method, "DELETE") != 0)
+        status = 0; /* a malformed answer is no answer */
+    bd_reply_drop(&r);
+    return status;
+}
+
+/* All pairs of a prefix; ring gets the revision of the first page. NULL: failed. */
+json_t *bd_store_list(struct bd_node *n, struct bd_http *h, const char *prefix, uint64_t *ring)
+{
+    json_t *all = json_array(), *page = NULL, *v;
+    char after[256] = "", path[512];
+    bool more = true, first = true;
+    while (more) {
+        size_t i;
+        struct bd_change ch;
+        if (*after)
+            snprintf(path, sizeof path, "/kv?starts=%s&after=%s&limit=1000", prefix, after);
+        else
+            snprintf(path, sizeof path, "/kv?starts=%s&limit=1000", prefix);
+        if (bd_store_call(n, h, "GET", path, NULL, ANSWER_S, &page) != 200)
+            goto fail;
+        if (first && ring)
+            *ring = bd_wire_ring(page);
+        first = false;
+        json_t *pairs = bd_wire_pairs(page, &more);
+        if (json_array_size(pairs) == 0)
+            more = false;
+        json_array_foreach(pairs, i, v)
+        {
+            json_array_append(all, v);
+            if (bd_wire_change(v, &ch))
+                snprintf(after, sizeof after, "%s", ch.key);
+        }
+        json_decref(page);
+        page = NULL;
+    }
+    return all;
+fail:
+    json_decref(page);
+    json_decref(all);
+    return NULL;
+}
+
+/* ---- looking ---- */
+
+static void relist(struct bd_node *n, struct bd_http *h)
+{
+    uint64_t ring = 0;
+    struct timespec sent = bd_now();
+    json_t *all = bd_store_list(n, h, "j/", &ring);
+    if (!all) {
+        bd_pause(PAUSE_S);
+        return;
+    }
+    struct bd_cmd *cmd = bd_cmd_new(BD_C_RELISTED);
+    cmd->json = all;
+    cmd->ring = ring;
+    cmd->sent = sent;
+    bd_tell(n, cmd);
+}
+
+/* One look; true if the list must be read anew. */
+static bool look(struct bd_node *n, struct bd_http *h, uint64_t *after, bool barrier)
+{
+    char path[96];
+    json_t *o = NULL;
+    snprintf(path, sizeof path, "/follow?starts=j/&after=%llu&waitMs=0",
+             (unsigned long long)*after);
+    struct bd_cmd *cmd = bd_cmd_new(BD_C_FOLLOWED);
+    cmd->sent = bd_now();
+    long status = bd_store_call(n, h, "GET", path, NULL, ANSWER_S, &o);
+    cmd->flag = barrier;
+    cmd->outcome = status == 200;
+    cmd->after = *after;
+    cmd->json = o;
+    if (status == 200) {
+        cmd->ring = bd_wire_ring(o);
+        if (cmd->ring > *after)
+            *after = cmd->ring;
+    }
+    bd_tell(n, cmd);
+    if (status != 200 && status != 410)
+        bd_pause(PAUSE_S);
+    return status == 410;
+}
+
+static void *reader(void *arg)
+{
+    struct bd_node *n = arg;
+    struct bd_http *h = bd_http_new(1);
+    uint64_t after = 0;
+    bool again = true;
+    while (h) {
+        if (again) {
+            relist(n, h);
+            bd_pause(0.02); /* until the owner has taken it in */
+            after = atomic_load(&n->ring);
+            again = after == 0;
+            continue;
+        }
+        bool barrier = atomic_exchange(&n->want_barrier, false);
+        again = look(n, h, &after, barrier);
+        bd_pause(LOOK_LEAST_S);
+        void *woken;
+        if (!atomic_load(&n->want_barrier))
+            (void)bd_queue_take(&n->reader_wake, &woken, 1, bd_add(bd_now(), bd_secs(LOOK_S)));
+    }
+    return NULL;
+}
+
+/* ---- the leader's transactions ---- */
+
+/* Whether the witness shows the transaction: 1 yes, 0 no, -1 not known. */
+static int witnessed(struct bd_node *n, struct bd_http *h, const struct bd_effect *e,
+                     uint64_t *ring)
+{
+    json_t *o = NULL;
+    struct bd_change ch;
+    uint64_t grant;
+    int found = -1;
+    long status = bd_store_call(n, h, "GET", "/kv/w", NULL, ANSWER_S, &o);
+    if (status == 404)
+        found = 0;
+    if (status == 200 && bd_wire_pair(o, &ch, &grant)) {
+        char term[32];
+        snprintf(term, sizeof term, "%lld",
+                 (long long)json_integer_value(json_object_get(ch.value, "t")));
+        found = strcmp(term, e->key) == 0 &&
+                (uint64_t)json_integer_value(json_object_get(ch.value, "n")) == e->seal;
+        *ring = ch.mark;
+    }
+    json_decref(o);
+    return found;
+}
+
+static bool names(json_t *failed, const char *key)
+{
+    json_t *v;
+    size_t i;
+    json_array_foreach(failed, i, v)
+    {
+        const char *s = json_string_value(v);
+        if (s && strcmp(s, key) == 0)
+            return true;
+    }
+    return false;
+}
+
+/* Repeats one and the same transaction until its fate is known: it can apply once only, since it
+ * is conditional on the witness and changes it. */
+static void settle(struct bd_node *n, struct bd_http *h, struct bd_effect *e, struct bd_cmd *cmd)
+{
+    cmd->outcome = 2;
+    while (cmd->outcome == 2) {
+        json_t *o = NULL;
+        long status = bd_store_call(n, h, "POST", "/commit", e->body, ANSWER_S, &o);
+        if (status == 200) {
+            cmd->outcome = 1;
+            cmd->ring = bd_wire_ring(o);
+        } else if (status == 409) {
+            json_t *failed = bd_wire_failed(o);
+            int w = names(failed, "w") ? witnessed(n, h, e, &cmd->ring) : 0;
+            if (w == 1)
+                cmd->outcome = 1;
+            else if (w == 0)
+                cmd->outcome = names(failed, "w") || names(failed, "leader") ? -1 : 0;
+            json_decref(cmd->json);
+            cmd->json = json_incref(o);
+        } else if (status == 400) {
+            /* a grant that ended, or a fault of ours: in both cases this term cannot go on */
+            bd_say(&n->log, BD_ERROR, "transaction malformed or without grant");
+            cmd->outcome = -1;
+        } else if (!atomic_load(&n->leading)) {
+            cmd->outcome = -1;
+        } else {
+            bd_pause(PAUSE_S);
+        }
+        json_decref(o);
+    }
+}
+
+static void *committer(void *arg)
+{
+    struct bd_node *n = arg;
+    struct bd_http *h = bd_http_new(1);
+    while (h) {
+        void *item;
+        if (bd_queue_take(&n->to_commit, &item, 1, bd_add(bd_now(), bd_secs(5))) == 0)
+            continue;
+        struct bd_effect *e = item;
+        struct bd_cmd *cmd = bd_cmd_new(BD_C_COMMITTED);
+        cmd->number = e->seal;
+        cmd->term = strtoull(e->key, NULL, 10);
+        settle(n, h, e, cmd);
+        bd_tell(n, cmd);
+        bd_effect_free(e);
+    }
+    return NULL;
+}
+
+/* ---- users' transactions ---- */
+
+static void *user_committer(void *arg)
+{
+    struct bd_node *n = arg;
+    struct bd_http *h = bd_http_new(1);
+    while (h) {
+        void *item;
+        json_t *o = NULL;
+        if (bd_queue_take(&n->to_users, &item, 1, bd_add(bd_now(), bd_secs(5))) == 0)
+            continue;
+        struct bd_effect *e = item;
+        struct bd_cmd *cmd = bd_cmd_new(BD_C_USER_COMMITTED);
+        cmd->status = bd_store_call(n, h, "POST", "/commit", e->body, USER_ANSWER_S, &o);
+        cmd->ring = bd_wire_ring(o);
+        cmd->request = e->request;
+        cmd->text = e->body;
+        e->body = NULL;
+        snprintf(cmd->name, sizeof cmd->name, "%s", e->key);
+        json_decref(o);
+        bd_effect_free(e);
+        bd_tell(n, cmd);
+    }
+    return NULL;
+}
+
+int bd_store_start(struct bd_node *n)
+{
+    int rc = bd_thread(reader, n, 131072) | bd_thread(committer, n, 131072);
+    for (int i = 0; i < USER_THREADS; i++)
+        rc |= bd_thread(user_committer, n, 131072);
+    return rc;
+}
--- /dev/null
+++ b/src/tasks.c
@@ -0,0 +1,279 @@
+/* How a task's state changes, with the sums over jobs, machines and teams that go with it. */
+#include "core_in.h"
+#include <stdio.h>
+
+static bool holds(const struct bd_task *t)
+{
+    return t->machine != BD_NO_MACHINE;
+}
+
+static void team_use(struct bd_core *c, const struct bd_spec *s, double sign)
+{
+    if (s->team < 0)
+        return;
+    c->team_cpus[s->team] += sign * s->cpus;
+    c->team_gpus[s->team] += sign * s->gpus;
+}
+
+bool bd_job_lead(struct bd_core *c, struct bd_job *j)
+{
+    (void)c;
+    if (j->tasks)
+        return true;
+    j->tasks = calloc(j->ntasks, sizeof *j->tasks);
+    if (!j->tasks)
+        return false;
+    for (uint32_t i = 0; i < j->ntasks; i++)
+        j->tasks[i].machine = BD_NO_MACHINE;
+    j->nwait = j->ntasks;
+    j->ndone = j->nlive = j->nrun = 0;
+    j->receipt_chunks = 0;
+    j->dirty = j->done_pending = false;
+    return true;
+}
+
+void bd_job_unlead(struct bd_job *j)
+{
+    if (j->tasks) {
+        j->shown_done = j->ndone;
+        j->shown_run = j->nrun;
+    }
+    free(j->tasks);
+    j->tasks = NULL;
+    j->nwait = j->ndone = j->nlive = j->nrun = 0;
+    j->dirty = j->done_pending = false;
+    j->dirty_chunks = 0;
+}
+
+static void count(struct bd_job *j, const struct bd_task *t, int d)
+{
+    switch (t->state) {
+    case BD_T_WAIT:
+        j->nwait += (uint32_t)d;
+        break;
+    case BD_T_DONE:
+        j->ndone += (uint32_t)d;
+        break;
+    default:
+        j->nlive += (uint32_t)d;
+    }
+    if (t->state == BD_T_LIVE && (t->sub == BD_RUNNING || t->sub == BD_SAVING))
+        j->nrun += (uint32_t)d;
+}
+
+void bd_task_set(struct bd_core *c, struct bd_job *j, uint32_t i, enum bd_task_state st)
+{
+    (void)c;
+    count(j, &j->tasks[i], -1);
+    j->tasks[i].state = (uint8_t)st;
+    count(j, &j->tasks[i], 1);
+}
+
+static void add_ref(struct bd_machine *m, struct bd_job *j, uint32_t i)
+{
+    if (m->nrefs == m->cap) {
+        uint32_t cap = m->cap ? m->cap * 2 : 8;
+        struct bd_ref *r = realloc(m->refs, cap * sizeof *r);
+        if (!r)
+            abort();
+        m->refs = r;
+        m->cap = cap;
+    }
+    m->refs[m->nrefs++] = (struct bd_ref){j, i};
+}
+
+static void drop_ref(struct bd_machine *m, const struct bd_job *j, uint32_t i)
+{
+    for (uint32_t k = 0; k < m->nrefs; k++) {
+        if (m->refs[k].job == j && m->refs[k].task == i) {
+            m->refs[k] = m->refs[--m->nrefs];
+            return;
+        }
+    }
+}
+
+static void remember_image(struct bd_machine *m, int image)
+{
+    int k = 0;
+    while (k < m->nimages && m->images[k] != image)
+        k++;
+    if (k == m->nimages && m->nimages < BD_IMAGES)
+        m->nimages++;
+    if (k == BD_IMAGES)
+        k = BD_IMAGES - 1;
+    memmove(m->images + 1, m->images, (size_t)k * sizeof *m->images);
+    m->images[0] = image;
+}
+
+void bd_task_assign(struct bd_core *c, struct bd_job *j, uint32_t i, struct bd_machine *m,
+                    uint64_t attempt, enum bd_task_state st)
+{
+    struct bd_task *t = &j->tasks[i];
+    if (holds(t))
+        bd_task_free(c, j, i);
+    t->machine = m->index;
+    t->attempt = attempt;
+    t->flags = 0;
+    t->sub = BD_FETCHING;
+    bd_task_set(c, j, i, st);
+    add_ref(m, j, i);
+    m->cpus += j->spec.cpus;
+    m->gpus += j->spec.gpus;
+    m->mem += j->spec.mem;
+    remember_image(m, j->spec.image);
+    team_use(c, &j->spec, 1);
+}
+
+static void let_go(struct bd_core *c, struct bd_job *j, uint32_t i)
+{
+    struct bd_task *t = &j->tasks[i];
+    struct bd_machine *m = bd_machine_of(c, t->machine);
+    if (!holds(t))
+        return;
+    t->machine = BD_NO_MACHINE;
+    team_use(c, &j->spec, -1);
+    if (!m)
+        return;
+    drop_ref(m, j, i);
+    m->cpus -= j->spec.cpus;
+    m->gpus -= j->spec.gpus;
+    m->mem -= j->spec.mem;
+    if (m->nrefs == 0) {
+        m->cpus = m->gpus = m->mem = 0;
+        m->idle_since = c->now;
+    }
+}
+
+/* A gang that lost a member cannot go on: the rest is stopped, and the whole is placed again. */
+static void gang_member_gone(struct bd_core *c, struct bd_job *j)
+{
+    for (uint32_t i = 0; i < j->ntasks; i++) {
+        enum bd_task_state st = j->tasks[i].state;
+        if (st == BD_T_LAUNCH || st == BD_T_LIVE || st == BD_T_UNKNOWN)
+            bd_task_stop(c, j, i, false);
+    }
+}
+
+void bd_task_free(struct bd_core *c, struct bd_job *j, uint32_t i)
+{
+    struct bd_task *t = &j->tasks[i];
+    bool was_sent = t->state != BD_T_PLAN && t->state != BD_T_WAIT;
+    let_go(c, j, i);
+    if (t->state == BD_T_DONE)
+        return;
+    t->flags = 0;
+    t->sub = BD_FETCHING;
+    bd_task_set(c, j, i, BD_T_WAIT);
+    c->round_wanted = true;
+    if (j->spec.shape == BD_GANG && j->ntasks > 1 && was_sent && j->nlive > 0)
+        gang_member_gone(c, j);
+}
+
+static void one_done(struct bd_core *c, struct bd_job *j, uint32_t i)
+{
+    if (j->tasks[i].state == BD_T_DONE)
+        return;
+    let_go(c, j, i);
+    j->tasks[i].flags = 0;
+    bd_task_set(c, j, i, BD_T_DONE);
+    j->dirty = true;
+    j->dirty_chunks |= 1u << (i / CHUNK);
+    c->round_wanted = true;
+}
+
+void bd_task_done(struct bd_core *c, struct bd_job *j, uint32_t i)
+{
+    if (j->spec.shape != BD_GANG) {
+        one_done(c, j, i);
+        return;
+    }
+    /* the tasks of a gang complete together */
+    for (uint32_t k = 0; k < j->ntasks; k++)
+        one_done(c, j, k);
+}
+
+void bd_task_stop(struct bd_core *c, struct bd_job *j, uint32_t i, bool force)
+{
+    struct bd_task *t = &j->tasks[i];
+    struct bd_machine *m = bd_machine_of(c, t->machine);
+    if (force)
+        t->flags |= BD_F_FORCE;
+    t->flags |= BD_F_STOP;
+    if (t->state == BD_T_LAUNCH && !(t->flags & BD_F_SENT))
+        bd_task_free(c, j, i); /* nothing was ever sent: nothing can start */
+    else if (m)
+        bd_orders_send(c, m);
+}
+
+struct bd_machine *bd_machine_of(struct bd_core *c, uint32_t index)
+{
+    return index < c->nmachines ? c->by_index[index] : NULL;
+}
+
+struct bd_machine *bd_machine_get(struct bd_core *c, const char *id)
+{
+    struct bd_machine *m = NULL;
+    HASH_FIND_STR(c->machines, id, m);
+    if (m)
+        return m;
+    m = calloc(1, sizeof *m);
+    if (!m)
+        abort();
+    if (c->nmachines == c->cap_machines) {
+        uint32_t cap = c->cap_machines ? c->cap_machines * 2 : 64;
+        struct bd_machine **b = realloc(c->by_index, cap * sizeof(struct bd_machine *));
+        if (!b)
+            abort();
+        c->by_index = b;
+        c->cap_machines = cap;
+    }
+    snprintf(m->id, sizeof m->id, "%s", id);
+    m->index = c->nmachines;
+    m->type = m->zone = -1;
+    m->notice_left = -1;
+    m->known_at = m->idle_since = c->now;
+    /* it may have been renewed by an earlier term that we cannot see */
+    m->lapse_at = c->others_lapse;
+    c->by_index[c->nmachines++] = m;
+    HASH_ADD_STR(c->machines, id, m);
+    return m;
+}
+
+struct timespec bd_lease_end(const struct bd_core *c, struct timespec answered)
+{
+    double lease = bd_to_secs(c->set->lease) * (1 + DRIFT) + 0.2;
+    return bd_add(answered, bd_secs(lease));
+}
+
+/* Everything the machine's last session had is gone. */
+void bd_machine_lapse(struct bd_core *c, struct bd_machine *m)
+{
+    uint32_t k = 0;
+    while (k < m->nrefs) {
+        struct bd_ref r = m->refs[k];
+        struct bd_task *t = &r.job->tasks[r.task];
+        /* a plan was not sent: it stays with its transaction */
+        if (t->state == BD_T_PLAN) {
+            k++;
+            continue;
+        }
+        bd_task_free(c, r.job, r.task);
+        k = 0; /* freeing one may move the others */
+    }
+    m->do_seal = 0;
+}
+
+void bd_machine_gone(struct bd_core *c, struct bd_machine *m)
+{
+    bd_machine_lapse(c, m);
+    m->gone = true;
+    m->addr[0] = '\0';
+}
+
+bool bd_machine_usable(const struct bd_core *c, const struct bd_machine *m)
+{
+    return m->type >= 0 && m->zone >= 0 && c->types[m->type].known && m->fenced && !m->gone &&
+           !m->returning && !m->failed && !m->bad && m->notice_left < 0 &&
+           bd_between(m->heard, c->now) < 2.5 * bd_to_secs(c->set->report) + 0.5 &&
+           bd_before(m->refuse_until, c->now);
+}
