--- /dev/null
+++ b/tests/inputs.c
@@ -0,0 +1,271 @@
+/* Malformed input: settings files, operators' files, and everything the wire brings. */
+#include "brambledoor/settings.h"
+#include "brambledoor/timeutil.h"
+#include "brambledoor/wire.h"
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+static int faults;
+
+static void check(int ok, const char *what)
+{
+    if (!ok) {
+        printf("FAIL %s\n", what);
+        faults++;
+    }
+}
+
+static char *text_of(const char *dir, const char *name)
+{
+    char path[512];
+    snprintf(path, sizeof path, "%s/%s", dir, name);
+    FILE *f = fopen(path, "rb");
+    char *buf = calloc(1, 65536);
+    if (!f || !buf || fread(buf, 1, 65535, f) == 0) {
+        fprintf(stderr, "%s cannot be read\n", path);
+        exit(2);
+    }
+    (void)fclose(f);
+    return buf;
+}
+
+static void put(const char *path, const char *text)
+{
+    FILE *f = fopen(path, "wb");
+    if (!f || fwrite(text, 1, strlen(text), f) != strlen(text) || fclose(f) != 0)
+        exit(2);
+}
+
+/* The settings with one thing replaced must be refused, and the line must name file and field. */
+static void bad_settings(const char *good, const char *from, const char *to, const char *field)
+{
+    char path[] = "/tmp/bd-inputs-XXXXXX", err[256] = "", what[128];
+    struct bd_settings *s = calloc(1, sizeof *s);
+    const char *at = strstr(good, from);
+    int fd = mkstemp(path);
+    if (!s || !at || fd < 0)
+        exit(2);
+    (void)close(fd);
+    size_t cap = strlen(good) + strlen(to) + 1;
+    char *bad = malloc(cap);
+    snprintf(bad, cap, "%.*s%s%s", (int)(at - good), good, to, at + strlen(from));
+    put(path, bad);
+    int rc = bd_settings_load(s, path, err, sizeof err);
+    snprintf(what, sizeof what, "settings: %s", field);
+    check(rc == -1 && strstr(err, path) && strstr(err, field) && !strchr(err, '\n'), what);
+    (void)unlink(path);
+    free(bad);
+    free(s);
+}
+
+static void settings(const char *dir)
+{
+    char err[256], path[512];
+    struct bd_settings *s = calloc(1, sizeof *s);
+    char *good = text_of(dir, "settings.json");
+    snprintf(path, sizeof path, "%s/settings.json", dir);
+    check(bd_settings_load(s, path, err, sizeof err) == 0, "good settings");
+    check(s->npeers == 2 && s->nteams == 2 && s->naims == 2 && s->nzones == 2 &&
+              bd_to_secs(s->lease) == 10.0 && s->txn_ops == 24,
+          "good settings are read");
+    bad_settings(good, "\"node_name\": \"node-0\"", "\"node_name\": 7", "node_name");
+    bad_settings(good, "\"front\"", "\"fronts\"", "front");
+    bad_settings(good, "\"lease_s\": 10.0", "\"lease_s\": \"long\"", "lease_s");
+    bad_settings(good, "\"lease_s\": 10.0", "\"lease_s\": -1", "lease_s");
+    bad_settings(good, "\"txn_ops\": 24", "\"txn_ops\": 0", "txn_ops");
+    bad_settings(good, "\"external\": {", "\"external\": [], \"x\": {", "external");
+    bad_settings(good, "\"teams\": [", "\"teams\": 3, \"x\": [", "teams");
+    bad_settings(good, "{", "[", "line");
+    check(bd_settings_load(s, "/nonexistent", err, sizeof err) == -1, "no file");
+    free(good);
+    free(s);
+}
+
+static int operators(const char *text, char *err, size_t cap, struct bd_settings *s)
+{
+    char path[] = "/tmp/bd-inputs-XXXXXX";
+    int fd = mkstemp(path);
+    if (fd < 0)
+        exit(2);
+    (void)close(fd);
+    put(path, text);
+    int rc = bd_settings_operator(s, path, err, cap);
+    (void)unlink(path);
+    return rc;
+}
+
+static void operator_files(void)
+{
+    char err[256];
+    struct bd_settings *s = calloc(1, sizeof *s);
+    check(operators("(brambledoor (spare-share 0.2) (idle-return-s 90))", err, sizeof err, s) ==
+                  0 &&
+              s->spare_share == 0.2 && s->idle_return_s == 90,
+          "operators' file");
+    check(operators("(leader-ttl-s 4)", err, sizeof err, s) == 0 &&
+              bd_to_secs(s->leader_ttl) == 4.0,
+          "operators' file without the outer list");
+    check(operators("(spare-share much)", err, sizeof err, s) == -1 && strstr(err, "spare-share"),
+          "operators: not a number");
+    check(operators("(no-such 1)", err, sizeof err, s) == -1 && strstr(err, "no-such"),
+          "operators: unknown field");
+    check(operators("(spare-share 0.2", err, sizeof err, s) == -1, "operators: cut off");
+    check(operators("spare-share 0.2", err, sizeof err, s) == -1, "operators: no list");
+    free(s);
+}
+
+static const char *submission(const char *text)
+{
+    char id[BD_ID];
+    struct bd_spec_text spec;
+    json_t *o = json_loads(text, 0, NULL);
+    const char *bad = o ? bd_wire_submission(o, id, &spec) : "body";
+    json_decref(o);
+    return bad;
+}
+
+/* Every field of a good submission, taken away and with a value of a wrong type. */
+static void submissions(const char *dir)
+{
+    char *good = text_of(dir, "submission.json");
+    json_t *o = json_loads(good, 0, NULL), *v;
+    const char *key;
+    void *next;
+    check(submission(good) == NULL, "a good submission");
+    json_t *copy = json_deep_copy(o);
+    json_object_foreach_safe(copy, next, key, v)
+    {
+        bool may_be_missing =
+            strcmp(key, "breeds") == 0 || strcmp(key, "glade") == 0 || strcmp(key, "dueS") == 0;
+        json_t *one = json_deep_copy(o);
+        json_object_del(one, key);
+        char *text = json_dumps(one, 0);
+        check((submission(text) == NULL) == may_be_missing, key);
+        free(text);
+        json_object_set_new(one, key, json_pack("{s:i}", "x", 1));
+        text = json_dumps(one, 0);
+        check(submission(text) != NULL, key);
+        free(text);
+        json_decref(one);
+    }
+    json_decref(copy);
+    static const char *const wrong[][2] = {
+        {"chores", "0"},      {"chores", "100001"},  {"chores", "1.5"},       {"vcpus", "-1"},
+        {"vcpus", "1e300"},   {"shape", "\"ring\""}, {"rank", "\"highest\""}, {"id", "\"job-\""},
+        {"id", "\"job-1x\""}, {"breeds", "[1]"},     {"seed", "\"\""},        {"dueS", "\"soon\""}};
+    for (size_t i = 0; i < sizeof wrong / sizeof *wrong; i++) {
+        json_t *one = json_deep_copy(o);
+        json_object_set_new(one, wrong[i][0], json_loads(wrong[i][1], JSON_DECODE_ANY, NULL));
+        char *text = json_dumps(one, 0);
+        check(submission(text) != NULL, wrong[i][1]);
+        free(text);
+        json_decref(one);
+    }
+    json_decref(o);
+    free(good);
+}
+
+static bool report_ok(const char *text, size_t len)
+{
+    struct bd_report r;
+    json_t *o = json_loadb(text, len, 0, NULL);
+    bool ok = o && bd_wire_report(o, &r);
+    if (ok)
+        bd_wire_report_drop(&r);
+    json_decref(o);
+    return ok;
+}
+
+static void reports(const char *dir)
+{
+    char *good = text_of(dir, "report.json");
+    size_t len = strlen(good);
+    check(report_ok(good, len), "a good report");
+    for (size_t n = 0; n + 2 < len; n++)
+        check(!report_ok(good, n), "a report that is cut off");
+    static const char *const swaps[][2] = {
+        {"\"tenancy\":1", "\"tenancy\":-1"},     {"\"tally\":88", "\"tally\":\"88\""},
+        {"job-000412/3", "job-000412"},          {"job-000412/3", "job-000412/100000"},
+        {"job-000412/3", "job-000412/-3"},       {"\"running\"", "\"walking\""},
+        {"\"chores\":[", "\"chores\":7,\"x\":["}};
+    for (size_t i = 0; i < sizeof swaps / sizeof *swaps; i++) {
+        const char *at = strstr(good, swaps[i][0]);
+        char bad[4096];
+        if (!at)
+            exit(2);
+        snprintf(bad, sizeof bad, "%.*s%s%s", (int)(at - good), good, swaps[i][1],
+                 at + strlen(swaps[i][0]));
+        check(!report_ok(bad, strlen(bad)), swaps[i][1]);
+    }
+    free(good);
+}
+
+static void records(void)
+{
+    struct bd_record r, back;
+    char id[BD_ID];
+    json_t *o = json_loads("{\"id\":\"job-1\",\"kin\":\"k\",\"household\":\"t\",\"shape\":\"gang\","
+                           "\"rank\":\"high\",\"chores\":3,\"vcpus\":1.5,\"accelerators\":0,"
+                           "\"memGb\":2,\"seed\":\"i\",\"imageGb\":1,\"breeds\":[\"a\",\"b\"],"
+                           "\"glade\":\"z\",\"together\":true,\"scatter\":false,\"windfall\":true,"
+                           "\"guessS\":1,\"markS\":2,\"stowS\":3,\"dueS\":null}",
+                           0, NULL);
+    memset(&r, 0, sizeof r);
+    check(bd_wire_submission(o, id, &r.spec) == NULL, "record: submission");
+    json_decref(o);
+    r.mood = BD_LIVE;
+    r.tasks = 3;
+    r.at = 1000.5;
+    r.has_spec = true;
+    json_t *v = bd_wire_record(&r);
+    check(bd_wire_read_record(v, &back) && back.spec.ntypes == 2 && back.tasks == 3 &&
+              back.at == 1000.5 && strcmp(back.spec.zone, "z") == 0 && back.spec.due < 0,
+          "a record survives being written and read");
+    json_decref(v);
+    static const char *const bad[] = {"{}",
+                                      "{\"s\":\"live\",\"n\":3,\"at\":1}",
+                                      "{\"s\":\"odd\",\"n\":3,\"at\":1}",
+                                      "{\"s\":\"done\",\"n\":0,\"at\":1}",
+                                      "[]",
+                                      "7"};
+    for (size_t i = 0; i < sizeof bad / sizeof *bad; i++) {
+        v = json_loads(bad[i], JSON_DECODE_ANY, NULL);
+        check(!bd_wire_read_record(v, &back), bad[i]);
+        json_decref(v);
+    }
+}
+
+static void cloud(void)
+{
+    struct bd_type_text t[2];
+    struct bd_cloud_machine m[2];
+    bool more = false;
+    json_t *o = json_loads("{\"breeds\":[{\"label\":\"x\"},7,{\"label\":\"g\",\"vcpus\":4,"
+                           "\"memGb\":8,\"hourly\":1}]}",
+                           0, NULL);
+    check(bd_wire_types(o, t, 2) == 1 && strcmp(t[0].label, "g") == 0,
+          "types that cannot be read are passed over");
+    json_decref(o);
+    o = json_loads("{\"hearths\":[{\"id\":\"vm-1\"}],\"more\":false}", 0, NULL);
+    check(bd_wire_machines(o, m, 2, &more) == -1, "a list that cannot be read is a failure");
+    json_decref(o);
+    o = json_loads("{}", 0, NULL);
+    check(bd_wire_types(o, t, 2) == -1 && bd_wire_machines(o, m, 2, &more) == -1, "no list");
+    json_decref(o);
+}
+
+int main(int argc, char **argv)
+{
+    if (argc != 2)
+        return 2;
+    settings(argv[1]);
+    operator_files();
+    submissions(argv[1]);
+    reports(argv[1]);
+    records();
+    cloud();
+    printf("%d faults\n", faults);
+    return faults ? 1 : 0;
+}
--- /dev/null
+++ b/tests/loopback.c
@@ -0,0 +1,262 @@
+/* The real program, three times, over loopback against the stand-ins: quiet work, bad requests,
+ * killed nodes, an outage of the state service and answers that are cut off. */
+#include "brambledoor/http.h"
+#include "brambledoor/timeutil.h"
+#include "standin.h"
+#include <jansson.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#define NODES 3
+
+struct test {
+    const char *program;
+    char dir[64], addr[NODES][32], file[NODES][128];
+    const char *nodes[NODES];
+    pid_t pid[NODES];
+    struct bd_http *h;
+    struct world *w;
+    int faults, base;
+};
+
+static void check(struct test *t, int ok, const char *what)
+{
+    printf("%s %s\n", ok ? "ok  " : "FAIL", what);
+    (void)fflush(stdout);
+    t->faults += !ok;
+}
+
+static void write_settings(struct test *t, int i)
+{
+    json_t *others = json_array();
+    char mesh[32], a[32];
+    for (int k = 0; k < NODES; k++) {
+        snprintf(a, sizeof a, "127.0.0.1:%d", t->base + 10 + k);
+        char name[16];
+        snprintf(name, sizeof name, "node-%d", k);
+        if (k != i)
+            json_array_append_new(
+                others, json_pack("{s:s,s:s,s:s}", "node_name", name, "location", "a", "addr", a));
+    }
+    char name[16], cloud[32], state[32];
+    snprintf(name, sizeof name, "node-%d", i);
+    snprintf(mesh, sizeof mesh, "127.0.0.1:%d", t->base + 10 + i);
+    snprintf(state, sizeof state, "127.0.0.1:%d", t->base + 20);
+    snprintf(cloud, sizeof cloud, "127.0.0.1:%d", t->base + 21);
+    json_t *team = json_pack("{s:s,s:f,s:f,s:f,s:f}", "name", "blue", "cpus", 0.0, "cpus_max", 32.0,
+                             "gpus", 0.0, "gpus_max", 0.0);
+    json_t *facts =
+        json_pack("{s:i,s:[s],s:[o],s:[],s:{s:f,s:f,s:f,s:f,s:f},s:{s:f,s:f,s:f,s:i},s:{s:f,s:f},"
+                  "s:{s:f,s:f,s:i},s:f}",
+                  "count", NODES, "zones", "a", "teams", team, "objectives", "workers", "report_s",
+                  0.2, "lease_s", 6.0, "gang_wait_s", 5.0, "gang_peer_s", 2.0, "cancel_s", 20.0,
+                  "state", "rps", 500.0, "write_rps", 300.0, "value_kb", 8.0, "txn_ops", 24,
+                  "cloud", "rps", 20.0, "list_lag_s", 0.5, "limits", "cpu", 1.0, "ram_mb", 256.0,
+                  "max_sockets", 300, "clock_error_ms", 5.0);
+    json_t *o = json_pack("{s:s,s:s,s:s,s:s,s:o,s:{s:s,s:s},s:o}", "node_name", name, "location",
+                          "a", "front", t->addr[i], "mesh_addr", mesh, "others", others, "external",
+                          "cloud", cloud, "state", state, "facts", facts);
+    snprintf(t->file[i], sizeof t->file[i], "%s/%s.json", t->dir, name);
+    if (!o || json_dump_file(o, t->file[i], 0) != 0)
+        abort();
+    json_decref(o);
+}
+
+static void start(struct test *t, int i)
+{
+    t->pid[i] = fork();
+    if (t->pid[i] == 0) {
+        execl(t->program, t->program, "--config", t->file[i], (char *)NULL);
+        _exit(127);
+    }
+}
+
+static void end(struct test *t, int i)
+{
+    if (t->pid[i] <= 0)
+        return;
+    (void)kill(t->pid[i], SIGKILL);
+    (void)waitpid(t->pid[i], NULL, 0);
+    t->pid[i] = 0;
+}
+
+static long ask(struct test *t, int node, const char *method, const char *path, const char *body,
+                char *out, size_t cap)
+{
+    char url[160];
+    struct bd_reply r;
+    snprintf(url, sizeof url, "http://%s%s", t->addr[node], path);
+    bd_http_call(t->h, method, url, body, 5, &r);
+    if (out)
+        snprintf(out, cap, "%s", r.body ? r.body : "");
+    long status = r.status;
+    bd_reply_drop(&r);
+    return status;
+}
+
+static char *job(const char *id, const char *shape, int tasks)
+{
+    static char buf[512];
+    snprintf(buf, sizeof buf,
+             "{\"id\":\"%s\",\"kin\":\"k\",\"household\":\"blue\",\"shape\":\"%s\",\"rank\":"
+             "\"standard\",\"chores\":%d,\"vcpus\":1,\"accelerators\":0,\"memGb\":1,\"seed\":"
+             "\"img\",\"imageGb\":1,\"breeds\":null,\"glade\":null,\"together\":false,\"scatter\":"
+             "false,\"windfall\":false,\"guessS\":1,\"markS\":0,\"stowS\":0,\"dueS\":null}",
+             id, shape, tasks);
+    return buf;
+}
+
+/* Asks until the answer holds the text, any node, for at most so long. */
+static int until(struct test *t, const char *path, const char *text, double seconds)
+{
+    char out[256];
+    struct timespec end = bd_add(bd_now(), bd_secs(seconds));
+    for (int n = 0; bd_before(bd_now(), end); n++) {
+        if (ask(t, n % NODES, "GET", path, NULL, out, sizeof out) == 200 && strstr(out, text))
+            return 1;
+        bd_pause(0.1);
+    }
+    printf("     last answer to %s: %s\n", path, out);
+    return 0;
+}
+
+static int submit(struct test *t, const char *id, const char *shape, int tasks, double seconds)
+{
+    struct timespec end = bd_add(bd_now(), bd_secs(seconds));
+    for (int n = 0; bd_before(bd_now(), end); n++) {
+        long s = ask(t, n % NODES, "POST", "/submissions", job(id, shape, tasks), NULL, 0);
+        if (s == 200 || s == 201)
+            return 1;
+        bd_pause(0.2);
+    }
+    return 0;
+}
+
+static void quiet(struct test *t)
+{
+    char out[256];
+    for (int i = 0; i < NODES; i++)
+        check(t, until(t, "/up", "up", 20), "a node comes up");
+    check(t, submit(t, "job-1", "sweep", 6, 10), "a job is accepted");
+    check(t, until(t, "/submissions/job-1", "\"done\",\"done\":6", 30), "an array is done");
+    check(t,
+          submit(t, "job-2", "gang", 2, 10) &&
+              until(t, "/submissions/job-2", "\"mood\":\"done\"", 30),
+          "a gang is done");
+    check(t,
+          ask(t, 1, "POST", "/submissions", job("job-1", "sweep", 6), out, sizeof out) == 200 &&
+              strstr(out, "done"),
+          "a repeated submission gets the final state");
+    check(t, submit(t, "job-9", "service", 2, 10) && until(t, "/submissions/job-9", "job-9", 10),
+          "a service is accepted");
+    struct timespec end = bd_add(bd_now(), bd_secs(20));
+    while (world_running(t->w) < 2 && bd_before(bd_now(), end))
+        bd_pause(0.1);
+    check(t, world_running(t->w) == 2, "both replicas run");
+    check(t,
+          ask(t, 0, "POST", "/submissions/job-9/withdraw", "{}", out, sizeof out) == 200 &&
+              strstr(out, "cancelled"),
+          "it is withdrawn");
+    end = bd_add(bd_now(), bd_secs(20));
+    while (world_running(t->w) > 0 && bd_before(bd_now(), end))
+        bd_pause(0.1);
+    check(t, world_running(t->w) == 0, "its replicas are gone");
+}
+
+static void bad_requests(struct test *t)
+{
+    char *big = malloc(70000);
+    memset(big, ' ', 69999);
+    big[69999] = '\0';
+    check(t, ask(t, 0, "POST", "/submissions", "{", NULL, 0) == 400, "not JSON: 400");
+    check(t, ask(t, 0, "POST", "/submissions", "[]", NULL, 0) == 400, "not an object: 400");
+    check(t, ask(t, 0, "POST", "/submissions", big, NULL, 0) == 413, "too large: 413");
+    check(t, ask(t, 0, "POST", "/submissions", job("job-5", "sweep", 0), NULL, 0) == 400,
+          "no tasks: 400");
+    check(t, ask(t, 0, "GET", "/submissions/job-77", NULL, NULL, 0) == 404, "unknown job: 404");
+    check(t, ask(t, 0, "GET", "/nowhere", NULL, NULL, 0) == 404, "unknown path: 404");
+    check(t, ask(t, 0, "POST", "/up", "{}", NULL, 0) == 405, "wrong method: 405");
+    check(t, ask(t, 0, "POST", "/checkin", "{\"hearth\":3}", NULL, 0) == 400,
+          "malformed report: 400");
+    free(big);
+}
+
+static void killed(struct test *t)
+{
+    check(t, submit(t, "job-3", "sweep", 12, 10), "a job before the kills");
+    end(t, 0);
+    bd_pause(0.2);
+    end(t, 1);
+    end(t, 2);
+    for (int i = 0; i < NODES; i++)
+        start(t, i);
+    check(t, until(t, "/submissions/job-3", "\"mood\":\"done\"", 60),
+          "it is done although all nodes were killed");
+    check(t, until(t, "/submissions/job-9", "cancelled", 10), "what was withdrawn still is");
+    check(t, until(t, "/submissions/job-1", "\"done\"", 10), "what was done still is");
+}
+
+static void outage(struct test *t)
+{
+    check(t, submit(t, "job-4", "sweep", 4, 10), "a job before the outage");
+    world_state_down(t->w, true);
+    bd_pause(3);
+    struct timespec asked = bd_now();
+    check(t,
+          ask(t, 0, "POST", "/submissions", job("job-6", "sweep", 1), NULL, 0) == 503 &&
+              bd_between(asked, bd_now()) < 1.5,
+          "during the outage a submission is refused at once");
+    check(t, ask(t, 0, "GET", "/submissions/job-1", NULL, NULL, 0) == 200,
+          "a final state is answered");
+    world_state_down(t->w, false);
+    check(t, until(t, "/submissions/job-4", "\"mood\":\"done\"", 40), "it is done afterwards");
+    world_state_garbles(t->w, 12);
+    check(t,
+          submit(t, "job-7", "sweep", 3, 20) &&
+              until(t, "/submissions/job-7", "\"mood\":\"done\"", 40),
+          "answers that are cut off do no harm");
+}
+
+int main(int argc, char **argv)
+{
+    struct test t = {0};
+    if (argc != 2)
+        return 2;
+    t.program = argv[1];
+    t.base = 20000 + (int)(getpid() % 400) * 100;
+    snprintf(t.dir, sizeof t.dir, "/tmp/bd-loopback-XXXXXX");
+    if (!mkdtemp(t.dir) || bd_http_start() != 0)
+        return 2;
+    t.h = bd_http_new(4);
+    for (int i = 0; i < NODES; i++) {
+        snprintf(t.addr[i], sizeof t.addr[i], "127.0.0.1:%d", t.base + i);
+        t.nodes[i] = t.addr[i];
+        write_settings(&t, i);
+    }
+    t.w = world_new(t.base + 20, t.base + 21, t.base + 30, t.nodes, NODES);
+    if (!t.w)
+        return 2;
+    for (int i = 0; i < NODES; i++)
+        start(&t, i);
+    quiet(&t);
+    bad_requests(&t);
+    killed(&t);
+    outage(&t);
+    check(&t, world_ran_twice(t.w) == 0, "no task ran twice at the same time");
+    check(&t, world_starts(t.w) >= 29, "all of the work was started");
+    for (int i = 0; i < NODES; i++)
+        check(&t, t.pid[i] > 0 && waitpid(t.pid[i], NULL, WNOHANG) == 0, "no node ended by itself");
+    for (int i = 0; i < NODES; i++) {
+        end(&t, i);
+        (void)unlink(t.file[i]);
+    }
+    (void)rmdir(t.dir);
+    world_stop(t.w);
+    bd_http_free(t.h);
+    printf("%d faults\n", t.faults);
+    return t.faults ? 1 : 0;
+}
--- /dev/null
+++ b/tests/scenario.c
@@ -0,0 +1,600 @@
+/* Plays a scenario, a small text file, against the core. One line, one step:
+ *
+ *   set lease=10 cancel=35 ttl=3 team=a:0:0:8:16      settings, before anything else
+ *   type small cpus=8 gpus=0 mem=32 boot=10 zones=a,b
+ *   at 12.5                                            the time, in seconds
+ *   job job-1 mark=5 tasks=2 cpus=2 ... [mood=cancelled]   a record change seen by the replica
+ *   gain 1 [receipt=job-1/0:03] [intent=job-1:@1.1:vm-1:0,1]
+ *   renew | lose | looked [fail] | tick
+ *   listed vm-1:small:a[:running|booting|failed] ...   a list of the cloud
+ *   report vm-1 small a session=1 seq=1 seal=1 [notice=5] [job-1/0:@1.1:running ...]
+ *   did vm-1 seal=1 status=200 ...                     answer to a direct command, as report
+ *   committed ok|lost|failed KEY...
+ *   submit {json} | get job-1 | withdraw job-1 | usercommitted STATUS
+ *   rented N vm-1 vm-2 (status 200), rented refused, returned vm-1
+ *   expect KIND TEXT...   an effect of the kind that holds all the texts; it is taken off
+ *   none KIND [TEXT...]   no such effect is waiting
+ *   clear                 forget the effects that wait
+ *   task job-1/0 STATE [vm-1]     wait plan launch live unknown done
+ *   team a cpus=2 gpus=0
+ *
+ * @T.N is the N-th attempt of term T. */
+#include "brambledoor/core.h"
+#include "brambledoor/log.h"
+#include "brambledoor/timeutil.h"
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define WORDS 64
+
+struct play {
+    struct bd_settings set;
+    struct bd_log log;
+    struct bd_core *c;
+    struct bd_effect *left;
+    char *w[WORDS];
+    int n, line, faults;
+    const char *path, *raw;
+    uint64_t ring;
+    uint64_t seal_out;
+    struct bd_effect *user; /* the user's transaction in flight */
+};
+
+static void fail(struct play *p, const char *what)
+{
+    fprintf(stderr, "%s:%d: %s: %s\n", p->path, p->line, what, p->raw);
+    p->faults++;
+}
+
+static const char *arg(struct play *p, const char *key)
+{
+    size_t k = strlen(key);
+    for (int i = 1; i < p->n; i++)
+        if (strncmp(p->w[i], key, k) == 0 && p->w[i][k] == '=')
+            return p->w[i] + k + 1;
+    return NULL;
+}
+
+static double num(struct play *p, const char *key, double otherwise)
+{
+    const char *s = arg(p, key);
+    return s ? strtod(s, NULL) : otherwise;
+}
+
+static uint64_t attempt(const char *s)
+{
+    if (*s != '@')
+        return strtoull(s, NULL, 10);
+    char *end;
+    uint64_t term = strtoull(s + 1, &end, 10);
+    return (term << 20) + (*end ? strtoull(end + 1, NULL, 10) : 0);
+}
+
+/* "@1.2" inside an expected text becomes the number itself */
+static void expand(const char *s, char *out, size_t cap)
+{
+    const char *at = strchr(s, '@');
+    if (!at || at[1] < '0' || at[1] > '9') {
+        snprintf(out, cap, "%s", s);
+        return;
+    }
+    size_t n = strspn(at + 1, "0123456789.");
+    char mark[40];
+    snprintf(mark, sizeof mark, "%.*s", (int)(n + 1), at);
+    snprintf(out, cap, "%.*s%llu%s", (int)(at - s), s, (unsigned long long)attempt(mark),
+             at + 1 + n);
+}
+
+static void start(struct play *p)
+{
+    if (p->c)
+        return;
+    if (bd_is_zero(p->set.leader_ttl))
+        p->set.leader_ttl = bd_secs(3);
+    p->c = bd_core_new(&p->set, &p->log);
+    if (!p->c)
+        abort();
+    bd_core_time(p->c, bd_secs(100), 1000);
+}
+
+static void collect(struct play *p)
+{
+    struct bd_effect **tail = &p->left;
+    while (*tail)
+        tail = &(*tail)->next;
+    *tail = bd_core_effects(p->c);
+}
+
+static void cmd_set(struct play *p)
+{
+    p->set.lease = bd_secs(num(p, "lease", bd_to_secs(p->set.lease)));
+    p->set.cancel = bd_secs(num(p, "cancel", bd_to_secs(p->set.cancel)));
+    p->set.leader_ttl = bd_secs(num(p, "ttl", bd_to_secs(p->set.leader_ttl)));
+    p->set.txn_ops = (size_t)num(p, "ops", (double)p->set.txn_ops);
+    const char *t = arg(p, "team");
+    if (t) {
+        struct bd_team_limits *l = &p->set.teams[p->set.nteams++];
+        char name[BD_NAME];
+        if (sscanf(t, "%63[^:]:%lf:%lf:%lf:%lf", name, &l->cpus, &l->cpus_max, &l->gpus,
+                   &l->gpus_max) != 5)
+            fail(p, "team");
+        snprintf(l->name, sizeof l->name, "%s", name);
+    }
+}
+
+static void cmd_type(struct play *p)
+{
+    struct bd_type_text t = {0};
+    snprintf(t.label, sizeof t.label, "%s", p->w[1]);
+    t.cpus = num(p, "cpus", 8);
+    t.gpus = num(p, "gpus", 0);
+    t.mem = num(p, "mem", 64);
+    t.price = num(p, "price", 1);
+    t.spot_price = num(p, "spot", t.price / 3);
+    t.boot = num(p, "boot", 10);
+    t.fetch = 1;
+    t.cache_gb = 50;
+    char zones[128];
+    snprintf(zones, sizeof zones, "%s", arg(p, "zones") ? arg(p, "zones") : "a,b");
+    for (char *s = NULL, *z = strtok_r(zones, ",", &s); z; z = strtok_r(NULL, ",", &s))
+        snprintf(t.zones[t.nzones++], BD_LABEL, "%s", z);
+    bd_core_types(p->c, &t, 1);
+}
+
+static bool yes(struct play *p, const char *key)
+{
+    return num(p, key, 0) != 0;
+}
+
+static void spec(struct play *p, struct bd_spec_text *s)
+{
+    memset(s, 0, sizeof *s);
+    snprintf(s->klass, sizeof s->klass, "%s", arg(p, "class") ? arg(p, "class") : "k");
+    snprintf(s->team, sizeof s->team, "%s", arg(p, "team") ? arg(p, "team") : "a");
+    snprintf(s->image, sizeof s->image, "img");
+    if (arg(p, "zone"))
+        snprintf(s->zone, sizeof s->zone, "%s", arg(p, "zone"));
+    s->ntypes = -1;
+    const char *shape = arg(p, "shape");
+    if (shape)
+        s->shape = *shape == 'g' ? BD_GANG : *shape == 's' ? BD_SERVICE : BD_ARRAY;
+    s->rank = (enum bd_rank)num(p, "rank", BD_STANDARD);
+    s->tasks = (uint32_t)num(p, "tasks", 1);
+    s->cpus = num(p, "cpus", 1);
+    s->gpus = num(p, "gpus", 0);
+    s->mem = num(p, "mem", 1);
+    s->checkpoint = num(p, "checkpoint", 0);
+    s->save = num(p, "save", 0);
+    s->due = -1;
+    s->scatter = yes(p, "scatter");
+    s->together = yes(p, "together");
+    s->spot = yes(p, "spot");
+}
+
+static void cmd_job(struct play *p)
+{
+    struct bd_record r = {.mood = BD_LIVE, .at = num(p, "mark", 1), .has_spec = true};
+    const char *mood = arg(p, "mood");
+    char key[BD_LABEL];
+    spec(p, &r.spec);
+    r.tasks = r.spec.tasks;
+    if (mood)
+        r.mood = strcmp(mood, "done") == 0 ? BD_DONE : BD_CANCELLED;
+    snprintf(key, sizeof key, "j/%s", p->w[1]);
+    json_t *v = bd_wire_record(&r);
+    struct bd_change ch = {key, v, (uint64_t)num(p, "mark", 1)};
+    bd_core_change(p->c, &ch);
+    json_decref(v);
+}
+
+static void cmd_gain(struct play *p)
+{
+    struct bd_gain g = {0};
+    g.term = strtoull(p->w[1], NULL, 10);
+    g.grant = 7;
+    g.nonce = "n";
+    g.renewed = p->c->now;
+    g.receipts = json_array();
+    g.intents = json_array();
+    for (int i = 2; i < p->n; i++) {
+        char a[64], b[64], m[64], t[256];
+        if (sscanf(p->w[i], "receipt=%63[^:]:%63s", a, b) == 2) {
+            char key[BD_LABEL + 8];
+            snprintf(key, sizeof key, "r/%s", a);
+            json_array_append_new(
+                g.receipts, json_pack("{s:s,s:{s:s},s:i}", "k", key, "value", "b", b, "mark", 1));
+        } else if (sscanf(p->w[i], "intent=%63[^:]:%63[^:]:%63[^:]:%255s", a, b, m, t) == 4) {
+            json_t *tasks = json_array();
+            for (char *s = NULL, *v = strtok_r(t, ",", &s); v; v = strtok_r(NULL, ",", &s))
+                json_array_append_new(tasks, json_integer(atoi(v)));
+            char key[32];
+            snprintf(key, sizeof key, "i/old-%d", i);
+            json_t *e = json_pack("[[s,I,s,o]]", a, (json_int_t)attempt(b), m, tasks);
+            json_array_append_new(
+                g.intents, json_pack("{s:s,s:{s:o},s:i}", "k", key, "value", "e", e, "mark", 1));
+        } else {
+            fail(p, "gain");
+        }
+    }
+    bd_core_gained(p->c, &g);
+    json_decref(g.receipts);
+    json_decref(g.intents);
+}
+
+static enum bd_sub sub_of(const char *s, enum bd_why *why)
+{
+    static const char *const subs[] = {"pulling", "gathering", "running", "saving"};
+    static const char *const whys[] = {"",      "done",    "stopped", "peers",  "alone",
+                                       "error", "no_room", "busy",    "unknown"};
+    *why = BD_WHY_NONE;
+    for (int i = 0; i < 4; i++)
+        if (strcmp(s, subs[i]) == 0)
+            return (enum bd_sub)i;
+    for (int i = 1; i < 9; i++)
+        if (strcmp(s, whys[i]) == 0)
+            *why = (enum bd_why)i;
+    return BD_EXITED;
+}
+
+static void fill_report(struct play *p, struct bd_report *r, struct bd_seen_task *tasks)
+{
+    memset(r, 0, sizeof *r);
+    snprintf(r->machine, sizeof r->machine, "%s", p->w[1]);
+    snprintf(r->addr, sizeof r->addr, "addr-%s", p->w[1]);
+    r->session = (uint64_t)num(p, "session", 1);
+    r->seq = (uint64_t)num(p, "seq", 1);
+    r->seal = (uint64_t)num(p, "seal", 0);
+    r->notice = num(p, "notice", -1);
+    r->spot = yes(p, "spot");
+    r->tasks = tasks;
+    for (int i = 2; i < p->n; i++) {
+        char name[64], tryn[64], state[64];
+        if (sscanf(p->w[i], "%63[^:]:%63[^:]:%63s", name, tryn, state) != 3)
+            continue;
+        struct bd_seen_task *t = &tasks[r->n];
+        if (!bd_wire_task_name(name, t->job, &t->task)) {
+            fail(p, "task name");
+            return;
+        }
+        t->attempt = attempt(tryn);
+        t->sub = sub_of(state, &t->why);
+        r->n++;
+    }
+}
+
+static void cmd_report(struct play *p)
+{
+    struct bd_report r;
+    struct bd_seen_task tasks[WORDS];
+    memset(tasks, 0, sizeof tasks);
+    fill_report(p, &r, tasks);
+    snprintf(r.type, sizeof r.type, "%s", p->w[2]);
+    snprintf(r.zone, sizeof r.zone, "%s", p->w[3]);
+    bd_core_checkin(p->c, NULL, &r);
+}
+
+static void cmd_did(struct play *p)
+{
+    struct bd_report r;
+    struct bd_seen_task tasks[WORDS];
+    struct bd_machine *m = NULL;
+    memset(tasks, 0, sizeof tasks);
+    HASH_FIND_STR(p->c->machines, p->w[1], m);
+    if (!m) {
+        fail(p, "no such machine");
+        return;
+    }
+    fill_report(p, &r, tasks);
+    snprintf(r.type, sizeof r.type, "%s", m->type < 0 ? "?" : p->c->types[m->type].label);
+    snprintf(r.zone, sizeof r.zone, "%s", m->zone < 0 ? "?" : p->c->zones[m->zone]);
+    long status = (long)num(p, "status", 200);
+    bd_core_did(p->c, m->index, (uint64_t)num(p, "seal", 0), num(p, "launch", 1) != 0, status,
+                status ? &r : NULL);
+}
+
+static void cmd_listed(struct play *p)
+{
+    struct bd_cloud_machine l[WORDS];
+    memset(l, 0, sizeof l);
+    size_t n = 0;
+    for (int i = 1; i < p->n; i++, n++) {
+        char mood[32] = "running";
+        if (sscanf(p->w[i], "%63[^:]:%63[^:]:%63[^:]:%31s", l[n].id, l[n].type, l[n].zone, mood) <
+            3)
+            fail(p, "listed");
+        l[n].mood = *mood == 'r' ? BD_UP : *mood == 'f' ? BD_FAILED : BD_BOOTING;
+    }
+    bd_core_machines(p->c, l, n, p->c->now);
+}
+
+static void cmd_committed(struct play *p)
+{
+    json_t *failed = json_array();
+    for (int i = 2; i < p->n; i++)
+        json_array_append_new(failed, json_string(p->w[i]));
+    int outcome = strcmp(p->w[1], "ok") == 0 ? 1 : strcmp(p->w[1], "lost") == 0 ? -1 : 0;
+    if (!p->c->commit)
+        fail(p, "nothing is being committed");
+    p->ring = p->ring < 1000 ? 1000 : p->ring + 1;
+    bd_core_committed(p->c, outcome, p->ring, failed);
+    json_decref(failed);
+}
+
+static void cmd_usercommitted(struct play *p)
+{
+    struct bd_effect **at = &p->left;
+    while (*at && (*at)->kind != BD_E_USER_COMMIT)
+        at = &(*at)->next;
+    struct bd_effect *e = *at;
+    if (!e) {
+        fail(p, "no user's transaction");
+        return;
+    }
+    *at = e->next;
+    p->ring = p->ring < 1000 ? 1000 : p->ring + 1;
+    bd_core_user_committed(p->c, NULL, e->key, e->body, atol(p->w[1]), p->ring);
+    bd_effect_free(e);
+}
+
+static void cmd_rented(struct play *p)
+{
+    char names[WORDS][BD_LABEL];
+    int n = 0;
+    if (p->c->nrentals == 0) {
+        fail(p, "no rental is open");
+        return;
+    }
+    char request[BD_LABEL];
+    snprintf(request, sizeof request, "%s", p->c->rentals[0].request);
+    bool refused = strcmp(p->w[1], "refused") == 0;
+    for (int i = 2; i < p->n; i++)
+        snprintf(names[n++], BD_LABEL, "%s", p->w[i]);
+    bd_core_rented(p->c, request, refused ? 503 : 200, names, n);
+}
+
+static const char *const kinds[] = {"reply", "user",   "commit",  "do",
+                                    "rent",  "return", "barrier", "lost"};
+
+static bool holds_all(struct play *p, const struct bd_effect *e)
+{
+    char all[64], text[256];
+    snprintf(all, sizeof all, "%d", e->status);
+    for (int i = 2; i < p->n; i++) {
+        expand(p->w[i], text, sizeof text);
+        if (strcmp(text, all) == 0 || (e->body && strstr(e->body, text)) || strstr(e->addr, text) ||
+            strstr(e->key, text))
+            continue;
+        return false;
+    }
+    return true;
+}
+
+static struct bd_effect **find(struct play *p)
+{
+    struct bd_effect **at = &p->left;
+    for (; *at; at = &(*at)->next)
+        if (strcmp(kinds[(*at)->kind], p->w[1]) == 0 && holds_all(p, *at))
+            return at;
+    return NULL;
+}
+
+static void show(const struct bd_effect *e)
+{
+    for (; e; e = e->next)
+        fprintf(stderr, "    %s %d %s %s %s\n", kinds[e->kind], e->status, e->addr, e->key,
+                e->body ? e->body : "");
+}
+
+static void cmd_expect(struct play *p)
+{
+    struct bd_effect **at = find(p);
+    if (!at) {
+        fail(p, "not among the effects");
+        show(p->left);
+        return;
+    }
+    struct bd_effect *e = *at;
+    *at = e->next;
+    bd_effect_free(e);
+}
+
+static void cmd_none(struct play *p)
+{
+    struct bd_effect **at = find(p);
+    if (at) {
+        fail(p, "must not happen");
+        show(*at);
+    }
+}
+
+static void cmd_clear(struct play *p)
+{
+    while (p->left) {
+        struct bd_effect *e = p->left;
+        p->left = e->next;
+        bd_effect_free(e);
+    }
+}
+
+static void cmd_task(struct play *p)
+{
+    static const char *const states[] = {"wait", "plan", "launch", "live", "unknown", "done"};
+    char id[BD_ID];
+    uint32_t i = 0;
+    struct bd_job *j = NULL;
+    if (bd_wire_task_name(p->w[1], id, &i))
+        HASH_FIND_STR(p->c->jobs, id, j);
+    if (!j || !j->tasks || i >= j->ntasks) {
+        fail(p, "no such task");
+        return;
+    }
+    struct bd_task *t = &j->tasks[i];
+    if (strcmp(states[t->state], p->w[2]) != 0) {
+        fail(p, states[t->state]);
+        return;
+    }
+    if (p->n > 3 &&
+        (t->machine == BD_NO_MACHINE || strcmp(p->c->by_index[t->machine]->id, p->w[3]) != 0))
+        fail(p, "on another machine");
+}
+
+static void cmd_team(struct play *p)
+{
+    for (int i = 0; i < p->set.nteams; i++) {
+        if (strcmp(p->set.teams[i].name, p->w[1]) != 0)
+            continue;
+        if (num(p, "cpus", p->c->team_cpus[i]) != p->c->team_cpus[i] ||
+            num(p, "gpus", p->c->team_gpus[i]) != p->c->team_gpus[i])
+            fail(p, "the team uses another amount");
+        return;
+    }
+    fail(p, "no such team");
+}
+
+static void cmd_looked(struct play *p)
+{
+    bool ok = p->n < 2 || strcmp(p->w[1], "fail") != 0;
+    bool barrier = p->c->barrier_out;
+    bd_core_followed(p->c, p->c->ring, p->c->ring + 1, p->c->now, barrier, ok);
+}
+
+static void cmd_at(struct play *p)
+{
+    double s = strtod(p->w[1], NULL);
+    bd_core_time(p->c, bd_secs(100 + s), 1000 + s);
+}
+
+static void cmd_returned(struct play *p)
+{
+    char names[WORDS][BD_LABEL];
+    int n = 0;
+    for (int i = 1; i < p->n; i++)
+        snprintf(names[n++], BD_LABEL, "%s", p->w[i]);
+    bd_core_returned(p->c, names, n, true);
+}
+
+static void cmd_submit(struct play *p)
+{
+    const char *body = strchr(p->raw, '{');
+    body = body ? body : strchr(p->raw, ' ') + 1;
+    bd_core_submit(p->c, NULL, body, strlen(body));
+}
+
+static void cmd_simple(struct play *p)
+{
+    const char *v = p->w[0];
+    if (strcmp(v, "tick") == 0)
+        bd_core_tick(p->c);
+    else if (strcmp(v, "renew") == 0)
+        bd_core_renewed(p->c, 7, p->c->now);
+    else if (strcmp(v, "lose") == 0)
+        bd_core_lost(p->c);
+    else if (strcmp(v, "get") == 0)
+        bd_core_get(p->c, NULL, p->w[1]);
+    else if (strcmp(v, "withdraw") == 0)
+        bd_core_withdraw(p->c, NULL, p->w[1]);
+    else if (strcmp(v, "ready") == 0)
+        bd_core_relisted(p->c, 10, p->c->now);
+    else
+        fail(p, "unknown step");
+}
+
+static void step(struct play *p)
+{
+    static const struct {
+        const char *verb;
+        int words;
+        void (*run)(struct play *);
+    } steps[] = {{"type", 2, cmd_type},
+                 {"job", 2, cmd_job},
+                 {"gain", 2, cmd_gain},
+                 {"report", 4, cmd_report},
+                 {"did", 2, cmd_did},
+                 {"listed", 1, cmd_listed},
+                 {"committed", 2, cmd_committed},
+                 {"usercommitted", 2, cmd_usercommitted},
+                 {"rented", 2, cmd_rented},
+                 {"returned", 2, cmd_returned},
+                 {"expect", 2, cmd_expect},
+                 {"none", 2, cmd_none},
+                 {"clear", 1, cmd_clear},
+                 {"task", 3, cmd_task},
+                 {"team", 2, cmd_team},
+                 {"looked", 1, cmd_looked},
+                 {"at", 2, cmd_at},
+                 {"submit", 2, cmd_submit}};
+    if (strcmp(p->w[0], "set") == 0) {
+        cmd_set(p);
+        return;
+    }
+    start(p);
+    for (size_t i = 0; i < sizeof steps / sizeof *steps; i++) {
+        if (strcmp(p->w[0], steps[i].verb) != 0)
+            continue;
+        if (p->n < steps[i].words)
+            fail(p, "too few words");
+        else
+            steps[i].run(p);
+        collect(p);
+        return;
+    }
+    cmd_simple(p);
+    collect(p);
+}
+
+static void defaults(struct bd_settings *s)
+{
+    snprintf(s->node, sizeof s->node, "node-0");
+    s->report = bd_secs(2);
+    s->lease = bd_secs(10);
+    s->cancel = bd_secs(35);
+    s->gang_wait = bd_secs(30);
+    s->gang_peer = bd_secs(4);
+    s->list_lag = bd_secs(5);
+    s->state_write_rps = 100;
+    s->state_rps = 200;
+    s->cloud_rps = 3;
+    s->value_bytes = 8192;
+    s->txn_ops = 24;
+    s->spare_share = 0;
+    s->idle_return_s = 40;
+}
+
+int main(int argc, char **argv)
+{
+    struct play p = {.log = {BD_ERROR, "scenario"}};
+    char line[4096], copy[4096];
+    if (argc != 2)
+        return 2;
+    p.path = argv[1];
+    FILE *f = fopen(argv[1], "r");
+    if (!f) {
+        perror(argv[1]);
+        return 2;
+    }
+    defaults(&p.set);
+    int steps = 0;
+    while (fgets(line, sizeof line, f)) {
+        p.line++;
+        line[strcspn(line, "\n")] = '\0';
+        if (line[0] == '#' || line[strspn(line, " ")] == '\0')
+            continue;
+        snprintf(copy, sizeof copy, "%s", line);
+        p.raw = line;
+        p.n = 0;
+        for (char *s = NULL, *w = strtok_r(copy, " ", &s); w && p.n < WORDS;
+             w = strtok_r(NULL, " ", &s))
+            p.w[p.n++] = w;
+        step(&p);
+        steps++;
+    }
+    (void)fclose(f);
+    cmd_clear(&p);
+    bd_core_free(p.c);
+    if (steps == 0) {
+        fprintf(stderr, "%s: no steps\n", argv[1]);
+        return 1;
+    }
+    return p.faults ? 1 : 0;
+}
--- /dev/null
+++ b/tests/standin.c
@@ -0,0 +1,684 @@
+#include "standin.h"
+#include "brambledoor/http.h"
+#include "brambledoor/timeutil.h"
+#include "brambledoor/wire.h"
+#include <arpa/inet.h>
+#include <microhttpd.h>
+#include <pthread.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define KEYS 512
+#define WORKERS 12
+#define TASKS 64
+#define RUN_S 0.6
+
+struct key {
+    char name[96];
+    json_t *value;
+    uint64_t mark, grant;
+};
+
+struct change {
+    char name[96];
+    json_t *value;
+    uint64_t mark;
+};
+
+struct task {
+    char name[64];
+    uint64_t attempt;
+    int mood; /* 0 free, 1 running, 2 exited */
+    const char *cause;
+    struct timespec ends;
+    bool for_ever;
+};
+
+struct worker {
+    struct world *w;
+    char id[32];
+    int port;
+    bool used, stop;
+    pthread_t thread;
+    struct MHD_Daemon *daemon;
+    uint64_t tally, seal;
+    struct task tasks[TASKS];
+};
+
+struct served {
+    int (*answer)(void *arg, const char *method, const char *url, struct MHD_Connection *conn,
+                  json_t *body, json_t **out);
+    void *arg;
+    struct world *w;
+};
+
+struct world {
+    pthread_mutex_t lock;
+    struct served served[WORKERS + 2];
+    int nserved;
+    struct key keys[KEYS];
+    struct change log[4096];
+    int nkeys, nlog, ran_twice, starts, garbles;
+    uint64_t ring, grants;
+    struct {
+        uint64_t id;
+        struct timespec ends;
+        double ttl;
+    } grant[64];
+    int ngrants, nworkers, worker_port, nnodes;
+    bool down;
+    const char *const *nodes;
+    struct MHD_Daemon *state, *cloud;
+    struct worker workers[WORKERS];
+};
+
+struct body {
+    char *buf;
+    size_t len;
+};
+
+/* ---- HTTP ---- */
+
+typedef int (*answer_fn)(void *, const char *, const char *, struct MHD_Connection *, json_t *,
+                         json_t **);
+
+static enum MHD_Result reply(struct MHD_Connection *conn, int status, json_t *o, bool garble)
+{
+    char *text = o ? json_dumps(o, JSON_COMPACT) : strdup("{}");
+    json_decref(o);
+    size_t len = strlen(text);
+    if (garble && len > 4)
+        len /= 2;
+    struct MHD_Response *r = MHD_create_response_from_buffer(len, text, MHD_RESPMEM_MUST_FREE);
+    enum MHD_Result rc = MHD_queue_response(conn, (unsigned)status, r);
+    MHD_destroy_response(r);
+    return rc;
+}
+
+static enum MHD_Result serve(void *arg, struct MHD_Connection *conn, const char *url,
+                             const char *method, const char *version, const char *data,
+                             size_t *size, void **ctx)
+{
+    struct served *s = arg;
+    struct body *b = *ctx;
+    (void)version;
+    if (!b) {
+        *ctx = calloc(1, sizeof *b);
+        return *ctx ? MHD_YES : MHD_NO;
+    }
+    if (*size) {
+        b->buf = realloc(b->buf, b->len + *size + 1);
+        memcpy(b->buf + b->len, data, *size);
+        b->len += *size;
+        *size = 0;
+        return MHD_YES;
+    }
+    json_t *in = b->buf ? json_loadb(b->buf, b->len, 0, NULL) : NULL, *out = NULL;
+    pthread_mutex_lock(&s->w->lock);
+    int status = s->answer(s->arg, method, url, conn, in, &out);
+    bool garble = s->w->garbles > 0 && strncmp(url, "/do", 3) != 0;
+    if (garble)
+        s->w->garbles--;
+    pthread_mutex_unlock(&s->w->lock);
+    json_decref(in);
+    return reply(conn, status, out, garble);
+}
+
+static void over(void *arg, struct MHD_Connection *conn, void **ctx,
+                 enum MHD_RequestTerminationCode code)
+{
+    struct body *b = *ctx;
+    (void)arg;
+    (void)conn;
+    (void)code;
+    if (b)
+        free(b->buf);
+    free(b);
+}
+
+static struct MHD_Daemon *listen_on(struct world *w, int port, answer_fn fn, void *arg)
+{
+    struct served *s = &w->served[w->nserved++];
+    struct sockaddr_in a = {.sin_family = AF_INET, .sin_port = htons((uint16_t)port)};
+    a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    *s = (struct served){fn, arg, w};
+    return MHD_start_daemon(MHD_USE_INTERNAL_POLLING_THREAD, 0, NULL, NULL, serve, s,
+                            MHD_OPTION_SOCK_ADDR, &a, MHD_OPTION_NOTIFY_COMPLETED, over, NULL,
+                            MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u, MHD_OPTION_END);
+}
+
+/* ---- state service ---- */
+
+static struct key *find_key(struct world *w, const char *name)
+{
+    for (int i = 0; i < w->nkeys; i++)
+        if (strcmp(w->keys[i].name, name) == 0)
+            return &w->keys[i];
+    return NULL;
+}
+
+static void note(struct world *w, const char *name, json_t *value)
+{
+    if (w->nlog == (int)(sizeof w->log / sizeof *w->log))
+        abort();
+    struct change *c = &w->log[w->nlog++];
+    snprintf(c->name, sizeof c->name, "%s", name);
+    c->value = json_incref(value);
+    c->mark = w->ring;
+}
+
+static void drop_key(struct world *w, const char *name)
+{
+    struct key *k = find_key(w, name);
+    if (!k)
+        return;
+    note(w, name, NULL);
+    json_decref(k->value);
+    *k = w->keys[--w->nkeys];
+}
+
+static void set_key(struct world *w, const char *name, json_t *value, uint64_t grant)
+{
+    struct key *k = find_key(w, name);
+    if (!k) {
+        if (w->nkeys == KEYS)
+            abort();
+        k = &w->keys[w->nkeys++];
+        memset(k, 0, sizeof *k);
+        snprintf(k->name, sizeof k->name, "%s", name);
+    }
+    json_decref(k->value);
+    k->value = json_incref(value);
+    k->mark = w->ring;
+    k->grant = grant;
+    note(w, name, value);
+}
+
+static void end_grants(struct world *w)
+{
+    struct timespec now = bd_now();
+    for (int i = 0; i < w->ngrants;) {
+        if (bd_before(now, w->grant[i].ends)) {
+            i++;
+            continue;
+        }
+        for (int k = 0; k < w->nkeys;) {
+            if (w->keys[k].grant != w->grant[i].id) {
+                k++;
+                continue;
+            }
+            w->ring++;
+            drop_key(w, w->keys[k].name);
+        }
+        w->grant[i] = w->grant[--w->ngrants];
+    }
+}
+
+static bool grant_lives(struct world *w, uint64_t id)
+{
+    for (int i = 0; i < w->ngrants; i++)
+        if (w->grant[i].id == id)
+            return true;
+    return false;
+}
+
+static int commit(struct world *w, json_t *in, json_t **out)
+{
+    json_t *failed = json_array(), *v;
+    size_t i;
+    json_array_foreach(json_object_get(in, "if"), i, v)
+    {
+        const char *name = json_string_value(json_object_get(v, "k"));
+        struct key *k = find_key(w, name);
+        uint64_t want = (uint64_t)json_integer_value(json_object_get(v, "mark"));
+        if ((k ? k->mark : 0) != want)
+            json_array_append_new(failed, json_string(name));
+    }
+    json_array_foreach(json_object_get(in, "apply"), i, v)
+    {
+        json_t *g = json_object_get(v, "charter");
+        if (g && !grant_lives(w, (uint64_t)json_integer_value(g))) {
+            json_decref(failed);
+            return 400;
+        }
+    }
+    if (json_array_size(failed) > 0) {
+        *out = json_pack("{s:o,s:I}", "failed", failed, "ring", (json_int_t)w->ring);
+        return 409;
+    }
+    json_decref(failed);
+    w->ring++;
+    json_array_foreach(json_object_get(in, "apply"), i, v)
+    {
+        const char *set = json_string_value(json_object_get(v, "set"));
+        if (set)
+            set_key(w, set, json_object_get(v, "value"),
+                    (uint64_t)json_integer_value(json_object_get(v, "charter")));
+        else
+            drop_key(w, json_string_value(json_object_get(v, "drop")));
+    }
+    *out = json_pack("{s:I}", "ring", (json_int_t)w->ring);
+    return 200;
+}
+
+static int by_name(const void *a, const void *b)
+{
+    return strcmp(((const struct key *)a)->name, ((const struct key *)b)->name);
+}
+
+static int list(struct world *w, struct MHD_Connection *conn, json_t **out)
+{
+    const char *starts = MHD_lookup_connection_value(conn, MHD_GET_ARGUMENT_KIND, "starts");
+    const char *after = MHD_lookup_connection_value(conn, MHD_GET_ARGUMENT_KIND, "after");
+    json_t *pairs = json_array();
+    bool more = false;
+    qsort(w->keys, (size_t)w->nkeys, sizeof *w->keys, by_name);
+    for (int i = 0; i < w->nkeys; i++) {
+        struct key *k = &w->keys[i];
+        if (strncmp(k->name, starts, strlen(starts)) != 0 || (after && strcmp(k->name, after) <= 0))
+            continue;
+        if (json_array_size(pairs) == 5) { /* small pages, so that paging is played */
+            more = true;
+            break;
+        }
+        json_array_append_new(pairs, json_pack("{s:s,s:O,s:I}", "k", k->name, "value", k->value,
+                                               "mark", (json_int_t)k->mark));
+    }
+    *out = json_pack("{s:o,s:b,s:I}", "pairs", pairs, "more", more, "ring", (json_int_t)w->ring);
+    return 200;
+}
+
+static int follow(struct world *w, struct MHD_Connection *conn, json_t **out)
+{
+    const char *starts = MHD_lookup_connection_value(conn, MHD_GET_ARGUMENT_KIND, "starts");
+    const char *after = MHD_lookup_connection_value(conn, MHD_GET_ARGUMENT_KIND, "after");
+    uint64_t from = strtoull(after, NULL, 10);
+    json_t *log = json_array();
+    for (int i = 0; i < w->nlog; i++) {
+        struct change *c = &w->log[i];
+        if (c->mark <= from || strncmp(c->name, starts, strlen(starts)) != 0)
+            continue;
+        json_array_append_new(
+            log, c->value ? json_pack("{s:s,s:O,s:I}", "set", c->name, "value", c->value, "mark",
+                                      (json_int_t)c->mark)
+                          : json_pack("{s:s,s:I}", "drop", c->name, "mark", (json_int_t)c->mark));
+    }
+    *out = json_pack("{s:I,s:o}", "ring", (json_int_t)w->ring, "log", log);
+    return 200;
+}
+
+static int one_key(struct world *w, const char *name, json_t **out)
+{
+    struct key *k = find_key(w, name);
+    if (!k) {
+        *out = json_pack("{s:I}", "ring", (json_int_t)w->ring);
+        return 404;
+    }
+    *out = json_pack("{s:s,s:O,s:I,s:I}", "k", k->name, "value", k->value, "mark",
+                     (json_int_t)k->mark, "charter", (json_int_t)k->grant);
+    return 200;
+}
+
+static int grants(struct world *w, const char *url, json_t *in, json_t **out)
+{
+    uint64_t id = strtoull(url + strlen("/grants") + (url[7] == '/'), NULL, 10);
+    if (id == 0) {
+        double ttl = (double)json_integer_value(json_object_get(in, "ttlMs")) / 1000.0;
+        if (w->ngrants == 64)
+            return 503;
+        w->grant[w->ngrants].id = ++w->grants;
+        w->grant[w->ngrants].ttl = ttl;
+        w->grant[w->ngrants++].ends = bd_add(bd_now(), bd_secs(ttl));
+        *out = json_pack("{s:I}", "charter", (json_int_t)w->grants);
+        return 200;
+    }
+    for (int i = 0; i < w->ngrants; i++) {
+        if (w->grant[i].id != id)
+            continue;
+        w->grant[i].ends = bd_add(bd_now(), bd_secs(w->grant[i].ttl));
+        return 200;
+    }
+    return 404;
+}
+
+static int state_answer(void *arg, const char *method, const char *url, struct MHD_Connection *conn,
+                        json_t *in, json_t **out)
+{
+    struct world *w = arg;
+    (void)method;
+    if (w->down)
+        return 503;
+    end_grants(w);
+    if (strcmp(url, "/commit") == 0)
+        return commit(w, in, out);
+    if (strcmp(url, "/kv") == 0)
+        return list(w, conn, out);
+    if (strncmp(url, "/kv/", 4) == 0)
+        return one_key(w, url + 4, out);
+    if (strcmp(url, "/follow") == 0)
+        return follow(w, conn, out);
+    if (strncmp(url, "/grants", 7) == 0)
+        return grants(w, url, in, out);
+    return 404;
+}
+
+/* ---- workers ---- */
+
+static bool runs_elsewhere(struct world *w, const struct worker *me, const char *name)
+{
+    for (int i = 0; i < w->nworkers; i++)
+        for (int k = 0; w->workers[i].used && &w->workers[i] != me && k < TASKS; k++)
+            if (w->workers[i].tasks[k].mood == 1 && strcmp(w->workers[i].tasks[k].name, name) == 0)
+                return true;
+    return false;
+}
+
+static struct task *find_task(struct worker *k, const char *name, uint64_t attempt)
+{
+    for (int i = 0; i < TASKS; i++)
+        if (k->tasks[i].mood && strcmp(k->tasks[i].name, name) == 0 &&
+            k->tasks[i].attempt == attempt)
+            return &k->tasks[i];
+    return NULL;
+}
+
+static void launch(struct worker *k, const char *name, uint64_t attempt)
+{
+    if (find_task(k, name, attempt))
+        return;
+    for (int i = 0; i < TASKS; i++) {
+        struct task *t = &k->tasks[i];
+        if (t->mood)
+            continue;
+        if (runs_elsewhere(k->w, k, name))
+            k->w->ran_twice++;
+        k->w->starts++;
+        snprintf(t->name, sizeof t->name, "%s", name);
+        t->attempt = attempt;
+        t->mood = 1;
+        t->for_ever = strncmp(name, "job-9", 5) == 0; /* the test's services */
+        t->ends = bd_add(bd_now(), bd_secs(RUN_S));
+        return;
+    }
+}
+
+static void order(struct worker *k, json_t *o)
+{
+    const char *verb = json_string_value(json_object_get(o, "verb"));
+    const char *name = json_string_value(json_object_get(o, "chore"));
+    uint64_t attempt = (uint64_t)json_integer_value(json_object_get(o, "try"));
+    struct task *t = name ? find_task(k, name, attempt) : NULL;
+    if (!verb || !name)
+        return;
+    if (strcmp(verb, "launch") == 0) {
+        launch(k, name, attempt);
+    } else if (t && strcmp(verb, "halt") == 0 && t->mood == 1) {
+        t->mood = 2;
+        t->cause = "stopped";
+    } else if (t && strcmp(verb, "forget") == 0 && t->mood == 2) {
+        t->mood = 0;
+    }
+}
+
+static json_t *report(struct worker *k)
+{
+    json_t *tasks = json_array();
+    struct timespec now = bd_now();
+    char addr[32];
+    for (int i = 0; i < TASKS; i++) {
+        struct task *t = &k->tasks[i];
+        if (t->mood == 1 && !t->for_ever && bd_before(t->ends, now)) {
+            t->mood = 2;
+            t->cause = "done";
+        }
+        if (t->mood == 1)
+            json_array_append_new(tasks, json_pack("{s:s,s:I,s:s}", "chore", t->name, "try",
+                                                   (json_int_t)t->attempt, "mood", "running"));
+        else if (t->mood == 2)
+            json_array_append_new(tasks, json_pack("{s:s,s:I,s:s,s:s}", "chore", t->name, "try",
+                                                   (json_int_t)t->attempt, "mood", "exited",
+                                                   "cause", t->cause));
+    }
+    snprintf(addr, sizeof addr, "127.0.0.1:%d", k->port);
+    return json_pack("{s:s,s:s,s:s,s:s,s:b,s:i,s:I,s:I,s:n,s:o}", "hearth", k->id, "endpoint", addr,
+                     "breed", "small", "glade", "a", "windfall", 0, "tenancy", 1, "tally",
+                     (json_int_t)++k->tally, "seal", (json_int_t)k->seal, "warningS", "chores",
+                     tasks);
+}
+
+static bool obey(struct worker *k, json_t *in)
+{
+    json_t *v;
+    size_t i;
+    uint64_t seal = (uint64_t)json_integer_value(json_object_get(in, "seal"));
+    if (seal < k->seal || !json_object_get(in, "seal"))
+        return false;
+    k->seal = seal;
+    json_array_foreach(json_object_get(in, "bids"), i, v)
+    {
+        order(k, v);
+    }
+    return true;
+}
+
+static int worker_answer(void *arg, const char *method, const char *url,
+                         struct MHD_Connection *conn, json_t *in, json_t **out)
+{
+    struct worker *k = arg;
+    (void)method;
+    (void)url;
+    (void)conn;
+    int status = obey(k, in) ? 200 : 409;
+    *out = report(k);
+    return status;
+}
+
+static int node_named(const struct world *w, const char *name)
+{
+    for (int i = 0; name && i < w->nnodes; i++)
+        if (name[strlen(name) - 1] == '0' + i)
+            return i;
+    return -1;
+}
+
+static void *worker_run(void *arg)
+{
+    struct worker *k = arg;
+    struct bd_http *h = bd_http_new(2);
+    int at = 0;
+    for (;;) {
+        pthread_mutex_lock(&k->w->lock);
+        bool stop = k->stop;
+        json_t *o = report(k);
+        pthread_mutex_unlock(&k->w->lock);
+        char *text = json_dumps(o, JSON_COMPACT), url[96];
+        json_decref(o);
+        struct bd_reply r = {0};
+        snprintf(url, sizeof url, "http://%s/checkin", k->w->nodes[at]);
+        if (!stop)
+            bd_http_call(h, "POST", url, text, 2, &r);
+        free(text);
+        json_t *in = r.body ? json_loadb(r.body, r.len, 0, NULL) : NULL;
+        pthread_mutex_lock(&k->w->lock);
+        int named = -1;
+        if (r.status == 200)
+            (void)obey(k, in);
+        else if (r.status == 421)
+            named = node_named(k->w, json_string_value(json_object_get(in, "steward")));
+        if (r.status != 200)
+            at = named >= 0 ? named : (at + 1) % k->w->nnodes;
+        pthread_mutex_unlock(&k->w->lock);
+        json_decref(in);
+        bd_reply_drop(&r);
+        if (stop)
+            break;
+        bd_pause(0.2);
+    }
+    bd_http_free(h);
+    return NULL;
+}
+
+/* ---- cloud ---- */
+
+static void hire(struct world *w, json_t *names)
+{
+    if (w->nworkers == WORKERS)
+        return;
+    struct worker *k = &w->workers[w->nworkers];
+    k->w = w;
+    k->port = w->worker_port + w->nworkers;
+    snprintf(k->id, sizeof k->id, "vm-%06d", ++w->nworkers);
+    k->used = true;
+    k->daemon = listen_on(w, k->port, worker_answer, k);
+    if (!k->daemon || pthread_create(&k->thread, NULL, worker_run, k) != 0)
+        abort();
+    json_array_append_new(names, json_string(k->id));
+}
+
+static json_t *machine_list(struct world *w)
+{
+    json_t *a = json_array();
+    for (int i = 0; i < w->nworkers; i++) {
+        char addr[32];
+        snprintf(addr, sizeof addr, "127.0.0.1:%d", w->workers[i].port);
+        if (!w->workers[i].stop)
+            json_array_append_new(a,
+                                  json_pack("{s:s,s:s,s:s,s:s,s:b,s:s,s:f}", "id", w->workers[i].id,
+                                            "endpoint", addr, "breed", "small", "glade", "a",
+                                            "windfall", 0, "mood", "running", "heldS", 5.0));
+    }
+    return json_pack("{s:o,s:b}", "hearths", a, "more", 0);
+}
+
+static int cloud_answer(void *arg, const char *method, const char *url, struct MHD_Connection *conn,
+                        json_t *in, json_t **out)
+{
+    struct world *w = arg;
+    json_t *names = json_array(), *v;
+    size_t i;
+    (void)conn;
+    if (strcmp(url, "/machine_types") == 0) {
+        json_decref(names);
+        *out = json_pack("{s:[{s:s,s:f,s:f,s:f,s:f,s:f,s:f,s:f,s:f,s:[s]}]}", "breeds", "label",
+                         "small", "vcpus", 4.0, "accelerators", 0.0, "memGb", 16.0, "localGb", 50.0,
+                         "fetchGbPerS", 1.0, "hourly", 1.0, "marketPrice", 0.5, "readyS", 1.0,
+                         "glades", "a");
+        return 200;
+    }
+    if (strcmp(url, "/machines/return") == 0) {
+        json_decref(names);
+        json_array_foreach(json_object_get(in, "hearths"), i, v)
+        {
+            for (int k = 0; k < w->nworkers; k++) {
+                if (strcmp(w->workers[k].id, json_string_value(v)) != 0)
+                    continue;
+                w->workers[k].stop = true;
+                memset(w->workers[k].tasks, 0, sizeof w->workers[k].tasks);
+            }
+        }
+        return 200;
+    }
+    if (strcmp(method, "POST") == 0) {
+        int n = (int)json_integer_value(json_object_get(in, "howMany"));
+        while (n-- > 0)
+            hire(w, names);
+        *out = json_pack("{s:o}", "hearths", names);
+        return json_array_size(json_object_get(*out, "hearths")) ? 200 : 503;
+    }
+    json_decref(names);
+    *out = machine_list(w);
+    return 200;
+}
+
+/* ---- the whole ---- */
+
+struct world *world_new(int state_port, int cloud_port, int worker_port, const char *const *nodes,
+                        int nnodes)
+{
+    struct world *w = calloc(1, sizeof *w);
+    if (!w || pthread_mutex_init(&w->lock, NULL) != 0)
+        return NULL;
+    w->worker_port = worker_port;
+    w->nodes = nodes;
+    w->nnodes = nnodes;
+    w->state = listen_on(w, state_port, state_answer, w);
+    w->cloud = listen_on(w, cloud_port, cloud_answer, w);
+    return w->state && w->cloud ? w : NULL;
+}
+
+static int sum(struct world *w, int (*f)(struct world *))
+{
+    pthread_mutex_lock(&w->lock);
+    int n = f(w);
+    pthread_mutex_unlock(&w->lock);
+    return n;
+}
+
+static int twice(struct world *w)
+{
+    return w->ran_twice;
+}
+
+static int starts(struct world *w)
+{
+    return w->starts;
+}
+
+static int running(struct world *w)
+{
+    int n = 0;
+    for (int i = 0; i < w->nworkers; i++)
+        for (int k = 0; k < TASKS; k++)
+            n += w->workers[i].tasks[k].mood == 1;
+    return n;
+}
+
+int world_ran_twice(struct world *w)
+{
+    return sum(w, twice);
+}
+
+int world_starts(struct world *w)
+{
+    return sum(w, starts);
+}
+
+int world_running(struct world *w)
+{
+    return sum(w, running);
+}
+
+void world_state_down(struct world *w, bool down)
+{
+    pthread_mutex_lock(&w->lock);
+    w->down = down;
+    pthread_mutex_unlock(&w->lock);
+}
+
+void world_state_garbles(struct world *w, int answers)
+{
+    pthread_mutex_lock(&w->lock);
+    w->garbles = answers;
+    pthread_mutex_unlock(&w->lock);
+}
+
+void world_stop(struct world *w)
+{
+    pthread_mutex_lock(&w->lock);
+    for (int i = 0; i < w->nworkers; i++)
+        w->workers[i].stop = true;
+    pthread_mutex_unlock(&w->lock);
+    for (int i = 0; i < w->nworkers; i++) {
+        (void)pthread_join(w->workers[i].thread, NULL);
+        MHD_stop_daemon(w->workers[i].daemon);
+    }
+    MHD_stop_daemon(w->state);
+    MHD_stop_daemon(w->cloud);
+    for (int i = 0; i < w->nkeys; i++)
+        json_decref(w->keys[i].value);
+    for (int i = 0; i < w->nlog; i++)
+        json_decref(w->log[i].value);
+    (void)pthread_mutex_destroy(&w->lock);
+    free(w);
+}
