--- a/include/brambledoor/core.h
+++ b/include/brambledoor/core.h
@@ -102,7 +102,7 @@
     int nimages;
     uint32_t errors; /* failed tasks in a row, of different jobs */
     struct bd_job *error_job;
-    bool bad;
+    bool bad, spare; /* spare: kept for work that is expected */
     struct timespec bad_until;
 };
 
@@ -214,6 +214,7 @@
     /* cloud */
     struct bd_rental rentals[64];
     int nrentals;
+    bool gpu_wanted[BD_MAX_TYPES][2]; /* by type and spot: some live job's GPUs fit there */
     struct bd_market markets[BD_MAX_TYPES][BD_MAX_ZONES][2];
     int cloud_out;
 
--- a/include/brambledoor/settings.h
+++ b/include/brambledoor/settings.h
@@ -47,7 +47,7 @@
     int max_sockets;
     /* operators' own */
     struct timespec leader_ttl; /* zero: derived from the worker lease */
-    double spare_share;         /* room kept free for production work, share of its use */
+    double spare_share;         /* spare room, as a multiple of what the aims ask for */
     double idle_return_s;       /* an idle machine is returned after this */
 };
 
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -1,5 +1,6 @@
 /* The machines: what the cloud lists, what is rented and what goes back. */
 #include "core_in.h"
+#include <gsl/gsl_cdf.h>
 #include <math.h>
 #include <stdio.h>
 
@@ -13,6 +14,11 @@
 #define RENTS_A_TICK 3
 #define DEAD_EXTRA_S 15.0
 #define BINS 256
+#define FIXED_PENALTY 2.0 /* ordinary machines are left to work that may not use spot */
+#define CLASSES 32
+#define BUCKET_S 30.0 /* arrivals are counted in buckets, and the middle one counts */
+#define BUCKETS 6
+#define RUN_FACTOR 1.5 /* a job's slowest task against its owner's guess */
 
 void bd_core_types(struct bd_core *c, const struct bd_type_text *t, int n)
 {
@@ -169,9 +175,10 @@
 
 /* ---- demand ---- */
 
-struct bin { /* a machine that is not up yet, or would have to be rented */
+struct bin { /* a machine that is not up yet, would have to be rented, or has free room */
     int type, zone;
     bool spot, wanted;
+    struct bd_machine *machine;
     double cpus, gpus, mem;
 };
 
@@ -187,7 +194,7 @@
     if (d->n == BINS)
         return NULL;
     const struct bd_type *t = &d->c->types[type];
-    d->bins[d->n] = (struct bin){type, zone, spot, wanted, t->cpus, t->gpus, t->mem};
+    d->bins[d->n] = (struct bin){type, zone, spot, wanted, NULL, t->cpus, t->gpus, t->mem};
     return &d->bins[d->n++];
 }
 
@@ -239,6 +246,14 @@
     return (int)n;
 }
 
+static double zone_use(const struct bd_core *c, int zone)
+{
+    double n = 0;
+    for (uint32_t i = 0; i < c->nmachines; i++)
+        n += !c->by_index[i]->gone && c->by_index[i]->zone == zone;
+    return n;
+}
+
 /* The cheapest kind of machine for `left` more tasks, or false. */
 static bool choose(struct demand *d, const struct bd_spec *s, uint32_t left, int zone_want,
                    int *type, int *zone, bool *spot)
@@ -259,6 +274,9 @@
                     bd_before(c->now, c->markets[t][z][sp].refuse_until))
                     continue;
                 double v = (sp ? c->types[t].spot_price : c->types[t].price) / n;
+                if (s->spot && !sp)
+                    v *= FIXED_PENALTY;
+                v *= 1 + 1e-6 * zone_use(c, z); /* the emptier zone of equals */
                 if (v < low - 1e-12) {
                     low = v;
                     *type = t;
@@ -292,6 +310,8 @@
         while (n > 0 && bd_allowed(d->c, s, b->type, b->zone, b->spot) && bin_fits(b, s)) {
             bin_take(b, s);
             n--;
+            if (b->machine)
+                b->machine->spare = true;
         }
     }
     while (n > 0 && choose(d, s, n, -1, &type, &zone, &spot)) {
@@ -305,6 +325,139 @@
     }
 }
 
+/* ---- spare room, from the aims and what arrives ---- */
+
+struct klass {
+    int id;
+    struct bd_spec spec; /* of its newest job */
+    uint32_t jobs, tasks, bucket[BUCKETS];
+    double estimate, at, image_gb;
+};
+
+static struct klass *klass_of(struct klass *k, int *n, int id)
+{
+    for (int i = 0; i < *n; i++)
+        if (k[i].id == id)
+            return &k[i];
+    if (*n == CLASSES)
+        return NULL;
+    memset(&k[*n], 0, sizeof *k);
+    k[*n].id = id;
+    return &k[(*n)++];
+}
+
+static int arrivals(struct bd_core *c, struct klass *k)
+{
+    struct bd_job *j, *jt;
+    int n = 0;
+    HASH_ITER(hh, c->jobs, j, jt)
+    {
+        double ago = c->wall - j->at;
+        if (!j->has_spec || ago > BUCKET_S * BUCKETS || ago < 0)
+            continue;
+        struct klass *f = klass_of(k, &n, j->spec.klass);
+        if (!f)
+            continue;
+        f->jobs++;
+        f->tasks += j->ntasks;
+        f->estimate += j->spec.estimate;
+        f->image_gb += j->spec.image_gb;
+        f->bucket[(int)(ago / BUCKET_S)]++;
+        if (j->at >= f->at) {
+            f->at = j->at;
+            f->spec = j->spec;
+        }
+    }
+    return n;
+}
+
+static int by_count(const void *a, const void *b)
+{
+    return (int)*(const uint32_t *)a - (int)*(const uint32_t *)b;
+}
+
+/* Jobs a second, by the middle buckets: a burst or the work at the start does not move it much. */
+static double rate(const struct klass *k)
+{
+    uint32_t b[BUCKETS];
+    memcpy(b, k->bucket, sizeof b);
+    qsort(b, BUCKETS, sizeof *b, by_count);
+    return (b[BUCKETS / 2 - 1] + b[BUCKETS / 2]) / (2.0 * BUCKET_S);
+}
+
+static const char *klass_name(const struct bd_core *c, int id)
+{
+    struct bd_names *n, *t;
+    HASH_ITER(hh, c->classes, n, t)
+    {
+        if (n->index == id)
+            return n->name;
+    }
+    return "";
+}
+
+/* How long a job of the class may wait and still meet the aim; below 0: not this aim's class. */
+static double slack(const struct bd_core *c, const struct klass *k, const struct bd_aim *a)
+{
+    bool named = strcmp(a->klass, klass_name(c, k->id)) == 0;
+    if (a->kind == BD_AIM_WAIT && named)
+        return a->within_s;
+    if (a->kind == BD_AIM_FINISHED && named && k->jobs)
+        return fmax(0, a->within_s - RUN_FACTOR * k->estimate / k->jobs);
+    return -1;
+}
+
+/* Slots to keep free for a class: what arrives before a rented machine would be ready, as far as
+ * the aims' shares ask for it. */
+static uint32_t spare_slots(struct demand *d, const struct klass *k)
+{
+    struct bd_core *c = d->c;
+    int type = 0, zone = 0;
+    bool spot = false;
+    double most = 0, per_job = (double)k->tasks / k->jobs;
+    if (!choose(d, &k->spec, (uint32_t)ceil(per_job), -1, &type, &zone, &spot))
+        return 0;
+    double lead = c->types[type].boot + k->image_gb / k->jobs / c->types[type].fetch;
+    for (int i = 0; i < c->set->naims; i++) {
+        const struct bd_aim *a = &c->set->aims[i];
+        double wait = slack(c, k, a);
+        if (wait < 0 || wait >= lead)
+            continue;
+        double z = gsl_cdf_ugaussian_Pinv(fmin(0.995, (1 + a->share) / 2));
+        most = fmax(most, z * sqrt(2 * rate(k) * lead) * per_job);
+    }
+    return (uint32_t)ceil(most * c->set->spare_share);
+}
+
+static void bins_free(struct demand *d, bool idle)
+{
+    struct bd_core *c = d->c;
+    for (uint32_t i = 0; i < c->nmachines; i++) {
+        struct bd_machine *m = c->by_index[i];
+        if (!bd_machine_usable(c, m) || (m->nrefs == 0) != idle)
+            continue;
+        struct bin *b = add_bin(d, m->type, m->zone, m->spot, false);
+        if (!b)
+            return;
+        b->machine = m;
+        b->cpus -= m->cpus;
+        b->gpus -= m->gpus;
+        b->mem -= m->mem;
+    }
+}
+
+static void want_spares(struct demand *d)
+{
+    struct klass k[CLASSES];
+    int n = arrivals(d->c, k);
+    bins_free(d, false);
+    bins_free(d, true);
+    for (int gpus = 1; gpus >= 0; gpus--)
+        for (int i = 0; i < n; i++)
+            if ((k[i].spec.gpus > 0) == (gpus > 0) && k[i].spec.team >= 0)
+                want_job(d, &k[i].spec, spare_slots(d, &k[i]));
+}
+
 static void rent_wanted(struct demand *d)
 {
     struct bd_core *c = d->c;
@@ -341,6 +494,9 @@
         if (jobs[i]->nwait > 0 && bd_before(jobs[i]->hold_until, c->now))
             want_job(d, &jobs[i]->spec, under_quota(d, &jobs[i]->spec, jobs[i]->nwait));
     free(jobs);
+    for (uint32_t i = 0; i < c->nmachines; i++)
+        c->by_index[i]->spare = false;
+    want_spares(d);
     rent_wanted(d);
     free(d);
 }
@@ -372,7 +528,7 @@
     if (!m->fenced)
         return false;
     return m->bad || m->notice_left >= 0 ||
-           bd_between(m->idle_since, c->now) > c->set->idle_return_s;
+           (!m->spare && bd_between(m->idle_since, c->now) > c->set->idle_return_s);
 }
 
 static void return_machines(struct bd_core *c)
--- a/src/place.c
+++ b/src/place.c
@@ -5,7 +5,7 @@
 /* named defaults: the weights of a choice, in seconds of later start */
 #define COST_GPU_WASTE 200.0 /* work without GPUs on a machine that has some */
 #define COST_LEFTOVER 5.0    /* the whole machine left free after the placement */
-#define COST_NOT_SPOT 3.0    /* work that may use spot, on an ordinary machine */
+#define COST_NOT_SPOT 20.0   /* work that may use spot, on an ordinary machine */
 #define EPS 1e-6
 
 struct room {
@@ -107,7 +107,7 @@
     if (s->gpus > 0 && t->gpus > 0)
         left = (r.gpus - s->gpus) / t->gpus;
     double v = left * COST_LEFTOVER;
-    if (s->gpus <= 0 && t->gpus > 0)
+    if (s->gpus <= 0 && t->gpus > 0 && c->gpu_wanted[m->type][m->spot])
         v += COST_GPU_WASTE;
     if (!has_image(m, s->image))
         v += s->image_gb / t->fetch;
@@ -370,10 +370,23 @@
     return n;
 }
 
+/* Which kinds of machine with GPUs some live job could use for its GPU tasks. */
+static void gpu_demand(struct bd_core *c, struct bd_job **jobs, uint32_t n)
+{
+    memset(c->gpu_wanted, 0, sizeof c->gpu_wanted);
+    for (uint32_t i = 0; i < n; i++)
+        for (int t = 0; jobs[i]->spec.gpus > 0 && t < c->ntypes; t++)
+            for (int spot = 0; spot < 2; spot++)
+                if ((jobs[i]->spec.any_type || (jobs[i]->spec.types >> t & 1)) &&
+                    (jobs[i]->spec.spot || !spot))
+                    c->gpu_wanted[t][spot] = true;
+}
+
 void bd_round_place(struct bd_core *c)
 {
     struct round r = {.c = c, .k = c->commit};
     r.njobs = bd_jobs_in_order(c, &r.jobs);
+    gpu_demand(c, r.jobs, r.njobs);
     r.claimed = calloc(c->nmachines + 1, sizeof *r.claimed);
     r.most_bytes = c->set->value_bytes * 9 / 10;
     r.most_conds = (uint32_t)(2 * c->set->txn_ops);
