--- a/include/brambledoor/core.h
+++ b/include/brambledoor/core.h
@@ -58,7 +58,8 @@
     uint64_t receipt_chunks; /* bits of chunks committed */
     uint32_t dirty_chunks;
     double at;
-    struct timespec first_seen, hold_until;
+    struct timespec first_seen, hold_until, last_placed, last_begun;
+    uint32_t restarts; /* tasks that lost a place they had */
     uint32_t errors, error_machines;
     struct bd_spec spec;
     bool has_spec, in_guarantee;
@@ -129,6 +130,7 @@
 struct bd_market { /* one type, zone and kind */
     struct timespec refuse_until;
     double backoff;
+    bool asked; /* a request is under way */
 };
 
 enum bd_effect_kind {
--- a/src/cloud.c
+++ b/src/cloud.c
@@ -2,6 +2,7 @@
 #include "brambledoor/http.h"
 #include "brambledoor/node.h"
 #include "brambledoor/timeutil.h"
+#include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -17,21 +18,31 @@
 struct desk {
     struct bd_node *n;
     struct bd_http *h;
-    struct timespec next_call, next_types, next_list;
+    struct timespec counted, next_types, next_list;
+    double tokens;
     struct bd_type_text types[BD_MAX_TYPES];
     double list_s;
     int fails;
 };
 
+/* Waits until the budget allows a call; two seconds' worth may be saved up. */
+static void spend(struct desk *d)
+{
+    double rate = d->n->set.cloud_rps * BUDGET;
+    struct timespec now = bd_now();
+    d->tokens = fmin(2 * rate, d->tokens + rate * bd_between(d->counted, now));
+    d->counted = now;
+    if (d->tokens < 1)
+        bd_pause((1 - d->tokens) / rate);
+    d->tokens -= 1;
+}
+
 static long call(struct desk *d, const char *method, const char *path, const char *body,
                  json_t **out)
 {
     char url[256];
     struct bd_reply r;
-    double wait = bd_between(bd_now(), d->next_call);
-    if (wait > 0)
-        bd_pause(wait);
-    d->next_call = bd_add(bd_now(), bd_secs(1.0 / (d->n->set.cloud_rps * BUDGET)));
+    spend(d);
     snprintf(url, sizeof url, "http://%s%s", d->n->set.cloud, path);
     bd_http_call(d->h, method, url, body, ANSWER_S, &r);
     long status = r.status;
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -5,13 +5,13 @@
 #include <stdio.h>
 
 /* named defaults */
-#define BACKOFF_FIRST_S 3.0
-#define BACKOFF_MOST_S 40.0
+#define BACKOFF_FIRST_S 10.0
+#define BACKOFF_MOST_S 60.0
 #define BOOT_PATIENCE 4.0 /* times the usual boot time before a machine is given up */
 #define BOOT_EXTRA_S 20.0
 #define RENT_MOST 50
 #define RETURN_MOST 100
-#define RENTS_A_TICK 3
+#define RENTS_OPEN 3 /* requests under way at once */
 #define DEAD_EXTRA_S 15.0
 #define BINS 256
 #define FIXED_PENALTY 2.0 /* ordinary machines are left to work that may not use spot */
@@ -119,6 +119,8 @@
     struct bd_rental r = c->rentals[k];
     c->rentals[k] = c->rentals[--c->nrentals];
     struct bd_market *mk = market(c, r.type, r.zone, r.spot);
+    mk->asked = false;
+    c->next_fleet = c->now; /* what was not filled is sought elsewhere at once */
     if (status != 200 || n < r.count)
         backoff(c, mk);
     else
@@ -147,6 +149,8 @@
         if (!m)
             continue;
         if (ok) {
+            if (m->type >= 0 && m->zone >= 0)
+                market(c, m->type, m->zone, m->spot)->refuse_until = c->now;
             bd_machine_gone(c, m);
         } else { /* it may be gone all the same: it is not used again, and asked for again */
             m->return_after = bd_add(c->now, bd_secs(3.0));
@@ -163,6 +167,7 @@
     /* never used again: the term is ours alone, and so is the number within it */
     snprintf(r->request, sizeof r->request, "r-%llu-%llu", (unsigned long long)c->base_term,
              (unsigned long long)++c->request_n);
+    market(c, type, zone, spot)->asked = true;
     r->type = type;
     r->zone = zone;
     r->spot = spot;
@@ -271,7 +276,8 @@
             for (int sp = 0; sp < 2; sp++) {
                 if (!(c->types[t].zones >> z & 1) || !bd_allowed(c, s, t, z, sp) ||
                     (zone_want >= 0 && z != zone_want) ||
-                    bd_before(c->now, c->markets[t][z][sp].refuse_until))
+                    bd_before(c->now, c->markets[t][z][sp].refuse_until) ||
+                    c->markets[t][z][sp].asked) /* what it has is about to be known */
                     continue;
                 double v = (sp ? c->types[t].spot_price : c->types[t].price) / n;
                 if (s->spot && !sp)
@@ -461,8 +467,7 @@
 static void rent_wanted(struct demand *d)
 {
     struct bd_core *c = d->c;
-    int sent = 0;
-    for (int i = 0; i < d->n && sent < RENTS_A_TICK && c->nrentals < 8; i++) {
+    for (int i = 0; i < d->n && c->nrentals < RENTS_OPEN; i++) {
         if (!d->bins[i].wanted)
             continue;
         int count = 0;
@@ -475,7 +480,6 @@
             }
         }
         rent(c, b.type, b.zone, b.spot, count);
-        sent++;
     }
 }
 
--- a/src/place.c
+++ b/src/place.c
@@ -304,7 +304,7 @@
         r->c->counter++;
         r->conds++;
     }
-    if (got < want && j->spec.rank >= BD_HIGH && j->ntasks <= 64)
+    if (got < want && j->spec.rank > BD_IDLE && (!gang || j->ntasks == 1))
         preempt(r, j, want - got);
 }
 
--- a/src/reports.c
+++ b/src/reports.c
@@ -184,6 +184,8 @@
             t->flags |= BD_F_STOP | BD_F_FORCE;
     }
     uint8_t flags = t->flags;
+    if (s->sub == BD_RUNNING && t->sub != BD_RUNNING)
+        j->last_begun = c->now;
     bd_task_set(c, j, s->task, BD_T_WAIT); /* so that the sums see the new sub-state */
     t->sub = (uint8_t)s->sub;
     bd_task_set(c, j, s->task, BD_T_LIVE);
--- a/src/tasks.c
+++ b/src/tasks.c
@@ -116,6 +116,7 @@
     t->flags = 0;
     t->sub = BD_FETCHING;
     bd_task_set(c, j, i, st);
+    j->last_placed = c->now;
     add_ref(m, j, i);
     m->cpus += j->spec.cpus;
     m->gpus += j->spec.gpus;
@@ -158,6 +159,7 @@
 {
     struct bd_task *t = &j->tasks[i];
     bool was_sent = t->state != BD_T_PLAN && t->state != BD_T_WAIT;
+    j->restarts += was_sent;
     let_go(c, j, i);
     if (t->state == BD_T_DONE)
         return;
