--- a/include/brambledoor/core.h
+++ b/include/brambledoor/core.h
@@ -103,6 +103,7 @@
     int nimages;
     uint32_t errors; /* failed tasks in a row, of different jobs */
     struct bd_job *error_job;
+    bool deputised;  /* in a deputy's record at the last look */
     bool bad, spare; /* spare: kept for work that is expected */
     struct timespec bad_until;
 };
@@ -141,7 +142,8 @@
     BD_E_RENT,
     BD_E_RETURN,
     BD_E_BARRIER,
-    BD_E_LOST
+    BD_E_LOST,
+    BD_E_DEPUTY
 };
 
 struct bd_effect {
@@ -192,6 +194,39 @@
     struct bd_wait *waiting, *asked;
     bool barrier_out;
 
+    /* the other controllers, in the settings' order */
+    struct {
+        struct timespec heard, state_seen;
+        uint64_t term;
+        uint8_t flags;
+    } peers[BD_MAX_PEERS];
+    struct timespec started;
+
+    /* a follower that answers for a leader its workers cannot reach */
+    struct bd_deputy {
+        uint64_t term, mark;
+        bool mark_known, busy, wanted;
+        struct timespec confirmed_until, next_beat;
+        struct bd_charge {
+            char id[BD_LABEL];
+            struct timespec heard;
+            bool confirmed, sent;
+        } * charges;
+        uint32_t ncharges, cap_charges;
+        struct bd_wait_checkin *asking;
+    } deputy;
+    uint64_t leader_term;
+    struct timespec leader_seen;
+    /* as leader: deputies' records as last looked at */
+    struct timespec deputies_looked;
+    char stale_deputy[BD_LABEL];
+    struct bd_deputy_seen {
+        char node[BD_LABEL];
+        uint64_t mark;
+        struct timespec changed;
+    } deputies[BD_MAX_PEERS + 1];
+    int ndeputies;
+
     /* leadership */
     enum bd_role role;
     char leader_name[BD_LABEL];
@@ -250,12 +285,21 @@
     json_t *receipts;        /* arrays of pairs */
     json_t *intents;
 };
-void bd_core_leader_is(struct bd_core *c, const char *name);
+void bd_core_leader_is(struct bd_core *c, const char *name, uint64_t mark, struct timespec sent);
 void bd_core_gained(struct bd_core *c, const struct bd_gain *g);
 void bd_core_renewed(struct bd_core *c, uint64_t grant, struct timespec sent);
 void bd_core_lost(struct bd_core *c);
 /* outcome: 1 committed, 0 refused (failed lists the keys), -1 leadership is gone */
 void bd_core_committed(struct bd_core *c, int outcome, uint64_t ring, json_t *failed);
+/* the other controllers */
+void bd_core_peer(struct bd_core *c, const char *name, uint64_t term, uint8_t flags,
+                  double state_age);
+void bd_core_progress(struct bd_core *c, const char *job, uint32_t done, uint32_t running);
+/* a leader's look at the deputies' records; a follower's own record was written */
+void bd_core_deputies(struct bd_core *c, json_t *pairs, struct timespec sent);
+void bd_core_deputy_committed(struct bd_core *c, long status, uint64_t ring, struct timespec sent,
+                              bool mark_known);
+bool bd_core_up(const struct bd_core *c);
 /* workers */
 void bd_core_checkin(struct bd_core *c, void *request, const struct bd_report *r);
 void bd_core_did(struct bd_core *c, uint32_t machine, uint64_t seal, bool launch, long status,
--- a/include/brambledoor/node.h
+++ b/include/brambledoor/node.h
@@ -2,6 +2,7 @@
 #ifndef BD_NODE_H
 #define BD_NODE_H
 #include "brambledoor/core.h"
+#include "brambledoor/frame.h"
 #include "brambledoor/log.h"
 #include "brambledoor/queue.h"
 #include "brambledoor/settings.h"
@@ -26,7 +27,10 @@
     BD_C_TYPES,
     BD_C_MACHINES,
     BD_C_RENTED,
-    BD_C_RETURNED
+    BD_C_RETURNED,
+    BD_C_PEER,
+    BD_C_DEPUTIES,
+    BD_C_DEPUTY_COMMITTED
 };
 
 /* What the adapters tell the owner. Owned by the receiver. */
@@ -59,6 +63,12 @@
     atomic_ullong ring;
     struct bd_queue reader_wake;
     struct bd_cmd *pending_gain;
+    /* what the mesh says of us */
+    pthread_mutex_t said_lock;
+    struct bd_frame status;
+    struct bd_progress *progress;
+    uint32_t nprogress, cap_progress;
+    struct timespec next_status;
 };
 
 /* 0, or -1 with a logged reason */
@@ -76,4 +86,7 @@
 int bd_leader_start(struct bd_node *n);
 int bd_cloud_start(struct bd_node *n);
 int bd_dispatch_start(struct bd_node *n);
+int bd_mesh_start(struct bd_node *n);
+struct sockaddr_in;
+bool bd_parse_addr(const char *text, struct sockaddr_in *out);
 #endif
--- a/src/core.c
+++ b/src/core.c
@@ -1,4 +1,5 @@
 /* Users' requests, the replica of job records, and names. */
+#include "brambledoor/frame.h"
 #include "core_in.h"
 #include <stdio.h>
 
@@ -77,6 +78,8 @@
     free_waits(&c->asked);
     free_rounds(c);
     bd_commit_free(c->commit);
+    bd_deputy_end(c);
+    free(c->deputy.charges);
     struct bd_effect *e = bd_core_effects(c);
     while (e) {
         struct bd_effect *next = e->next;
@@ -509,6 +512,9 @@
 
 /* ---- leadership ---- */
 
+static bool newer_term(const struct bd_core *c);
+static bool cut_alone(const struct bd_core *c);
+
 bool bd_core_valid(const struct bd_core *c)
 {
     return c->role == BD_LEADER && bd_before(c->now, c->valid_until);
@@ -528,14 +534,68 @@
 {
     if (c->role != BD_LEADER)
         return false;
+    if (bd_core_valid(c))
+        return true;
+    if (newer_term(c) || cut_alone(c))
+        return false;
     struct timespec seen = bd_min(c->renewed, c->fresh);
     double grace = bd_grace_s(c->set) * (1 - DRIFT) - 0.1;
     return bd_before(c->now, bd_add(seen, bd_secs(grace)));
 }
 
-void bd_core_leader_is(struct bd_core *c, const char *name)
+void bd_core_leader_is(struct bd_core *c, const char *name, uint64_t mark, struct timespec sent)
 {
     snprintf(c->leader_name, sizeof c->leader_name, "%s", name);
+    c->leader_term = mark;
+    c->leader_seen = sent;
+}
+
+/* ---- the other controllers ---- */
+
+void bd_core_peer(struct bd_core *c, const char *name, uint64_t term, uint8_t flags,
+                  double state_age)
+{
+    for (int i = 0; i < c->set->npeers; i++) {
+        if (strcmp(c->set->peers[i].name, name) != 0)
+            continue;
+        c->peers[i].heard = c->now;
+        c->peers[i].term = term;
+        c->peers[i].flags = flags;
+        c->peers[i].state_seen = bd_sub(c->now, bd_secs(state_age));
+    }
+}
+
+void bd_core_progress(struct bd_core *c, const char *id, uint32_t done, uint32_t running)
+{
+    struct bd_job *j = bd_job_find(c, id);
+    if (!j || c->role == BD_LEADER)
+        return;
+    j->shown_done = done;
+    j->shown_run = running;
+}
+
+/* Whether another controller is served by the state service while we are not. */
+static bool cut_alone(const struct bd_core *c)
+{
+    const double behind = 1.5, recent = 2.0;
+    for (int i = 0; i < c->set->npeers; i++)
+        if (bd_between(c->peers[i].heard, c->now) < recent && c->peers[i].flags & BD_PEER_STATE &&
+            bd_between(c->fresh, c->peers[i].state_seen) > behind)
+            return true;
+    return false;
+}
+
+static bool newer_term(const struct bd_core *c)
+{
+    for (int i = 0; i < c->set->npeers; i++)
+        if (c->peers[i].term > c->term)
+            return true;
+    return false;
+}
+
+bool bd_core_up(const struct bd_core *c)
+{
+    return c->replica_ready && c->types_known && !cut_alone(c);
 }
 
 void bd_core_lost(struct bd_core *c)
@@ -569,6 +629,7 @@
     memset(c->team_cpus, 0, sizeof c->team_cpus);
     memset(c->team_gpus, 0, sizeof c->team_gpus);
     memset(c->markets, 0, sizeof c->markets);
+    c->ndeputies = 0;
     (void)bd_emit(c, BD_E_LOST);
 }
 
--- a/src/core_in.h
+++ b/src/core_in.h
@@ -65,6 +65,12 @@
 
 double bd_grace_s(const struct bd_settings *s);
 
+/* deputies */
+#define DEPUTY_FRESH_S 1.5 /* a deputy answers so long after its record was last confirmed */
+bool bd_deputy_checkin(struct bd_core *c, void *request, const struct bd_report *r);
+void bd_deputy_tick(struct bd_core *c);
+void bd_deputy_end(struct bd_core *c);
+
 /* rounds */
 void bd_round_place(struct bd_core *c);  /* fills c->commit's plan */
 void bd_round_commit(struct bd_core *c); /* builds and sends the transaction */
--- /dev/null
+++ b/src/deputy.c
@@ -0,0 +1,269 @@
+/* Deputies: a follower whose workers cannot reach the leader (their zone is cut off from it)
+ * answers their reports in its stead, so that their leases go on and their work survives.
+ *
+ * What makes it safe: a deputy writes the machines it answers into its own record, conditional on
+ * the leader's term, before it answers them, confirms the record every BEAT_S and stops
+ * DEPUTY_FRESH_S after the last confirmation was sent. A machine stays in the record for KEEP_S
+ * after its last answer. The leader looks at all records; it never counts a lease as over while
+ * a look shows the machine, nor before a look begun after the lease's end. It drops the record of
+ * a deputy that no longer confirms. A deputy gives no command but halts of withdrawn jobs. */
+#include "brambledoor/frame.h"
+#include "core_in.h"
+#include <stdio.h>
+
+/* named defaults */
+#define BEAT_S 0.5
+#define KEEP_S 3.0
+#define SILENT_S 1.3 /* a leader not heard for so long on the mesh may be cut off */
+#define STALE_S 5.0
+#define GAP_S 2.5 /* between looks: shorter than KEEP_S, so that none can slip through */
+#define CHARGES 512
+
+struct bd_wait_checkin {
+    void *request;
+    char machine[BD_LABEL];
+    struct bd_wait_checkin *next;
+};
+
+static void key_of(const struct bd_core *c, char *key, size_t cap)
+{
+    snprintf(key, cap, "p/%.60s", c->set->node);
+}
+
+static bool leader_silent(const struct bd_core *c)
+{
+    for (int i = 0; i < c->set->npeers; i++)
+        if (strcmp(c->set->peers[i].name, c->leader_name) == 0)
+            return bd_between(c->peers[i].heard, c->now) > SILENT_S;
+    return false;
+}
+
+/* Somebody else leads, by a fresh view, and we do not hear of him. */
+static bool called_for(const struct bd_core *c)
+{
+    return c->role == BD_FOLLOWER && *c->leader_name && c->leader_term &&
+           bd_between(c->leader_seen, c->now) < DEPUTY_FRESH_S && leader_silent(c);
+}
+
+static struct bd_charge *charge_of(struct bd_core *c, const char *id, bool add)
+{
+    struct bd_deputy *d = &c->deputy;
+    for (uint32_t i = 0; i < d->ncharges; i++)
+        if (strcmp(d->charges[i].id, id) == 0)
+            return &d->charges[i];
+    if (!add || d->ncharges == CHARGES)
+        return NULL;
+    if (d->ncharges == d->cap_charges) {
+        uint32_t cap = d->cap_charges ? d->cap_charges * 2 : 16;
+        struct bd_charge *p = realloc(d->charges, cap * sizeof *p);
+        if (!p)
+            return NULL;
+        d->charges = p;
+        d->cap_charges = cap;
+    }
+    struct bd_charge *k = &d->charges[d->ncharges++];
+    memset(k, 0, sizeof *k);
+    snprintf(k->id, sizeof k->id, "%s", id);
+    k->heard = c->now;
+    return k;
+}
+
+/* ---- our own record ---- */
+
+static void write_record(struct bd_core *c)
+{
+    struct bd_deputy *d = &c->deputy;
+    struct bd_txn t;
+    char key[BD_LABEL];
+    struct bd_effect *e = bd_emit(c, BD_E_DEPUTY);
+    key_of(c, key, sizeof key);
+    snprintf(e->key, sizeof e->key, "%s", key);
+    d->busy = true;
+    d->next_beat = bd_add(c->now, bd_secs(BEAT_S));
+    if (!d->mark_known)
+        return; /* an earlier process's record may stand: its mark first */
+    json_t *names = json_array();
+    for (uint32_t i = 0; i < d->ncharges; i++) {
+        json_array_append_new(names, json_string(d->charges[i].id));
+        d->charges[i].sent = true;
+    }
+    d->term = c->leader_term;
+    if (!bd_txn_start(&t))
+        abort();
+    bd_txn_if(&t, "leader", d->term);
+    bd_txn_if(&t, key, d->mark);
+    bd_txn_set(&t, key, json_pack("{s:I,s:o}", "t", (json_int_t)d->term, "m", names), 0);
+    e->body = bd_txn_end(&t);
+}
+
+static void answer_asking(struct bd_core *c)
+{
+    struct bd_wait_checkin *w = c->deputy.asking;
+    c->deputy.asking = NULL;
+    while (w) {
+        struct bd_wait_checkin *next = w->next;
+        struct bd_charge *k = charge_of(c, w->machine, false);
+        bool ok = k && k->confirmed && bd_before(c->now, c->deputy.confirmed_until);
+        bd_reply(c, w->request, ok ? 200 : 421,
+                 ok ? bd_wire_orders(c->deputy.term, 0, NULL, 0) : bd_wire_steer(""), 0);
+        free(w);
+        w = next;
+    }
+}
+
+void bd_core_deputy_committed(struct bd_core *c, long status, uint64_t ring, struct timespec sent,
+                              bool mark_known)
+{
+    struct bd_deputy *d = &c->deputy;
+    d->busy = false;
+    d->mark_known = mark_known;
+    if (mark_known)
+        d->mark = ring;
+    if (status == 200) {
+        d->confirmed_until = bd_add(sent, bd_secs(DEPUTY_FRESH_S * (1 - DRIFT)));
+        for (uint32_t i = 0; i < d->ncharges; i++)
+            d->charges[i].confirmed |= d->charges[i].sent;
+    }
+    if (status == 0 && mark_known) { /* now the record itself */
+        d->next_beat = c->now;
+        return;
+    }
+    answer_asking(c);
+}
+
+void bd_deputy_end(struct bd_core *c)
+{
+    c->deputy.confirmed_until = (struct timespec){0, 0};
+    answer_asking(c);
+    c->deputy.ncharges = 0;
+}
+
+void bd_deputy_tick(struct bd_core *c)
+{
+    struct bd_deputy *d = &c->deputy;
+    bool had = d->ncharges > 0;
+    for (uint32_t i = 0; i < d->ncharges;) {
+        if (!d->busy && bd_between(d->charges[i].heard, c->now) > KEEP_S)
+            d->charges[i] = d->charges[--d->ncharges];
+        else
+            i++;
+    }
+    /* the last one's going is written too, so that the leader need not wait for the record */
+    if (!had || d->busy || (d->ncharges > 0 && bd_before(c->now, d->next_beat)))
+        return;
+    /* with the leader in view again nobody is answered, but the record stands for KEEP_S */
+    if (c->leader_term && bd_between(c->leader_seen, c->now) < DEPUTY_FRESH_S)
+        write_record(c);
+    else if (d->asking)
+        answer_asking(c);
+}
+
+/* Halts of what users have withdrawn: nobody's leave is needed for these. */
+static char *orders(struct bd_core *c, const struct bd_report *r)
+{
+    struct bd_order *o = calloc(r->n + 1, sizeof *o);
+    size_t n = 0;
+    if (!o)
+        abort();
+    for (size_t i = 0; i < r->n; i++) {
+        const struct bd_seen_task *s = &r->tasks[i];
+        struct bd_job *j = bd_job_find(c, s->job);
+        if (!j || j->mood != BD_CANCELLED || s->sub == BD_EXITED)
+            continue;
+        o[n].verb = BD_HALT;
+        memcpy(o[n].job, s->job, sizeof o[n].job);
+        o[n].task = s->task;
+        o[n++].attempt = s->attempt;
+    }
+    char *text = bd_wire_orders(c->deputy.term, 0, o, n);
+    free(o);
+    return text;
+}
+
+/* True if the report was answered, or will be once the record is confirmed. */
+bool bd_deputy_checkin(struct bd_core *c, void *request, const struct bd_report *r)
+{
+    struct bd_deputy *d = &c->deputy;
+    if (!called_for(c))
+        return false;
+    struct bd_charge *k = charge_of(c, r->machine, true);
+    if (!k)
+        return false;
+    k->heard = c->now;
+    if (k->confirmed && d->term == c->leader_term && bd_before(c->now, d->confirmed_until)) {
+        bd_reply(c, request, 200, orders(c, r), 0);
+        return true;
+    }
+    struct bd_wait_checkin *w = calloc(1, sizeof *w);
+    if (!w)
+        abort();
+    w->request = request;
+    snprintf(w->machine, sizeof w->machine, "%s", r->machine);
+    w->next = d->asking;
+    d->asking = w;
+    d->next_beat = c->now;
+    return true;
+}
+
+/* ---- the leader's view ---- */
+
+static struct bd_deputy_seen *seen_of(struct bd_core *c, const char *node)
+{
+    for (int i = 0; i < c->ndeputies; i++)
+        if (strcmp(c->deputies[i].node, node) == 0)
+            return &c->deputies[i];
+    if (c->ndeputies == BD_MAX_PEERS + 1)
+        return NULL;
+    struct bd_deputy_seen *s = &c->deputies[c->ndeputies++];
+    memset(s, 0, sizeof *s);
+    snprintf(s->node, sizeof s->node, "%s", node);
+    return s;
+}
+
+static void read_record(struct bd_core *c, const struct bd_change *ch)
+{
+    json_t *v;
+    size_t i;
+    struct bd_deputy_seen *s = seen_of(c, ch->key + 2);
+    if (s && ch->mark != s->mark) {
+        s->mark = ch->mark;
+        s->changed = c->now;
+    }
+    if (s && bd_between(s->changed, c->now) > STALE_S)
+        snprintf(c->stale_deputy, sizeof c->stale_deputy, "%s", ch->key);
+    json_array_foreach(json_object_get(ch->value, "m"), i, v)
+    {
+        struct bd_machine *m = NULL;
+        const char *id = json_string_value(v);
+        if (id)
+            HASH_FIND_STR(c->machines, id, m);
+        if (m)
+            m->deputised = true;
+    }
+}
+
+void bd_core_deputies(struct bd_core *c, json_t *pairs, struct timespec sent)
+{
+    struct bd_change ch;
+    json_t *v;
+    size_t i;
+    if (c->role != BD_LEADER)
+        return;
+    bool gap = bd_between(c->deputies_looked, sent) > GAP_S;
+    struct timespec end = bd_lease_end(c, bd_add(c->now, bd_secs(DEPUTY_FRESH_S)));
+    for (uint32_t k = 0; k < c->nmachines; k++) {
+        struct bd_machine *m = c->by_index[k];
+        if (m->deputised || gap) /* it may have been answered until now, and a little longer */
+            m->lapse_at = bd_max(m->lapse_at, end);
+        m->deputised = false;
+    }
+    json_array_foreach(pairs, i, v)
+    {
+        if (bd_wire_change(v, &ch) && strncmp(ch.key, "p/", 2) == 0)
+            read_record(c, &ch);
+    }
+    for (uint32_t k = 0; k < c->nmachines; k++)
+        if (c->by_index[k]->deputised)
+            c->by_index[k]->lapse_at = bd_max(c->by_index[k]->lapse_at, end);
+    c->deputies_looked = sent;
+}
--- a/src/front.c
+++ b/src/front.c
@@ -192,7 +192,7 @@
     *ctx = NULL;
 }
 
-static bool parse_addr(const char *text, struct sockaddr_in *out)
+bool bd_parse_addr(const char *text, struct sockaddr_in *out)
 {
     char host[BD_NAME];
     const char *colon = strrchr(text, ':');
@@ -209,7 +209,7 @@
 int bd_front_start(struct bd_node *n)
 {
     struct sockaddr_in addr;
-    if (!parse_addr(n->set.front, &addr))
+    if (!bd_parse_addr(n->set.front, &addr))
         return -1;
     n->front = calloc(1, sizeof *n->front);
     if (!n->front)
--- a/src/leader.c
+++ b/src/leader.c
@@ -17,7 +17,7 @@
     struct bd_node *n;
     struct bd_http *h;
     gsl_rng *rng;
-    char nonce[BD_LABEL], seen[BD_LABEL];
+    char nonce[BD_LABEL];
     uint64_t grant;
     struct timespec granted;
     bool leading;
@@ -43,6 +43,15 @@
 
 enum view { VIEW_UNKNOWN, VIEW_FREE, VIEW_OURS, VIEW_BEFORE_US, VIEW_OTHER };
 
+static void tell_leader(struct seat *s, const char *name, uint64_t mark, struct timespec sent)
+{
+    struct bd_cmd *cmd = bd_cmd_new(BD_C_LEADER_IS);
+    snprintf(cmd->name, sizeof cmd->name, "%s", name);
+    cmd->number = mark;
+    cmd->sent = sent;
+    bd_tell(s->n, cmd);
+}
+
 /* Who holds the lease now; the mark of the key into *mark. */
 static enum view see(struct seat *s, uint64_t *mark)
 {
@@ -50,6 +59,7 @@
     struct bd_change ch;
     uint64_t grant;
     enum view v = VIEW_UNKNOWN;
+    struct timespec sent = bd_now();
     long status = bd_store_call(s->n, s->h, "GET", "/kv/leader", NULL, call_s(s), &o);
     if (status == 404)
         v = VIEW_FREE;
@@ -60,17 +70,11 @@
         v = VIEW_OTHER;
         if (node && strcmp(node, s->n->set.node) == 0)
             v = nonce && strcmp(nonce, s->nonce) == 0 ? VIEW_OURS : VIEW_BEFORE_US;
-        if (node && strcmp(node, s->seen) != 0) {
-            snprintf(s->seen, sizeof s->seen, "%s", node);
-            struct bd_cmd *cmd = bd_cmd_new(BD_C_LEADER_IS);
-            snprintf(cmd->name, sizeof cmd->name, "%s", node);
-            bd_tell(s->n, cmd);
-        }
-    }
-    if (v == VIEW_FREE && *s->seen) {
-        s->seen[0] = '\0';
-        bd_tell(s->n, bd_cmd_new(BD_C_LEADER_IS));
+        if (node)
+            tell_leader(s, node, ch.mark, sent);
     }
+    if (v == VIEW_FREE)
+        tell_leader(s, "", 0, sent);
     json_decref(o);
     return v;
 }
--- /dev/null
+++ b/src/mesh.c
@@ -0,0 +1,233 @@
+/* The controllers' own connections: each node sends its status to every other, and reads theirs.
+ * Nothing that a rule rests on goes this way; it only makes failures shorter. */
+#include "brambledoor/frame.h"
+#include "brambledoor/node.h"
+#include "brambledoor/timeutil.h"
+#include <arpa/inet.h>
+#include <errno.h>
+#include <poll.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+/* named defaults */
+#define BEAT_S 0.4
+#define SEND_S 0.5
+#define SILENT_S 20.0 /* an incoming connection that says nothing is closed */
+#define INCOMING 24
+
+struct line { /* one connection that came in */
+    int fd;
+    size_t len;
+    struct timespec heard;
+    unsigned char buf[BD_FRAME_MOST];
+};
+
+struct ear {
+    struct bd_node *n;
+    int fd;
+    struct line lines[INCOMING];
+};
+
+struct mouth {
+    struct bd_node *n;
+    int peer, fd;
+    unsigned sent_version;
+};
+
+static void set_timeouts(int fd, double s)
+{
+    struct timeval tv = {(time_t)s, (suseconds_t)((s - (double)(time_t)s) * 1e6)};
+    (void)setsockopt(fd, SOL_SOCKET, SO_SNDTIMEO, &tv, sizeof tv);
+    (void)setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &tv, sizeof tv);
+}
+
+/* ---- hearing ---- */
+
+static void hang_up(struct line *l)
+{
+    (void)close(l->fd);
+    l->fd = -1;
+    l->len = 0;
+}
+
+static void tell(struct bd_node *n, const struct bd_frame *f)
+{
+    struct bd_cmd *cmd = bd_cmd_new(BD_C_PEER);
+    cmd->data = malloc(sizeof *f);
+    if (!cmd->data)
+        abort();
+    memcpy(cmd->data, f, sizeof *f);
+    if (!bd_queue_put(&n->to_owner, cmd))
+        bd_cmd_free(cmd); /* the next beat says it again */
+}
+
+static void hear(struct ear *e, struct line *l)
+{
+    struct bd_frame f;
+    ssize_t got = recv(l->fd, l->buf + l->len, sizeof l->buf - l->len, MSG_DONTWAIT);
+    if (got <= 0) {
+        if (got == 0 || (errno != EAGAIN && errno != EINTR))
+            hang_up(l);
+        return;
+    }
+    l->len += (size_t)got;
+    l->heard = bd_now();
+    long used;
+    while ((used = bd_frame_read(l->buf, l->len, &f)) > 0) {
+        tell(e->n, &f);
+        l->len -= (size_t)used;
+        memmove(l->buf, l->buf + used, l->len);
+    }
+    if (used < 0 || l->len == sizeof l->buf) {
+        bd_say(&e->n->log, BD_ERROR, "malformed frame from another controller");
+        hang_up(l);
+    }
+}
+
+static void take_in(struct ear *e)
+{
+    int fd = accept(e->fd, NULL, NULL);
+    if (fd < 0)
+        return;
+    for (int i = 0; i < INCOMING; i++) {
+        if (e->lines[i].fd >= 0)
+            continue;
+        e->lines[i].fd = fd;
+        e->lines[i].len = 0;
+        e->lines[i].heard = bd_now();
+        return;
+    }
+    (void)close(fd);
+}
+
+static void *listen_run(void *arg)
+{
+    struct ear *e = arg;
+    for (;;) {
+        struct pollfd p[INCOMING + 1];
+        p[0] = (struct pollfd){.fd = e->fd, .events = POLLIN};
+        for (int i = 0; i < INCOMING; i++)
+            p[i + 1] = (struct pollfd){.fd = e->lines[i].fd, .events = POLLIN};
+        int ready = poll(p, INCOMING + 1, 2000);
+        struct timespec now = bd_now();
+        for (int i = 0; i < INCOMING; i++) {
+            struct line *l = &e->lines[i];
+            if (l->fd < 0)
+                continue;
+            if (ready > 0 && p[i + 1].revents)
+                hear(e, l);
+            else if (bd_between(l->heard, now) > SILENT_S)
+                hang_up(l);
+        }
+        if (ready > 0 && p[0].revents)
+            take_in(e);
+    }
+    return NULL;
+}
+
+/* ---- speaking ---- */
+
+static int dial(const char *addr)
+{
+    struct sockaddr_in to;
+    if (!bd_parse_addr(addr, &to))
+        return -1;
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    if (fd < 0)
+        return -1;
+    set_timeouts(fd, SEND_S); /* bounds the connection attempt too */
+    if (connect(fd, (struct sockaddr *)&to, sizeof to) != 0) {
+        (void)close(fd);
+        return -1;
+    }
+    return fd;
+}
+
+static bool speak(struct mouth *m, const struct bd_frame *f)
+{
+    unsigned char buf[BD_FRAME_MOST];
+    size_t len = bd_frame_write(f, buf, sizeof buf);
+    return len > 0 && send(m->fd, buf, len, MSG_NOSIGNAL) == (ssize_t)len;
+}
+
+static void beat(struct mouth *m, struct bd_frame *f)
+{
+    if (m->fd < 0)
+        m->fd = dial(m->n->set.peers[m->peer].addr);
+    if (m->fd < 0)
+        return;
+    bool ok = true;
+    (void)pthread_mutex_lock(&m->n->said_lock);
+    *f = m->n->status;
+    (void)pthread_mutex_unlock(&m->n->said_lock);
+    ok = speak(m, f);
+    for (uint32_t from = 0; ok; from += f->count) {
+        (void)pthread_mutex_lock(&m->n->said_lock);
+        memset(f, 0, sizeof *f);
+        f->type = BD_FRAME_PROGRESS;
+        while (f->count < BD_FRAME_JOBS && from + f->count < m->n->nprogress) {
+            f->jobs[f->count] = m->n->progress[from + f->count];
+            f->count++;
+        }
+        (void)pthread_mutex_unlock(&m->n->said_lock);
+        if (f->count == 0)
+            break;
+        ok = speak(m, f);
+    }
+    if (!ok) {
+        (void)close(m->fd);
+        m->fd = -1;
+    }
+}
+
+static void *speak_run(void *arg)
+{
+    struct mouth *m = arg;
+    struct bd_frame *f = calloc(1, sizeof *f);
+    while (f) {
+        beat(m, f);
+        bd_pause(BEAT_S);
+    }
+    return NULL;
+}
+
+static int open_ear(struct bd_node *n)
+{
+    struct sockaddr_in at;
+    int one = 1;
+    struct ear *e = calloc(1, sizeof *e);
+    if (!e || !bd_parse_addr(n->set.mesh, &at))
+        return -1;
+    e->n = n;
+    for (int i = 0; i < INCOMING; i++)
+        e->lines[i].fd = -1;
+    e->fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    if (e->fd < 0)
+        return -1;
+    (void)setsockopt(e->fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
+    if (bind(e->fd, (struct sockaddr *)&at, sizeof at) != 0 || listen(e->fd, 16) != 0) {
+        bd_say(&n->log, BD_ERROR, "cannot listen on %s", n->set.mesh);
+        return -1;
+    }
+    return bd_thread(listen_run, e, 131072);
+}
+
+int bd_mesh_start(struct bd_node *n)
+{
+    if (pthread_mutex_init(&n->said_lock, NULL) != 0)
+        return -1;
+    n->status.type = BD_FRAME_STATUS;
+    snprintf(n->status.name, sizeof n->status.name, "%s", n->set.node);
+    int rc = open_ear(n);
+    for (int i = 0; i < n->set.npeers; i++) {
+        struct mouth *m = calloc(1, sizeof *m);
+        if (!m)
+            return -1;
+        *m = (struct mouth){.n = n, .peer = i, .fd = -1};
+        rc |= bd_thread(speak_run, m, 131072);
+    }
+    return rc;
+}
--- a/src/owner.c
+++ b/src/owner.c
@@ -9,6 +9,7 @@
 
 #define BATCH 128
 #define QUEUE_CAP 4096
+#define STATUS_S 0.3
 
 struct bd_cmd *bd_cmd_new(enum bd_cmd_kind kind)
 {
@@ -101,6 +102,14 @@
     bd_core_relisted(n->core, cmd->ring, cmd->sent);
 }
 
+static void peer(struct bd_core *c, const struct bd_frame *f)
+{
+    if (f->type == BD_FRAME_STATUS)
+        bd_core_peer(c, f->name, f->term, f->flags, f->age_ms / 1000.0);
+    for (unsigned i = 0; i < f->count; i++)
+        bd_core_progress(c, f->jobs[i].id, f->jobs[i].done, f->jobs[i].running);
+}
+
 static void worker_cmd(struct bd_node *n, struct bd_cmd *cmd)
 {
     struct bd_core *c = n->core;
@@ -120,6 +129,15 @@
     case BD_C_RENTED:
         bd_core_rented(c, cmd->name, cmd->status, cmd->data, (int)cmd->n);
         break;
+    case BD_C_PEER:
+        peer(c, cmd->data);
+        break;
+    case BD_C_DEPUTIES:
+        bd_core_deputies(c, cmd->json, cmd->sent);
+        break;
+    case BD_C_DEPUTY_COMMITTED:
+        bd_core_deputy_committed(c, cmd->status, cmd->ring, cmd->sent, cmd->flag);
+        break;
     case BD_C_RETURNED:
         bd_core_returned(c, cmd->data, (int)cmd->n, cmd->status == 200);
         break;
@@ -151,7 +169,8 @@
         relisted(n, cmd);
         break;
     case BD_C_LEADER_IS:
-        bd_core_leader_is(c, cmd->name);
+        if (c->role == BD_FOLLOWER && !n->pending_gain)
+            bd_core_leader_is(c, cmd->name, cmd->number, cmd->sent);
         break;
     case BD_C_RENEWED:
         bd_core_renewed(c, cmd->number, cmd->sent);
@@ -191,6 +210,9 @@
     case BD_E_LOST:
         atomic_store(&n->step_down, true);
         break;
+    case BD_E_DEPUTY:
+        give(n, &n->to_users, e);
+        return;
     case BD_E_USER_COMMIT:
         if (bd_queue_put(&n->to_users, e))
             return;
@@ -220,10 +242,52 @@
     }
     atomic_store(&n->leading, n->core->role == BD_LEADER);
     atomic_store(&n->ring, n->core->ring);
-    atomic_store(&n->up, n->core->replica_ready && n->core->types_known);
+    atomic_store(&n->up, bd_core_up(n->core));
     atomic_store(&n->types_known, n->core->types_known);
 }
 
+static void add_progress(struct bd_node *n, const struct bd_job *j)
+{
+    if (n->nprogress == n->cap_progress) {
+        uint32_t cap = n->cap_progress ? n->cap_progress * 2 : 64;
+        struct bd_progress *p = realloc(n->progress, cap * sizeof *p);
+        if (!p)
+            return;
+        n->progress = p;
+        n->cap_progress = cap;
+    }
+    struct bd_progress *p = &n->progress[n->nprogress++];
+    memcpy(p->id, j->id, sizeof p->id);
+    p->done = j->ndone;
+    p->running = j->nrun;
+}
+
+/* What the mesh says of us; the leader adds its jobs' counts, for the others to show. */
+static void status(struct bd_node *n)
+{
+    struct bd_core *c = n->core;
+    struct bd_job *j, *jt;
+    if (bd_before(c->now, n->next_status))
+        return;
+    n->next_status = bd_add(c->now, bd_secs(STATUS_S));
+    double age = bd_between(c->fresh, c->now);
+    (void)pthread_mutex_lock(&n->said_lock);
+    n->status.term = c->role == BD_LEADER ? c->term : 0;
+    n->status.flags = c->role == BD_LEADER ? BD_PEER_LEADS : 0;
+    if (age < 1.0 && c->replica_ready)
+        n->status.flags |= BD_PEER_STATE;
+    n->status.age_ms = age > 1e6 ? 1000000000u : (uint32_t)(age * 1000);
+    n->nprogress = 0;
+    if (c->role == BD_LEADER) {
+        HASH_ITER(hh, c->jobs, j, jt)
+        {
+            if (j->mood == BD_LIVE && j->tasks && (j->ndone || j->nrun))
+                add_progress(n, j);
+        }
+    }
+    (void)pthread_mutex_unlock(&n->said_lock);
+}
+
 /* A gained term takes effect once the replica is at least as new as the term itself. */
 static void gain(struct bd_node *n)
 {
@@ -266,6 +330,7 @@
         gain(n);
         bd_core_tick(n->core);
         effects(n);
+        status(n);
     }
 }
 
@@ -281,7 +346,7 @@
         return -1;
     (void)clock_core(n);
     if (bd_store_start(n) != 0 || bd_cloud_start(n) != 0 || bd_dispatch_start(n) != 0 ||
-        bd_leader_start(n) != 0)
+        bd_leader_start(n) != 0 || bd_mesh_start(n) != 0)
         return -1;
     if (bd_front_start(n) != 0) {
         bd_say(&n->log, BD_ERROR, "cannot listen on %s", n->set.front);
--- a/src/reports.c
+++ b/src/reports.c
@@ -311,6 +311,8 @@
 void bd_core_checkin(struct bd_core *c, void *request, const struct bd_report *r)
 {
     if (!bd_core_may_answer(c)) {
+        if (c->role == BD_FOLLOWER && bd_deputy_checkin(c, request, r))
+            return;
         bool other = *c->leader_name && strcmp(c->leader_name, c->set->node) != 0;
         bd_reply(c, request, 421, bd_wire_steer(other ? c->leader_name : ""), 0);
         return;
--- a/src/rounds.c
+++ b/src/rounds.c
@@ -190,6 +190,9 @@
 {
     struct bd_job *j, *jt;
     char key[BD_LABEL];
+    if (*c->stale_deputy && can_drop(c, b))
+        drop_key(c, b, c->stale_deputy);
+    c->stale_deputy[0] = '\0';
     for (uint32_t i = 0; i < c->nrounds && can_drop(c, b); i++) {
         c->rounds[i].dropping = !round_live(c, &c->rounds[i]);
         if (c->rounds[i].dropping)
@@ -330,12 +333,13 @@
 
 static void done_kept(struct bd_core *c, struct bd_job *j, uint64_t ring)
 {
-    bd_say(c->log, BD_INFO,
-           "%s is done: %u tasks, rank %d, guess %.0f s; last placed after %.1f s, last begun after "
-           "%.1f s, done after %.1f s, %u places lost",
-           j->id, j->ntasks, (int)j->spec.rank, j->spec.estimate,
-           bd_between(j->first_seen, j->last_placed), bd_between(j->first_seen, j->last_begun),
-           bd_between(j->first_seen, c->now), j->restarts);
+    bd_say(
+        c->log, BD_INFO,
+        "%s is done: %u tasks, rank %d, guess %.0f s; last placed after %.1f s, last begun after "
+        "%.1f s, done after %.1f s, %u places lost",
+        j->id, j->ntasks, (int)j->spec.rank, j->spec.estimate,
+        bd_between(j->first_seen, j->last_placed), bd_between(j->first_seen, j->last_begun),
+        bd_between(j->first_seen, c->now), j->restarts);
     j->mark = ring;
     j->mood = BD_DONE;
     bd_job_unlead(j);
@@ -511,8 +515,12 @@
     c->gained = c->now;
     c->listed_once = false;
     snprintf(c->nonce, sizeof c->nonce, "%s", g->nonce);
-    bd_core_leader_is(c, c->set->node);
+    bd_core_leader_is(c, c->set->node, g->term, g->renewed);
+    bd_deputy_end(c);
+    c->deputies_looked = c->now;
+    /* an earlier leader in its grace, or a deputy of one, may have answered until then */
     double rest = bd_grace_s(c->set) - bd_to_secs(c->set->leader_ttl);
+    rest = rest > DEPUTY_FRESH_S ? rest : DEPUTY_FRESH_S;
     c->others_lapse = bd_lease_end(c, bd_add(c->now, bd_secs(rest)));
     HASH_ITER(hh, c->jobs, j, jt)
     {
@@ -541,6 +549,9 @@
         struct bd_machine *m = c->by_index[i];
         if (m->gone || m->nrefs == 0 || bd_before(c->now, m->lapse_at))
             continue;
+        /* a deputy may have answered it: a look begun after the lease's end must not show it */
+        if (m->deputised || bd_before(c->deputies_looked, m->lapse_at))
+            continue;
         bd_say(c->log, BD_INFO, "%s: lease over, %u tasks lost", m->id, m->nrefs);
         m->lapsed_session = m->session;
         m->fenced = false;
@@ -596,8 +607,10 @@
         c->barrier_out = true;
         (void)bd_emit(c, BD_E_BARRIER);
     }
-    if (c->role != BD_LEADER)
+    if (c->role != BD_LEADER) {
+        bd_deputy_tick(c);
         return;
+    }
     if (bd_before(c->next_tick, c->now)) {
         c->next_tick = bd_add(c->now, bd_secs(0.25));
         lapses(c);
--- a/src/store.c
+++ b/src/store.c
@@ -15,11 +15,12 @@
 #define USER_ANSWER_S 2.5
 #define USER_THREADS 2
 #define PAUSE_S 0.25
+#define DEPUTIES_S 0.7 /* a leader's looks at the deputies' records */
 
 long bd_store_call(struct bd_node *n, struct bd_http *h, const char *method, const char *path,
                    const char *body, double timeout_s, json_t **out)
 {
-    char url[512];
+    char url[640];
     struct bd_reply r;
     snprintf(url, sizeof url, "http://%s%s", n->set.state, path);
     bd_http_call(h, method, url, body, timeout_s, &r);
@@ -111,12 +112,24 @@
     return status == 410;
 }
 
+static void look_at_deputies(struct bd_node *n, struct bd_http *h)
+{
+    struct bd_cmd *cmd = bd_cmd_new(BD_C_DEPUTIES);
+    cmd->sent = bd_now();
+    cmd->json = bd_store_list(n, h, "p/", NULL);
+    if (cmd->json)
+        bd_tell(n, cmd);
+    else
+        bd_cmd_free(cmd);
+}
+
 static void *reader(void *arg)
 {
     struct bd_node *n = arg;
     struct bd_http *h = bd_http_new(1);
     uint64_t after = 0;
     bool again = true;
+    struct timespec next = bd_now();
     while (h) {
         if (again) {
             relist(n, h);
@@ -127,6 +140,10 @@
         }
         bool barrier = atomic_exchange(&n->want_barrier, false);
         again = look(n, h, &after, barrier);
+        if (atomic_load(&n->leading) && bd_before(next, bd_now())) {
+            next = bd_add(bd_now(), bd_secs(DEPUTIES_S));
+            look_at_deputies(n, h);
+        }
         bd_pause(LOOK_LEAST_S);
         void *woken;
         if (!atomic_load(&n->want_barrier))
@@ -227,26 +244,56 @@
 
 /* ---- users' transactions ---- */
 
+static void commit_deputy(struct bd_node *n, struct bd_http *h, struct bd_effect *e)
+{
+    struct bd_cmd *cmd = bd_cmd_new(BD_C_DEPUTY_COMMITTED);
+    json_t *o = NULL;
+    struct bd_change ch;
+    uint64_t grant;
+    char path[128];
+    cmd->sent = bd_now();
+    if (e->body) {
+        cmd->status = bd_store_call(n, h, "POST", "/commit", e->body, ANSWER_S, &o);
+        cmd->ring = bd_wire_ring(o);
+        cmd->flag = cmd->status == 200;
+    } else { /* only the record's mark is asked for */
+        snprintf(path, sizeof path, "/kv/%s", e->key);
+        long status = bd_store_call(n, h, "GET", path, NULL, ANSWER_S, &o);
+        cmd->flag = status == 404 || (status == 200 && bd_wire_pair(o, &ch, &grant));
+        cmd->ring = status == 200 && cmd->flag ? ch.mark : 0;
+    }
+    json_decref(o);
+    bd_tell(n, cmd);
+}
+
+static void commit_user(struct bd_node *n, struct bd_http *h, struct bd_effect *e)
+{
+    struct bd_cmd *cmd = bd_cmd_new(BD_C_USER_COMMITTED);
+    json_t *o = NULL;
+    cmd->status = bd_store_call(n, h, "POST", "/commit", e->body, USER_ANSWER_S, &o);
+    cmd->ring = bd_wire_ring(o);
+    cmd->request = e->request;
+    cmd->text = e->body;
+    e->body = NULL;
+    snprintf(cmd->name, sizeof cmd->name, "%s", e->key);
+    json_decref(o);
+    bd_tell(n, cmd);
+}
+
 static void *user_committer(void *arg)
 {
     struct bd_node *n = arg;
     struct bd_http *h = bd_http_new(1);
     while (h) {
         void *item;
-        json_t *o = NULL;
         if (bd_queue_take(&n->to_users, &item, 1, bd_add(bd_now(), bd_secs(5))) == 0)
             continue;
         struct bd_effect *e = item;
-        struct bd_cmd *cmd = bd_cmd_new(BD_C_USER_COMMITTED);
-        cmd->status = bd_store_call(n, h, "POST", "/commit", e->body, USER_ANSWER_S, &o);
-        cmd->ring = bd_wire_ring(o);
-        cmd->request = e->request;
-        cmd->text = e->body;
-        e->body = NULL;
-        snprintf(cmd->name, sizeof cmd->name, "%s", e->key);
-        json_decref(o);
+        if (e->kind == BD_E_DEPUTY)
+            commit_deputy(n, h, e);
+        else
+            commit_user(n, h, e);
         bd_effect_free(e);
-        bd_tell(n, cmd);
     }
     return NULL;
 }
--- a/tests/inputs.c
+++ b/tests/inputs.c
@@ -1,4 +1,5 @@
 /* Malformed input: settings files, operators' files, and everything the wire brings. */
+#include "brambledoor/frame.h"
 #include "brambledoor/settings.h"
 #include "brambledoor/timeutil.h"
 #include "brambledoor/wire.h"
@@ -256,6 +257,52 @@
     json_decref(o);
 }
 
+/* Frames between controllers: written and read back, cut off at every byte, and each byte changed
+ * in turn must never be taken for more than the frame holds. */
+static void frames(void)
+{
+    unsigned char buf[BD_FRAME_MOST];
+    struct bd_frame *f = calloc(1, sizeof *f), *g = calloc(1, sizeof *g);
+    f->type = BD_FRAME_STATUS;
+    snprintf(f->name, sizeof f->name, "node-7");
+    f->term = 0x0102030405060708u;
+    f->flags = BD_PEER_STATE;
+    f->age_ms = 1500;
+    size_t n = bd_frame_write(f, buf, sizeof buf);
+    check(n > 0 && bd_frame_read(buf, n, g) == (long)n && strcmp(g->name, "node-7") == 0 &&
+              g->term == f->term && g->flags == f->flags && g->age_ms == 1500,
+          "a status frame survives");
+    for (size_t i = 0; i < n; i++)
+        check(bd_frame_read(buf, i, g) == 0, "a frame that is cut off waits for more");
+    check(bd_frame_write(f, buf, 12) == 0, "a frame that does not fit is not written");
+    f->type = BD_FRAME_PROGRESS;
+    f->count = 2;
+    snprintf(f->jobs[0].id, BD_ID, "job-1");
+    f->jobs[0].done = 3;
+    snprintf(f->jobs[1].id, BD_ID, "job-22");
+    f->jobs[1].running = 100000;
+    n = bd_frame_write(f, buf, sizeof buf);
+    check(n > 0 && bd_frame_read(buf, n, g) == (long)n && g->count == 2 && g->jobs[0].done == 3 &&
+              strcmp(g->jobs[1].id, "job-22") == 0 && g->jobs[1].running == 100000,
+          "a progress frame survives");
+    int refused = 0;
+    for (size_t i = 0; i < n; i++) {
+        for (unsigned bit = 0; bit < 8; bit++) {
+            buf[i] ^= (unsigned char)(1u << bit);
+            long used = bd_frame_read(buf, n, g);
+            check(used <= (long)n && g->count <= BD_FRAME_JOBS + 0u + (used < 0 ? 65535u : 0u),
+                  "a changed frame");
+            refused += used < 0;
+            buf[i] ^= (unsigned char)(1u << bit);
+        }
+    }
+    check(refused > 50, "changed frames are refused");
+    buf[6] = 0xff;
+    check(bd_frame_read(buf, n, g) == -1, "an over-long frame is refused at once");
+    free(f);
+    free(g);
+}
+
 int main(int argc, char **argv)
 {
     if (argc != 2)
@@ -266,6 +313,7 @@
     reports(argv[1]);
     records();
     cloud();
+    frames();
     printf("%d faults\n", faults);
     return faults ? 1 : 0;
 }
--- a/tests/scenario.c
+++ b/tests/scenario.c
@@ -6,6 +6,11 @@
  *   job job-1 mark=5 tasks=2 cpus=2 ... [mood=cancelled]   a record change seen by the replica
  *   gain 1 [receipt=job-1/0:03] [intent=job-1:@1.1:vm-1:0,1]
  *   renew | lose | looked [fail] | tick
+ *   set peer=node-1; peer node-1 term=0 state=1 age=0      a status frame of another controller
+ *   leader node-1 7                                    who holds the lease, by a fresh look
+ *   deputies [p/node-1:mark:vm-1,vm-2]                 the leader's look at the deputies' records
+ *   watch 28                                           as `at`, with such a look every 2 s
+ *   deputycommitted STATUS [unknown]                   the fate of our own deputy's record
  *   listed vm-1:small:a[:running|booting|failed] ...   a list of the cloud
  *   report vm-1 small a session=1 seq=1 seal=1 [notice=5] [job-1/0:@1.1:running ...]
  *   did vm-1 seal=1 status=200 ...                     answer to a direct command, as report
@@ -20,6 +25,7 @@
  *
  * @T.N is the N-th attempt of term T. */
 #include "brambledoor/core.h"
+#include "brambledoor/frame.h"
 #include "brambledoor/log.h"
 #include "brambledoor/timeutil.h"
 #include <stdio.h>
@@ -112,7 +118,9 @@
     p->set.cancel = bd_secs(num(p, "cancel", bd_to_secs(p->set.cancel)));
     p->set.leader_ttl = bd_secs(num(p, "ttl", bd_to_secs(p->set.leader_ttl)));
     p->set.txn_ops = (size_t)num(p, "ops", (double)p->set.txn_ops);
-    const char *t = arg(p, "team");
+    const char *t = arg(p, "team"), *peer = arg(p, "peer");
+    if (peer)
+        snprintf(p->set.peers[p->set.npeers++].name, BD_NAME, "%s", peer);
     if (t) {
         struct bd_team_limits *l = &p->set.teams[p->set.nteams++];
         char name[BD_NAME];
@@ -308,6 +316,56 @@
     bd_core_machines(p->c, l, n, p->c->now);
 }
 
+static void cmd_peer(struct play *p)
+{
+    uint8_t flags = num(p, "state", 1) != 0 ? BD_PEER_STATE : 0;
+    bd_core_peer(p->c, p->w[1], (uint64_t)num(p, "term", 0), flags, num(p, "age", 0));
+}
+
+static void cmd_leader(struct play *p)
+{
+    bd_core_leader_is(p->c, p->w[1], strtoull(p->w[2], NULL, 10), p->c->now);
+}
+
+static void cmd_deputies(struct play *p)
+{
+    json_t *pairs = json_array();
+    for (int i = 1; i < p->n; i++) {
+        char key[64], names[256];
+        unsigned mark = 0;
+        if (sscanf(p->w[i], "%63[^:]:%u:%255s", key, &mark, names) != 3)
+            fail(p, "deputies");
+        json_t *m = json_array();
+        for (char *s = NULL, *v = strtok_r(names, ",", &s); v; v = strtok_r(NULL, ",", &s))
+            json_array_append_new(m, json_string(v));
+        json_array_append_new(pairs, json_pack("{s:s,s:{s:i,s:o},s:i}", "k", key, "value", "t", 1,
+                                               "m", m, "mark", (int)mark));
+    }
+    bd_core_deputies(p->c, pairs, p->c->now);
+    json_decref(pairs);
+}
+
+/* time passes with a look every two seconds that shows no deputy */
+static void cmd_watch(struct play *p)
+{
+    double to = strtod(p->w[1], NULL), at = bd_to_secs(p->c->now) - 100;
+    json_t *none = json_array();
+    for (at += 2; at < to; at += 2) {
+        bd_core_time(p->c, bd_secs(100 + at), 1000 + at);
+        bd_core_deputies(p->c, none, p->c->now);
+    }
+    bd_core_time(p->c, bd_secs(100 + to), 1000 + to);
+    bd_core_deputies(p->c, none, p->c->now);
+    json_decref(none);
+}
+
+static void cmd_deputycommitted(struct play *p)
+{
+    bool known = p->n < 3;
+    p->ring = p->ring < 1000 ? 1000 : p->ring + 1;
+    bd_core_deputy_committed(p->c, atol(p->w[1]), p->ring, p->c->now, known);
+}
+
 static void cmd_committed(struct play *p)
 {
     json_t *failed = json_array();
@@ -353,8 +411,8 @@
     bd_core_rented(p->c, request, refused ? 503 : 200, names, n);
 }
 
-static const char *const kinds[] = {"reply", "user",   "commit",  "do",
-                                    "rent",  "return", "barrier", "lost"};
+static const char *const kinds[] = {"reply",  "user",    "commit", "do",    "rent",
+                                    "return", "barrier", "lost",   "deputy"};
 
 static bool holds_all(struct play *p, const struct bd_effect *e)
 {
@@ -523,6 +581,11 @@
                  {"team", 2, cmd_team},
                  {"looked", 1, cmd_looked},
                  {"at", 2, cmd_at},
+                 {"peer", 2, cmd_peer},
+                 {"leader", 3, cmd_leader},
+                 {"deputies", 1, cmd_deputies},
+                 {"deputycommitted", 2, cmd_deputycommitted},
+                 {"watch", 2, cmd_watch},
                  {"submit", 2, cmd_submit}};
     if (strcmp(p->w[0], "set") == 0) {
         cmd_set(p);
