--- a/include/brambledoor/core.h
+++ b/include/brambledoor/core.h
@@ -104,6 +104,7 @@
     uint32_t errors; /* failed tasks in a row, of different jobs */
     struct bd_job *error_job;
     bool deputised;  /* in a deputy's record at the last look */
+    bool drain; /* being emptied, so that a dear machine is free again */
     bool bad, spare; /* spare: kept for work that is expected */
     struct timespec bad_until;
 };
@@ -240,7 +241,7 @@
     struct bd_commit *commit;
     struct bd_round *rounds;
     uint32_t nrounds, cap_rounds;
-    struct timespec next_round, next_fleet, next_gc, next_tick, next_bump, last_bump;
+    struct timespec next_round, next_fleet, next_gc, next_tick, next_bump, last_bump, next_summary;
     bool want_bump, round_wanted;
     double write_tokens;
     struct timespec token_at;
@@ -251,7 +252,7 @@
     /* cloud */
     struct bd_rental rentals[64];
     int nrentals;
-    bool gpu_wanted[BD_MAX_TYPES][2]; /* by type and spot: some live job's GPUs fit there */
+    struct bd_spec gpu_wanted[BD_MAX_TYPES][2]; /* by type and spot: a live job's GPU task */
     struct bd_market markets[BD_MAX_TYPES][BD_MAX_ZONES][2];
     int cloud_out;
 
--- a/src/core_in.h
+++ b/src/core_in.h
@@ -65,6 +65,15 @@
 
 double bd_grace_s(const struct bd_settings *s);
 
+/* prices: which machines a job may take, by how long it has waited */
+enum bd_reach { BD_REACH_SPOT, BD_REACH_CHEAP, BD_REACH_ANY };
+int bd_tasks_a_machine(const struct bd_type *t, const struct bd_spec *s);
+bool bd_dear(const struct bd_core *c, const struct bd_spec *s, int type, bool spot);
+double bd_slack(const struct bd_core *c, int klass, double estimate, const struct bd_aim *a);
+enum bd_reach bd_reach_of(const struct bd_core *c, const struct bd_job *j);
+bool bd_in_reach(const struct bd_core *c, const struct bd_spec *s, enum bd_reach reach, int type,
+                 bool spot);
+
 /* deputies */
 #define DEPUTY_FRESH_S 1.5 /* a deputy answers so long after its record was last confirmed */
 bool bd_deputy_checkin(struct bd_core *c, void *request, const struct bd_report *r);
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -18,7 +18,9 @@
 #define CLASSES 32
 #define BUCKET_S 30.0 /* arrivals are counted in buckets, and the middle one counts */
 #define BUCKETS 6
-#define RUN_FACTOR 1.5 /* a job's slowest task against its owner's guess */
+#define SUMMARY_S 20.0
+#define SETTLED_S 40.0   /* a service younger than this stays where it is */
+#define GATHER_SHARE 0.5 /* of a machine: with more services than this it is left as it is */
 
 void bd_core_types(struct bd_core *c, const struct bd_type_text *t, int n)
 {
@@ -239,18 +241,6 @@
     b->mem -= s->mem;
 }
 
-static int tasks_a_machine(const struct bd_type *t, const struct bd_spec *s)
-{
-    double n = 1e6;
-    if (s->cpus > 0)
-        n = fmin(n, floor(t->cpus / s->cpus + 1e-9));
-    if (s->gpus > 0)
-        n = fmin(n, floor(t->gpus / s->gpus + 1e-9));
-    if (s->mem > 0)
-        n = fmin(n, floor(t->mem / s->mem + 1e-9));
-    return (int)n;
-}
-
 static double zone_use(const struct bd_core *c, int zone)
 {
     double n = 0;
@@ -260,7 +250,7 @@
 }
 
 /* The cheapest kind of machine for `left` more tasks, or false. */
-static bool choose(struct demand *d, const struct bd_spec *s, uint32_t left, int zone_want,
+static bool choose(struct demand *d, const struct bd_spec *s, uint32_t left, enum bd_reach reach,
                    int *type, int *zone, bool *spot)
 {
     struct bd_core *c = d->c;
@@ -268,16 +258,15 @@
     for (int t = 0; t < c->ntypes; t++) {
         if (!c->types[t].known)
             continue;
-        int n = tasks_a_machine(&c->types[t], s);
+        int n = bd_tasks_a_machine(&c->types[t], s);
         if (n < 1)
             continue;
         n = (uint32_t)n < left ? n : (int)left;
         for (int z = 0; z < c->nzones; z++) {
             for (int sp = 0; sp < 2; sp++) {
                 if (!(c->types[t].zones >> z & 1) || !bd_allowed(c, s, t, z, sp) ||
-                    (zone_want >= 0 && z != zone_want) ||
-                    bd_before(c->now, c->markets[t][z][sp].refuse_until) ||
-                    c->markets[t][z][sp].asked) /* what it has is about to be known */
+                    !bd_in_reach(c, s, reach, t, sp) ||
+                    bd_before(c->now, c->markets[t][z][sp].refuse_until))
                     continue;
                 double v = (sp ? c->types[t].spot_price : c->types[t].price) / n;
                 if (s->spot && !sp)
@@ -307,20 +296,21 @@
     return n;
 }
 
-static void want_job(struct demand *d, const struct bd_spec *s, uint32_t n)
+static void want_job(struct demand *d, const struct bd_spec *s, uint32_t n, enum bd_reach reach)
 {
     int type = 0, zone = 0;
     bool spot = false;
     for (int i = 0; i < d->n && n > 0; i++) {
         struct bin *b = &d->bins[i];
-        while (n > 0 && bd_allowed(d->c, s, b->type, b->zone, b->spot) && bin_fits(b, s)) {
+        while (n > 0 && bd_allowed(d->c, s, b->type, b->zone, b->spot) &&
+               bd_in_reach(d->c, s, reach, b->type, b->spot) && bin_fits(b, s)) {
             bin_take(b, s);
             n--;
             if (b->machine)
                 b->machine->spare = true;
         }
     }
-    while (n > 0 && choose(d, s, n, -1, &type, &zone, &spot)) {
+    while (n > 0 && choose(d, s, n, reach, &type, &zone, &spot)) {
         struct bin *b = add_bin(d, type, zone, spot, true);
         if (!b)
             return;
@@ -391,28 +381,6 @@
     return (b[BUCKETS / 2 - 1] + b[BUCKETS / 2]) / (2.0 * BUCKET_S);
 }
 
-static const char *klass_name(const struct bd_core *c, int id)
-{
-    struct bd_names *n, *t;
-    HASH_ITER(hh, c->classes, n, t)
-    {
-        if (n->index == id)
-            return n->name;
-    }
-    return "";
-}
-
-/* How long a job of the class may wait and still meet the aim; below 0: not this aim's class. */
-static double slack(const struct bd_core *c, const struct klass *k, const struct bd_aim *a)
-{
-    bool named = strcmp(a->klass, klass_name(c, k->id)) == 0;
-    if (a->kind == BD_AIM_WAIT && named)
-        return a->within_s;
-    if (a->kind == BD_AIM_FINISHED && named && k->jobs)
-        return fmax(0, a->within_s - RUN_FACTOR * k->estimate / k->jobs);
-    return -1;
-}
-
 /* Slots to keep free for a class: what arrives before a rented machine would be ready, as far as
  * the aims' shares ask for it. */
 static uint32_t spare_slots(struct demand *d, const struct klass *k)
@@ -421,12 +389,12 @@
     int type = 0, zone = 0;
     bool spot = false;
     double most = 0, per_job = (double)k->tasks / k->jobs;
-    if (!choose(d, &k->spec, (uint32_t)ceil(per_job), -1, &type, &zone, &spot))
+    if (!choose(d, &k->spec, (uint32_t)ceil(per_job), BD_REACH_ANY, &type, &zone, &spot))
         return 0;
     double lead = c->types[type].boot + k->image_gb / k->jobs / c->types[type].fetch;
     for (int i = 0; i < c->set->naims; i++) {
         const struct bd_aim *a = &c->set->aims[i];
-        double wait = slack(c, k, a);
+        double wait = bd_slack(c, k->id, k->estimate / k->jobs, a);
         if (wait < 0 || wait >= lead)
             continue;
         double z = gsl_cdf_ugaussian_Pinv(fmin(0.995, (1 + a->share) / 2));
@@ -461,14 +429,16 @@
     for (int gpus = 1; gpus >= 0; gpus--)
         for (int i = 0; i < n; i++)
             if ((k[i].spec.gpus > 0) == (gpus > 0) && k[i].spec.team >= 0)
-                want_job(d, &k[i].spec, spare_slots(d, &k[i]));
+                want_job(d, &k[i].spec, spare_slots(d, &k[i]), BD_REACH_ANY);
 }
 
 static void rent_wanted(struct demand *d)
 {
     struct bd_core *c = d->c;
     for (int i = 0; i < d->n && c->nrentals < RENTS_OPEN; i++) {
-        if (!d->bins[i].wanted)
+        struct bin *w = &d->bins[i];
+        /* what a market has that was asked already is about to be known */
+        if (!w->wanted || market(c, w->type, w->zone, w->spot)->asked)
             continue;
         int count = 0;
         struct bin b = d->bins[i];
@@ -496,7 +466,8 @@
     uint32_t n = bd_jobs_in_order(c, &jobs);
     for (uint32_t i = 0; i < n; i++)
         if (jobs[i]->nwait > 0 && bd_before(jobs[i]->hold_until, c->now))
-            want_job(d, &jobs[i]->spec, under_quota(d, &jobs[i]->spec, jobs[i]->nwait));
+            want_job(d, &jobs[i]->spec, under_quota(d, &jobs[i]->spec, jobs[i]->nwait),
+                     bd_reach_of(c, jobs[i]));
     free(jobs);
     for (uint32_t i = 0; i < c->nmachines; i++)
         c->by_index[i]->spare = false;
@@ -573,11 +544,126 @@
     }
 }
 
+/* ---- gathering: services that keep dear machines busy move together ---- */
+
+static bool only_movable(const struct bd_core *c, const struct bd_machine *m, double *services)
+{
+    *services = 0;
+    for (uint32_t k = 0; k < m->nrefs; k++) {
+        const struct bd_job *j = m->refs[k].job;
+        const struct bd_task *t = &j->tasks[m->refs[k].task];
+        if (j->spec.gpus > 0)
+            return false;
+        if (j->spec.shape != BD_SERVICE)
+            continue; /* ends by itself */
+        if (t->state != BD_T_LIVE || t->sub != BD_RUNNING || t->flags & BD_F_STOP ||
+            bd_between(j->last_begun, c->now) < SETTLED_S ||
+            !bd_dear(c, &j->spec, m->type, m->spot))
+            return false;
+        *services += j->spec.cpus;
+    }
+    return *services > 0;
+}
+
+static bool has_image(const struct bd_machine *m, int image)
+{
+    for (int k = 0; k < m->nimages; k++)
+        if (m->images[k] == image)
+            return true;
+    return false;
+}
+
+/* Whether a place for the task is free where its image is and no GPU work is harmed: on a cheap
+ * machine, or on one that holds services already and more of them. */
+static bool place_elsewhere(struct bd_core *c, const struct bd_job *j,
+                            const struct bd_machine *from, double services)
+{
+    for (uint32_t i = 0; i < c->nmachines; i++) {
+        struct bd_machine *m = c->by_index[i];
+        double held = 0;
+        if (m == from || m->drain || m->zone != from->zone || !bd_machine_usable(c, m) ||
+            !bd_allowed(c, &j->spec, m->type, m->zone, m->spot) || !has_image(m, j->spec.image))
+            continue;
+        const struct bd_type *t = &c->types[m->type];
+        if (t->cpus - m->cpus < j->spec.cpus || t->gpus - m->gpus < j->spec.gpus ||
+            t->mem - m->mem < j->spec.mem)
+            continue;
+        if (!bd_dear(c, &j->spec, m->type, m->spot) || m->gpus > 0)
+            return true;
+        if (only_movable(c, m, &held) && held > services)
+            return true;
+    }
+    return false;
+}
+
+/* The machine with the least services is emptied first, one service at a time. */
+static void gather(struct bd_core *c)
+{
+    struct bd_machine *pick = NULL;
+    double least = INFINITY, held;
+    for (uint32_t i = 0; i < c->nmachines; i++) {
+        struct bd_machine *m = c->by_index[i];
+        m->drain = m->drain && m->nrefs > 0 && !m->gone;
+        if (m->gone || !bd_machine_usable(c, m) || m->nrefs == 0 || !only_movable(c, m, &held))
+            continue;
+        if (m->drain)
+            held = 0; /* go on with what was begun */
+        if (held < least) {
+            least = held;
+            pick = m;
+        }
+    }
+    if (!pick || (!pick->drain && least > GATHER_SHARE * c->types[pick->type].cpus))
+        return;
+    (void)only_movable(c, pick, &held);
+    for (uint32_t k = 0; k < pick->nrefs; k++) {
+        struct bd_ref r = pick->refs[k];
+        if (r.job->spec.shape != BD_SERVICE || r.job->nwait > 0 ||
+            !place_elsewhere(c, r.job, pick, held))
+            continue;
+        pick->drain = true;
+        bd_say(c->log, BD_INFO, "%s/%u moves off %s", r.job->id, r.task, pick->id);
+        bd_task_stop(c, r.job, r.task, false);
+        return;
+    }
+    pick->drain = false;
+}
+
+/* One line a type, for whoever asks what the money is spent on. */
+static void say_fleet(struct bd_core *c)
+{
+    if (bd_before(c->now, c->next_summary))
+        return;
+    c->next_summary = bd_add(c->now, bd_secs(SUMMARY_S));
+    for (int t = 0; t < c->ntypes; t++) {
+        int up = 0, coming = 0, idle = 0, spot = 0;
+        double cpus = 0, gpus = 0;
+        for (uint32_t i = 0; i < c->nmachines; i++) {
+            const struct bd_machine *m = c->by_index[i];
+            if (m->gone || m->type != t)
+                continue;
+            coming += m->session == 0;
+            up += m->session != 0;
+            idle += m->session && m->nrefs == 0;
+            spot += m->spot;
+            cpus += m->cpus;
+            gpus += m->gpus;
+        }
+        bd_say(c->log, BD_INFO,
+               "fleet %s: %d up, %d coming, %d idle, %d spot; in use %.0f of %.0f cpus, %.0f of "
+               "%.0f gpus",
+               c->types[t].label, up, coming, idle, spot, cpus, up * c->types[t].cpus, gpus,
+               up * c->types[t].gpus);
+    }
+}
+
 void bd_fleet_tick(struct bd_core *c)
 {
+    say_fleet(c);
     drain(c);
     if (!c->listed_once)
         return;
     rent_for_demand(c);
+    gather(c);
     return_machines(c);
 }
--- a/src/place.c
+++ b/src/place.c
@@ -99,15 +99,26 @@
     return false;
 }
 
+/* Whether a task here would take the room that a GPU task could have had. */
+static bool harms_gpus(const struct bd_core *c, const struct bd_spec *s, const struct bd_machine *m,
+                       struct room r)
+{
+    const struct bd_spec *g = &c->gpu_wanted[m->type][m->spot];
+    if (s->gpus > 0 || g->gpus <= 0)
+        return false;
+    struct room after = {r.cpus - s->cpus, r.gpus, r.mem - s->mem};
+    return fit(after, g, 64) < fit(r, g, 64);
+}
+
 static double cost(const struct bd_core *c, const struct bd_spec *s, const struct bd_machine *m,
-                   struct room r)
+                   struct room r, bool harm)
 {
     const struct bd_type *t = &c->types[m->type];
     double left = t->cpus > 0 ? (r.cpus - s->cpus) / t->cpus : 0;
     if (s->gpus > 0 && t->gpus > 0)
         left = (r.gpus - s->gpus) / t->gpus;
     double v = left * COST_LEFTOVER;
-    if (s->gpus <= 0 && t->gpus > 0 && c->gpu_wanted[m->type][m->spot])
+    if (harm)
         v += COST_GPU_WASTE;
     if (!has_image(m, s->image))
         v += s->image_gb / t->fetch;
@@ -116,14 +127,16 @@
     return v;
 }
 
-static struct bd_machine *best(struct round *r, const struct bd_job *j, const uint32_t *zones)
+static struct bd_machine *best(struct round *r, const struct bd_job *j, const uint32_t *zones,
+                               enum bd_reach reach, bool may_harm)
 {
     struct bd_core *c = r->c;
     struct bd_machine *found = NULL;
     double low = INFINITY;
     for (uint32_t i = 0; i < c->nmachines; i++) {
         struct bd_machine *m = c->by_index[i];
-        if (!bd_machine_usable(c, m) || !bd_allowed(c, &j->spec, m->type, m->zone, m->spot))
+        if (!bd_machine_usable(c, m) || m->drain ||
+            !bd_allowed(c, &j->spec, m->type, m->zone, m->spot))
             continue;
         struct room room = free_room(c, m);
         room.cpus -= r->claimed[i].cpus;
@@ -131,7 +144,14 @@
         room.mem -= r->claimed[i].mem;
         if (!fit(room, &j->spec, 1) || !zone_left(c, j, zones, m->zone, 1))
             continue;
-        double v = cost(c, &j->spec, m, room);
+        bool harm = harms_gpus(c, &j->spec, m, room);
+        if (harm && !may_harm)
+            continue;
+        /* a dear machine that GPU work cannot use anyway is as good as a cheap one */
+        bool spoilt = bd_dear(c, &j->spec, m->type, m->spot) && !harm;
+        if (!spoilt && !bd_in_reach(c, &j->spec, reach, m->type, m->spot))
+            continue;
+        double v = cost(c, &j->spec, m, room, harm);
         if (v < low) {
             low = v;
             found = m;
@@ -168,12 +188,14 @@
 }
 
 /* Places up to `most` waiting tasks of the job; returns how many found a place. */
-static uint32_t fill(struct round *r, struct bd_job *j, uint32_t most, uint64_t attempt)
+static uint32_t fill(struct round *r, struct bd_job *j, uint32_t most, uint64_t attempt,
+                     bool may_harm)
 {
     uint32_t zones[BD_MAX_ZONES], placed = 0, next = 0;
+    enum bd_reach reach = bd_reach_of(r->c, j);
     zone_counts(r->c, j, zones);
     while (placed < most) {
-        struct bd_machine *m = best(r, j, zones);
+        struct bd_machine *m = best(r, j, zones, reach, may_harm);
         if (!m)
             break;
         struct room room = free_room(r->c, m);
@@ -262,15 +284,18 @@
     }
 }
 
-static void preempt(struct round *r, struct bd_job *j, uint32_t n)
+/* Makes room for up to n tasks; returns for how many room is made or on its way. */
+static uint32_t preempt(struct round *r, struct bd_job *j, uint32_t n, bool only_cheap)
 {
     struct bd_core *c = r->c;
-    uint32_t zones[BD_MAX_ZONES];
+    uint32_t zones[BD_MAX_ZONES], left = n;
     zone_counts(c, j, zones);
-    for (uint32_t left = n, i = 0; left > 0 && i < c->nmachines;) {
+    for (uint32_t i = 0; left > 0 && i < c->nmachines;) {
         struct bd_machine *m = c->by_index[i];
         struct room soon, most;
-        bool ok = bd_machine_usable(c, m) && bd_allowed(c, &j->spec, m->type, m->zone, m->spot) &&
+        bool ok = bd_machine_usable(c, m) && !m->drain &&
+                  bd_allowed(c, &j->spec, m->type, m->zone, m->spot) &&
+                  !(only_cheap && bd_dear(c, &j->spec, m->type, m->spot)) &&
                   zone_left(c, j, zones, m->zone, 1);
         if (ok)
             later_room(r, j, m, &soon, &most);
@@ -283,29 +308,43 @@
         zones[m->zone]++;
         left--;
     }
+    return n - left;
 }
 
-static void place_job(struct round *r, struct bd_job *j)
+static uint32_t place_gang(struct round *r, struct bd_job *j, uint64_t attempt)
 {
-    uint32_t want = quota_left(r->c, &j->spec, j->nwait);
-    bool gang = j->spec.shape == BD_GANG;
-    if (r->conds >= r->most_conds || want == 0 || (gang && want < j->ntasks))
-        return;
     uint32_t from = r->k->nplan;
     size_t bytes = r->bytes;
-    uint64_t attempt = (r->c->base_term << 20) + r->c->counter + 1;
-    uint32_t got = fill(r, j, want, attempt);
-    if (gang && got < j->ntasks) {
+    uint32_t got = fill(r, j, j->ntasks, attempt, true);
+    if (got < j->ntasks) {
         unplan(r, from);
         r->bytes = bytes;
-        got = 0;
+        return 0;
     }
-    if (got) {
-        r->c->counter++;
-        r->conds++;
+    return got;
+}
+
+static void place_job(struct round *r, struct bd_job *j)
+{
+    uint32_t want = quota_left(r->c, &j->spec, j->nwait), got = 0;
+    bool gang = j->spec.shape == BD_GANG, above = j->spec.rank > BD_IDLE;
+    if (r->conds >= r->most_conds || want == 0 || (gang && want < j->ntasks))
+        return;
+    uint64_t attempt = (r->c->base_term << 20) + r->c->counter + 1;
+    if (gang) {
+        got = place_gang(r, j, attempt);
+        want = j->ntasks == 1 ? want : got; /* only a single task's room is made by force */
+    } else {
+        got = fill(r, j, want, attempt, false);
+        /* a short task that is stopped costs less than a GPU machine taken for a long service */
+        if (got < want && j->spec.shape == BD_SERVICE && above)
+            want -= preempt(r, j, want - got, true);
+        got += got < want ? fill(r, j, want - got, attempt, true) : 0;
     }
-    if (got < want && j->spec.rank > BD_IDLE && (!gang || j->ntasks == 1))
-        preempt(r, j, want - got);
+    r->c->counter += got > 0;
+    r->conds += got > 0;
+    if (got < want && above)
+        (void)preempt(r, j, want - got, false);
 }
 
 static int order_jobs(const void *x, const void *y)
@@ -370,16 +409,18 @@
     return n;
 }
 
-/* Which kinds of machine with GPUs some live job could use for its GPU tasks. */
+/* For each kind of machine the largest GPU task that some live job could put there. */
 static void gpu_demand(struct bd_core *c, struct bd_job **jobs, uint32_t n)
 {
     memset(c->gpu_wanted, 0, sizeof c->gpu_wanted);
-    for (uint32_t i = 0; i < n; i++)
-        for (int t = 0; jobs[i]->spec.gpus > 0 && t < c->ntypes; t++)
+    for (uint32_t i = 0; i < n; i++) {
+        const struct bd_spec *s = &jobs[i]->spec;
+        for (int t = 0; s->gpus > 0 && t < c->ntypes; t++)
             for (int spot = 0; spot < 2; spot++)
-                if ((jobs[i]->spec.any_type || (jobs[i]->spec.types >> t & 1)) &&
-                    (jobs[i]->spec.spot || !spot))
-                    c->gpu_wanted[t][spot] = true;
+                if ((s->any_type || (s->types >> t & 1)) && (s->spot || !spot) &&
+                    s->gpus <= c->types[t].gpus && s->gpus >= c->gpu_wanted[t][spot].gpus)
+                    c->gpu_wanted[t][spot] = *s;
+    }
 }
 
 void bd_round_place(struct bd_core *c)
--- /dev/null
+++ b/src/price.c
@@ -0,0 +1,100 @@
+/* What a place costs, and how long a job may look for a cheap one before its aims are in danger. */
+#include "core_in.h"
+#include <math.h>
+
+/* named defaults */
+#define DEAR 2.5       /* times the cheapest place for the task */
+#define PATIENCE 1.0   /* of the time that a job can spare */
+#define RUN_FACTOR 1.5 /* a job's slowest task against its owner's guess */
+
+int bd_tasks_a_machine(const struct bd_type *t, const struct bd_spec *s)
+{
+    double n = 1e6;
+    if (s->cpus > 0)
+        n = fmin(n, floor(t->cpus / s->cpus + 1e-9));
+    if (s->gpus > 0)
+        n = fmin(n, floor(t->gpus / s->gpus + 1e-9));
+    if (s->mem > 0)
+        n = fmin(n, floor(t->mem / s->mem + 1e-9));
+    return (int)n;
+}
+
+static double place_price(const struct bd_core *c, const struct bd_spec *s, int type, bool spot)
+{
+    const struct bd_type *t = &c->types[type];
+    int n = t->known ? bd_tasks_a_machine(t, s) : 0;
+    if (n < 1 || (!s->any_type && !(s->types >> type & 1)) || (spot && !s->spot))
+        return INFINITY;
+    return (spot ? t->spot_price : t->price) / n;
+}
+
+/* Whether a place on such a machine costs much more than the cheapest would. */
+bool bd_dear(const struct bd_core *c, const struct bd_spec *s, int type, bool spot)
+{
+    double low = INFINITY;
+    for (int t = 0; t < c->ntypes; t++)
+        for (int sp = 0; sp < 2; sp++)
+            low = fmin(low, place_price(c, s, t, sp));
+    return place_price(c, s, type, spot) > DEAR * low;
+}
+
+static const char *klass_name(const struct bd_core *c, int id)
+{
+    struct bd_names *n, *t;
+    HASH_ITER(hh, c->classes, n, t)
+    {
+        if (n->index == id)
+            return n->name;
+    }
+    return "";
+}
+
+/* How long a job of the class may wait and still meet the aim; below 0: not this class's aim. */
+double bd_slack(const struct bd_core *c, int klass, double estimate, const struct bd_aim *a)
+{
+    if (strcmp(a->klass, klass_name(c, klass)) != 0)
+        return -1;
+    if (a->kind == BD_AIM_WAIT)
+        return a->within_s;
+    if (a->kind == BD_AIM_FINISHED)
+        return fmax(0, a->within_s - RUN_FACTOR * estimate);
+    return -1;
+}
+
+/* Seconds from its submission that the job can wait for a cheap place; a class with an aim for its
+ * start waits for nothing. */
+static double patience(const struct bd_core *c, const struct bd_spec *s)
+{
+    double least = INFINITY, lead = 0;
+    for (int i = 0; i < c->set->naims; i++) {
+        const struct bd_aim *a = &c->set->aims[i];
+        double v = bd_slack(c, s->klass, s->estimate, a);
+        if (v < 0)
+            continue;
+        least = fmin(least, a->kind == BD_AIM_WAIT ? 0 : v);
+    }
+    if (least == INFINITY)
+        return 0;
+    for (int t = 0; t < c->ntypes; t++)
+        if (place_price(c, s, t, false) < INFINITY)
+            lead = fmax(lead, c->types[t].boot + s->image_gb / c->types[t].fetch);
+    return fmax(0, PATIENCE * (least - lead));
+}
+
+enum bd_reach bd_reach_of(const struct bd_core *c, const struct bd_job *j)
+{
+    double can = patience(c, &j->spec), waited = c->wall - j->at;
+    if (waited >= can)
+        return BD_REACH_ANY;
+    return j->spec.spot && waited < can / 2 ? BD_REACH_SPOT : BD_REACH_CHEAP;
+}
+
+bool bd_in_reach(const struct bd_core *c, const struct bd_spec *s, enum bd_reach reach, int type,
+                 bool spot)
+{
+    if (reach == BD_REACH_ANY)
+        return true;
+    if (reach == BD_REACH_SPOT && !spot)
+        return false;
+    return !bd_dear(c, s, type, spot);
+}
