--- a/include/brambledoor/core.h
+++ b/include/brambledoor/core.h
@@ -63,6 +63,7 @@
     uint32_t errors, error_machines;
     struct bd_spec spec;
     bool has_spec, in_guarantee;
+    int klass; /* -1: not known */
     json_t *record_spec;   /* the record's own text of the job, kept for rewriting */
     struct bd_task *tasks; /* only while leading */
 };
@@ -99,6 +100,7 @@
     struct bd_ref *refs;
     uint32_t nrefs, cap;
     double cpus, gpus, mem; /* in use */
+    double pinned_cpus, pinned_gpus, pinned_mem; /* by services and GPU tasks */
     int images[BD_IMAGES];
     int nimages;
     uint32_t errors; /* failed tasks in a row, of different jobs */
--- a/src/core_in.h
+++ b/src/core_in.h
@@ -67,6 +67,7 @@
 
 /* prices: which machines a job may take, by how long it has waited */
 enum bd_reach { BD_REACH_SPOT, BD_REACH_CHEAP, BD_REACH_ANY };
+const char *bd_klass_name(const struct bd_core *c, int id);
 int bd_tasks_a_machine(const struct bd_type *t, const struct bd_spec *s);
 bool bd_dear(const struct bd_core *c, const struct bd_spec *s, int type, bool spot);
 double bd_slack(const struct bd_core *c, int klass, double estimate, const struct bd_aim *a);
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -16,8 +16,9 @@
 #define BINS 256
 #define FIXED_PENALTY 2.0 /* ordinary machines are left to work that may not use spot */
 #define CLASSES 32
-#define BUCKET_S 30.0 /* arrivals are counted in buckets, and the middle one counts */
-#define BUCKETS 6
+#define WINDOW_S 150.0 /* in which arrivals are counted */
+#define WINDOW_LEAST_S 12.0
+#define SETTLE_S 4.0
 #define SUMMARY_S 20.0
 #define SETTLED_S 40.0   /* a service younger than this stays where it is */
 #define GATHER_SHARE 0.5 /* of a machine: with more services than this it is left as it is */
@@ -325,8 +326,8 @@
 
 struct klass {
     int id;
-    struct bd_spec spec; /* of its newest job */
-    uint32_t jobs, tasks, bucket[BUCKETS];
+    struct bd_spec spec; /* of its newest job that is described */
+    uint32_t jobs, tasks, arrived;
     double estimate, at, image_gb;
 };
 
@@ -342,48 +343,47 @@
     return &k[(*n)++];
 }
 
-static int arrivals(struct bd_core *c, struct klass *k)
+/* When the window in which arrivals are counted began: what was there at the very start of the
+ * service came at once and says nothing of the rate. */
+static double window_start(const struct bd_core *c)
 {
-    struct bd_job *j, *jt;
-    int n = 0;
-    HASH_ITER(hh, c->jobs, j, jt)
-    {
-        double ago = c->wall - j->at;
-        if (!j->has_spec || ago > BUCKET_S * BUCKETS || ago < 0)
-            continue;
-        struct klass *f = klass_of(k, &n, j->spec.klass);
-        if (!f)
-            continue;
-        f->jobs++;
-        f->tasks += j->ntasks;
-        f->estimate += j->spec.estimate;
-        f->image_gb += j->spec.image_gb;
-        f->bucket[(int)(ago / BUCKET_S)]++;
-        if (j->at >= f->at) {
-            f->at = j->at;
-            f->spec = j->spec;
-        }
-    }
-    return n;
+    double first = INFINITY;
+    for (struct bd_job *j = c->jobs; j; j = j->hh.next)
+        first = fmin(first, j->at);
+    return fmax(first + SETTLE_S, c->wall - WINDOW_S);
 }
 
-static int by_count(const void *a, const void *b)
+static void count_job(struct klass *f, const struct bd_job *j, double from)
 {
-    return (int)*(const uint32_t *)a - (int)*(const uint32_t *)b;
+    f->arrived += j->at >= from;
+    if (!j->has_spec)
+        return;
+    f->jobs++;
+    f->tasks += j->ntasks;
+    f->estimate += j->spec.estimate;
+    f->image_gb += j->spec.image_gb;
+    if (j->at >= f->at) {
+        f->at = j->at;
+        f->spec = j->spec;
+    }
 }
 
-/* Jobs a second, by the middle buckets: a burst or the work at the start does not move it much. */
-static double rate(const struct klass *k)
+static int arrivals(struct bd_core *c, struct klass *k, double from)
 {
-    uint32_t b[BUCKETS];
-    memcpy(b, k->bucket, sizeof b);
-    qsort(b, BUCKETS, sizeof *b, by_count);
-    return (b[BUCKETS / 2 - 1] + b[BUCKETS / 2]) / (2.0 * BUCKET_S);
+    int n = 0;
+    for (struct bd_job *j = c->jobs; j; j = j->hh.next) {
+        if (j->klass < 0 || c->wall - j->at > 2 * WINDOW_S)
+            continue;
+        struct klass *f = klass_of(k, &n, j->klass);
+        if (f)
+            count_job(f, j, from);
+    }
+    return n;
 }
 
 /* Slots to keep free for a class: what arrives before a rented machine would be ready, as far as
  * the aims' shares ask for it. */
-static uint32_t spare_slots(struct demand *d, const struct klass *k)
+static uint32_t spare_slots(struct demand *d, const struct klass *k, double window)
 {
     struct bd_core *c = d->c;
     int type = 0, zone = 0;
@@ -398,7 +398,7 @@
         if (wait < 0 || wait >= lead)
             continue;
         double z = gsl_cdf_ugaussian_Pinv(fmin(0.995, (1 + a->share) / 2));
-        most = fmax(most, z * sqrt(2 * rate(k) * lead) * per_job);
+        most = fmax(most, z * sqrt(2 * k->arrived / window * lead) * per_job);
     }
     return (uint32_t)ceil(most * c->set->spare_share);
 }
@@ -423,13 +423,16 @@
 static void want_spares(struct demand *d)
 {
     struct klass k[CLASSES];
-    int n = arrivals(d->c, k);
+    double from = window_start(d->c), window = d->c->wall - from;
+    if (window < WINDOW_LEAST_S)
+        return;
+    int n = arrivals(d->c, k, from);
     bins_free(d, false);
     bins_free(d, true);
     for (int gpus = 1; gpus >= 0; gpus--)
         for (int i = 0; i < n; i++)
-            if ((k[i].spec.gpus > 0) == (gpus > 0) && k[i].spec.team >= 0)
-                want_job(d, &k[i].spec, spare_slots(d, &k[i]), BD_REACH_ANY);
+            if (k[i].jobs && (k[i].spec.gpus > 0) == (gpus > 0) && k[i].spec.team >= 0)
+                want_job(d, &k[i].spec, spare_slots(d, &k[i], window), BD_REACH_ANY);
 }
 
 static void rent_wanted(struct demand *d)
--- a/src/place.c
+++ b/src/place.c
@@ -99,13 +99,15 @@
     return false;
 }
 
-/* Whether a task here would take the room that a GPU task could have had. */
-static bool harms_gpus(const struct bd_core *c, const struct bd_spec *s, const struct bd_machine *m,
-                       struct room r)
+/* Whether a task here would take room that a GPU task could have, now or once what ends by itself
+ * has ended: arrays must not refill a machine that GPU work waits for. */
+static bool harms_gpus(const struct bd_core *c, const struct bd_spec *s, const struct bd_machine *m)
 {
     const struct bd_spec *g = &c->gpu_wanted[m->type][m->spot];
+    const struct bd_type *t = &c->types[m->type];
     if (s->gpus > 0 || g->gpus <= 0)
         return false;
+    struct room r = {t->cpus - m->pinned_cpus, t->gpus - m->pinned_gpus, t->mem - m->pinned_mem};
     struct room after = {r.cpus - s->cpus, r.gpus, r.mem - s->mem};
     return fit(after, g, 64) < fit(r, g, 64);
 }
@@ -144,7 +146,7 @@
         room.mem -= r->claimed[i].mem;
         if (!fit(room, &j->spec, 1) || !zone_left(c, j, zones, m->zone, 1))
             continue;
-        bool harm = harms_gpus(c, &j->spec, m, room);
+        bool harm = harms_gpus(c, &j->spec, m);
         if (harm && !may_harm)
             continue;
         /* a dear machine that GPU work cannot use anyway is as good as a cheap one */
@@ -226,10 +228,11 @@
     r->k->nplan = from;
 }
 
-/* Stops the least valuable lower-ranked work on one machine so that a task fits there. */
 static bool may_stop(const struct bd_job *want, const struct bd_job *j, const struct bd_task *t)
 {
-    return j->spec.rank < want->spec.rank && !(t->flags & BD_F_STOP) &&
+    /* a team's guarantee may take what another team runs beyond its own */
+    bool owed = want->in_guarantee && !j->in_guarantee && want->spec.team != j->spec.team;
+    return (j->spec.rank < want->spec.rank || owed) && !(t->flags & BD_F_STOP) &&
            (t->state == BD_T_LIVE || t->state == BD_T_LAUNCH) && j->spec.shape != BD_SERVICE;
 }
 
@@ -263,6 +266,7 @@
     }
 }
 
+/* Stops the least valuable of what may be stopped on one machine until a task fits there. */
 static void stop_for(struct round *r, const struct bd_job *want, struct bd_machine *m,
                      struct room soon)
 {
--- a/src/price.c
+++ b/src/price.c
@@ -38,7 +38,7 @@
     return place_price(c, s, type, spot) > DEAR * low;
 }
 
-static const char *klass_name(const struct bd_core *c, int id)
+const char *bd_klass_name(const struct bd_core *c, int id)
 {
     struct bd_names *n, *t;
     HASH_ITER(hh, c->classes, n, t)
@@ -52,7 +52,7 @@
 /* How long a job of the class may wait and still meet the aim; below 0: not this class's aim. */
 double bd_slack(const struct bd_core *c, int klass, double estimate, const struct bd_aim *a)
 {
-    if (strcmp(a->klass, klass_name(c, klass)) != 0)
+    if (strcmp(a->klass, bd_klass_name(c, klass)) != 0)
         return -1;
     if (a->kind == BD_AIM_WAIT)
         return a->within_s;
--- a/src/rounds.c
+++ b/src/rounds.c
@@ -82,6 +82,7 @@
     if (k->ndone == sizeof k->done / sizeof *k->done || !room_for(b, 1, 1, 300))
         return false;
     struct bd_record r = {.mood = BD_DONE, .tasks = j->ntasks, .at = j->at};
+    snprintf(r.spec.klass, sizeof r.spec.klass, "%s", bd_klass_name(c, j->klass));
     char key[BD_LABEL];
     snprintf(key, sizeof key, "j/%s", j->id);
     if_job(b, j);
--- a/src/tasks.c
+++ b/src/tasks.c
@@ -15,6 +15,18 @@
     c->team_gpus[s->team] += sign * s->gpus;
 }
 
+static void machine_use(struct bd_machine *m, const struct bd_spec *s, double sign)
+{
+    m->cpus += sign * s->cpus;
+    m->gpus += sign * s->gpus;
+    m->mem += sign * s->mem;
+    if (s->shape != BD_SERVICE && s->gpus <= 0)
+        return; /* ends by itself before long */
+    m->pinned_cpus += sign * s->cpus;
+    m->pinned_gpus += sign * s->gpus;
+    m->pinned_mem += sign * s->mem;
+}
+
 bool bd_job_lead(struct bd_core *c, struct bd_job *j)
 {
     (void)c;
@@ -118,9 +130,7 @@
     bd_task_set(c, j, i, st);
     j->last_placed = c->now;
     add_ref(m, j, i);
-    m->cpus += j->spec.cpus;
-    m->gpus += j->spec.gpus;
-    m->mem += j->spec.mem;
+    machine_use(m, &j->spec, 1);
     remember_image(m, j->spec.image);
     team_use(c, &j->spec, 1);
 }
@@ -136,11 +146,10 @@
     if (!m)
         return;
     drop_ref(m, j, i);
-    m->cpus -= j->spec.cpus;
-    m->gpus -= j->spec.gpus;
-    m->mem -= j->spec.mem;
+    machine_use(m, &j->spec, -1);
     if (m->nrefs == 0) {
         m->cpus = m->gpus = m->mem = 0;
+        m->pinned_cpus = m->pinned_gpus = m->pinned_mem = 0;
         m->idle_since = c->now;
     }
 }
--- a/src/wire.c
+++ b/src/wire.c
@@ -199,6 +199,8 @@
     json_t *o = json_pack("{s:s,s:i,s:f}", "s", moods[r->mood], "n", (int)r->tasks, "at", r->at);
     if (o && r->has_spec)
         json_object_set_new(o, "job", bd_wire_spec(&r->spec));
+    else if (o && *r->spec.klass) /* a finished job's class still tells how many come */
+        json_object_set_new(o, "k", json_string(r->spec.klass));
     return o;
 }
 
@@ -215,6 +217,8 @@
     out->tasks = (uint32_t)n;
     json_t *job = json_object_get(v, "job");
     out->has_spec = json_is_object(job) && spec_of(job, &out->spec) == NULL;
+    if (!out->has_spec && !label(v, "k", out->spec.klass))
+        out->spec.klass[0] = '\0';
     return out->has_spec || out->mood == BD_DONE;
 }
 
