Dear is measured against ordinary prices

Cause: a spot GPU machine costs five times the cheapest spot place but no more than an ordinary one.

--- a/src/price.c
+++ b/src/price.c
@@ -3,7 +3,7 @@
 #include <math.h>
 
 /* named defaults */
-#define DEAR 2.5       /* times the cheapest place for the task */
+#define DEAR 2.5       /* times the cheapest ordinary place for the task */
 #define PATIENCE 1.0   /* of the time that a job can spare */
 #define RUN_FACTOR 1.5 /* a job's slowest task against its owner's guess */
 
@@ -33,8 +33,7 @@
 {
     double low = INFINITY;
     for (int t = 0; t < c->ntypes; t++)
-        for (int sp = 0; sp < 2; sp++)
-            low = fmin(low, place_price(c, s, t, sp));
+        low = fmin(low, place_price(c, s, t, false));
     return place_price(c, s, type, spot) > DEAR * low;
 }
 
