--- a/src/fleet.c
+++ b/src/fleet.c
@@ -7,8 +7,9 @@
 /* named defaults */
 #define BACKOFF_FIRST_S 10.0
 #define BACKOFF_MOST_S 60.0
-#define BOOT_PATIENCE 4.0 /* times the usual boot time before a machine is given up */
-#define BOOT_EXTRA_S 20.0
+#define BOOT_PATIENCE 2.5 /* times the usual boot time before a machine is given up */
+#define BOOT_EXTRA_S 12.0
+#define BOOT_HOPE 1.6 /* ... before it is no longer counted on */
 #define RENT_MOST 50
 #define RETURN_MOST 100
 #define RENTS_OPEN 3 /* requests under way at once */
@@ -222,7 +223,7 @@
     struct bd_core *c = d->c;
     for (uint32_t i = 0; i < c->nmachines; i++) {
         struct bd_machine *m = c->by_index[i];
-        if (booting(c, m) && age(c, m) < 2.5 * c->types[m->type].boot + BOOT_EXTRA_S)
+        if (booting(c, m) && age(c, m) < BOOT_HOPE * c->types[m->type].boot + BOOT_EXTRA_S)
             (void)add_bin(d, m->type, m->zone, m->spot, false);
     }
     for (int k = 0; k < c->nrentals; k++)
--- a/src/place.c
+++ b/src/place.c
@@ -6,6 +6,8 @@
 #define COST_GPU_WASTE 200.0 /* work without GPUs on a machine that has some */
 #define COST_LEFTOVER 5.0    /* the whole machine left free after the placement */
 #define COST_NOT_SPOT 20.0   /* work that may use spot, on an ordinary machine */
+#define COST_STOPPING 10.0   /* the whole room of a task made by stopping others */
+#define PREEMPT_MOST 32u     /* places made for one job in one round */
 #define EPS 1e-6
 
 struct room {
@@ -266,21 +268,28 @@
     }
 }
 
-/* Stops the least valuable of what may be stopped on one machine until a task fits there. */
+/* Picks the least valuable of what may be stopped: the lowest rank, then the newest start. */
+static struct bd_ref least_valuable(const struct bd_job *want, const struct bd_machine *m)
+{
+    struct bd_ref pick = {0};
+    for (uint32_t k = 0; k < m->nrefs; k++) {
+        struct bd_job *j = m->refs[k].job;
+        const struct bd_task *t = &j->tasks[m->refs[k].task];
+        if (!may_stop(want, j, t))
+            continue;
+        if (!pick.job || j->spec.rank < pick.job->spec.rank ||
+            (j->spec.rank == pick.job->spec.rank &&
+             t->attempt > pick.job->tasks[pick.task].attempt))
+            pick = m->refs[k];
+    }
+    return pick;
+}
+
 static void stop_for(struct round *r, const struct bd_job *want, struct bd_machine *m,
                      struct room soon)
 {
     while (!fit(soon, &want->spec, 1)) {
-        struct bd_ref pick = {0};
-        int low = 99;
-        for (uint32_t k = 0; k < m->nrefs; k++) {
-            struct bd_job *j = m->refs[k].job;
-            struct bd_task *t = &j->tasks[m->refs[k].task];
-            if (may_stop(want, j, t) && (int)j->spec.rank < low) {
-                low = (int)j->spec.rank;
-                pick = m->refs[k];
-            }
-        }
+        struct bd_ref pick = least_valuable(want, m);
         if (!pick.job)
             return;
         add(&soon, &pick.job->spec, 1);
@@ -288,31 +297,51 @@
     }
 }
 
+/* What making room on the machine would cost; infinite where it cannot be made. */
+static double stop_cost(struct round *r, const struct bd_job *j, struct bd_machine *m,
+                        const uint32_t *zones, bool only_cheap)
+{
+    struct bd_core *c = r->c;
+    struct room soon, most;
+    if (!bd_machine_usable(c, m) || m->drain ||
+        !bd_allowed(c, &j->spec, m->type, m->zone, m->spot) ||
+        (only_cheap && bd_dear(c, &j->spec, m->type, m->spot)) ||
+        !zone_left(c, j, zones, m->zone, 1))
+        return INFINITY;
+    later_room(r, j, m, &soon, &most);
+    if (!fit(most, &j->spec, 1))
+        return INFINITY;
+    double v = has_image(m, j->spec.image) ? 0 : j->spec.image_gb / c->types[m->type].fetch;
+    double lacking = fmax(0, fmax(j->spec.cpus - soon.cpus, 0) / fmax(j->spec.cpus, 1) +
+                                 fmax(j->spec.gpus - soon.gpus, 0) / fmax(j->spec.gpus, 1));
+    return v + lacking * COST_STOPPING;
+}
+
 /* Makes room for up to n tasks; returns for how many room is made or on its way. */
 static uint32_t preempt(struct round *r, struct bd_job *j, uint32_t n, bool only_cheap)
 {
-    struct bd_core *c = r->c;
-    uint32_t zones[BD_MAX_ZONES], left = n;
-    zone_counts(c, j, zones);
-    for (uint32_t i = 0; left > 0 && i < c->nmachines;) {
-        struct bd_machine *m = c->by_index[i];
-        struct room soon, most;
-        bool ok = bd_machine_usable(c, m) && !m->drain &&
-                  bd_allowed(c, &j->spec, m->type, m->zone, m->spot) &&
-                  !(only_cheap && bd_dear(c, &j->spec, m->type, m->spot)) &&
-                  zone_left(c, j, zones, m->zone, 1);
-        if (ok)
-            later_room(r, j, m, &soon, &most);
-        if (!ok || !fit(most, &j->spec, 1)) {
-            i++;
-            continue;
+    uint32_t zones[BD_MAX_ZONES], made = 0;
+    zone_counts(r->c, j, zones);
+    n = n < PREEMPT_MOST ? n : PREEMPT_MOST;
+    for (; made < n; made++) {
+        struct bd_machine *pick = NULL;
+        double low = INFINITY;
+        for (uint32_t i = 0; i < r->c->nmachines; i++) {
+            double v = stop_cost(r, j, r->c->by_index[i], zones, only_cheap);
+            if (v < low) {
+                low = v;
+                pick = r->c->by_index[i];
+            }
         }
-        stop_for(r, j, m, soon);
-        add(&r->claimed[m->index], &j->spec, 1);
-        zones[m->zone]++;
-        left--;
+        if (!pick)
+            break;
+        struct room soon, most;
+        later_room(r, j, pick, &soon, &most);
+        stop_for(r, j, pick, soon);
+        add(&r->claimed[pick->index], &j->spec, 1);
+        zones[pick->zone]++;
     }
-    return n - left;
+    return made;
 }
 
 static uint32_t place_gang(struct round *r, struct bd_job *j, uint64_t attempt)
