--- a/include/brambledoor/core.h
+++ b/include/brambledoor/core.h
@@ -63,7 +63,7 @@
     uint32_t errors, error_machines;
     struct bd_spec spec;
     bool has_spec, in_guarantee;
-    int klass; /* -1: not known */
+    int klass;             /* -1: not known */
     json_t *record_spec;   /* the record's own text of the job, kept for rewriting */
     struct bd_task *tasks; /* only while leading */
 };
@@ -99,15 +99,16 @@
     struct timespec do_since;
     struct bd_ref *refs;
     uint32_t nrefs, cap;
-    double cpus, gpus, mem; /* in use */
+    double cpus, gpus, mem;                      /* in use */
     double pinned_cpus, pinned_gpus, pinned_mem; /* by services and GPU tasks */
     int images[BD_IMAGES];
     int nimages;
     uint32_t errors; /* failed tasks in a row, of different jobs */
     struct bd_job *error_job;
-    bool deputised;  /* in a deputy's record at the last look */
-    bool drain; /* being emptied, so that a dear machine is free again */
-    bool bad, spare; /* spare: kept for work that is expected */
+    bool deputised;          /* in a deputy's record at the last look */
+    struct timespec steered; /* when it was last sent to its own zone's controller */
+    bool drain;              /* being emptied, so that a dear machine is free again */
+    bool bad, spare;         /* spare: kept for work that is expected */
     struct timespec bad_until;
 };
 
@@ -137,6 +138,14 @@
     bool asked; /* a request is under way */
 };
 
+/* What a request is to the core: the front's own, or one that another controller passed on. Both
+ * begin alike, so that a reply finds its way. */
+struct bd_remote {
+    bool remote;
+    int peer;
+    uint64_t id;
+};
+
 enum bd_effect_kind {
     BD_E_REPLY,
     BD_E_USER_COMMIT,
@@ -146,7 +155,9 @@
     BD_E_RETURN,
     BD_E_BARRIER,
     BD_E_LOST,
-    BD_E_DEPUTY
+    BD_E_DEPUTY,
+    BD_E_FORWARD, /* a report to the leader: seal is the id, machine the peer */
+    BD_E_ANSWER   /* the answer to a forwarded one */
 };
 
 struct bd_effect {
@@ -220,6 +231,15 @@
     } deputy;
     uint64_t leader_term;
     struct timespec leader_seen;
+    /* reports of our zone's workers on their way to the leader */
+    struct bd_forward {
+        uint64_t id;
+        void *request;
+        struct bd_report *report;
+        struct timespec until;
+        struct bd_forward *next;
+    } * forwards;
+    uint64_t forward_n;
     /* as leader: deputies' records as last looked at */
     struct timespec deputies_looked;
     char stale_deputy[BD_LABEL];
@@ -304,7 +324,12 @@
                               bool mark_known);
 bool bd_core_up(const struct bd_core *c);
 /* workers */
-void bd_core_checkin(struct bd_core *c, void *request, const struct bd_report *r);
+/* body: the report as it came, passed on if the leader is elsewhere */
+void bd_core_checkin(struct bd_core *c, void *request, const struct bd_report *r, const char *body,
+                     size_t len);
+/* a report that another controller passed on to us, and the answer to one that we passed on */
+void bd_core_forwarded(struct bd_core *c, const char *peer, uint64_t id, const struct bd_report *r);
+void bd_core_answered(struct bd_core *c, uint64_t id, int status, const char *body, size_t len);
 void bd_core_did(struct bd_core *c, uint32_t machine, uint64_t seal, bool launch, long status,
                  const struct bd_report *r);
 /* cloud */
--- a/include/brambledoor/frame.h
+++ b/include/brambledoor/frame.h
@@ -1,20 +1,27 @@
 /* What passes between controllers: frames of packed fields, big-endian.
  *
- *   magic u32 "BDM1", version u8, type u8, length u16 of what follows
+ *   magic u32 "BDM1", version u8, type u8, zero u16, length u32 of what follows
  *   status (1):   name (u8 length, bytes), term u64, flags u8, age u32 (ms since the state
  *                 service last answered)
- *   progress (2): count u16, then per job: id (u8 length, bytes), done u32, running u32 */
+ *   progress (2): count u16, then per job: id (u8 length, bytes), done u32, running u32
+ *   report (3):   id u64, sender's name (u8 length, bytes), a worker's report (u32 length, bytes)
+ *   answer (4):   id u64, status u16, the answer to it (u32 length, bytes) */
 #ifndef BD_FRAME_H
 #define BD_FRAME_H
 #include "brambledoor/wire.h"
 #include <stddef.h>
 #include <stdint.h>
 
-#define BD_FRAME_HEAD 8u
-#define BD_FRAME_MOST 4096u
+#define BD_FRAME_HEAD 12u
+#define BD_FRAME_MOST 70000u
 #define BD_FRAME_JOBS 96u
 
-enum bd_frame_type { BD_FRAME_STATUS = 1, BD_FRAME_PROGRESS = 2 };
+enum bd_frame_type {
+    BD_FRAME_STATUS = 1,
+    BD_FRAME_PROGRESS = 2,
+    BD_FRAME_REPORT = 3,
+    BD_FRAME_ANSWER = 4
+};
 enum { BD_PEER_LEADS = 1, BD_PEER_STATE = 2 };
 
 struct bd_progress {
@@ -30,6 +37,10 @@
     uint32_t age_ms;
     uint16_t count;
     struct bd_progress jobs[BD_FRAME_JOBS];
+    uint64_t id;
+    uint16_t status;
+    const char *text; /* of a frame that was read: inside the buffer, not terminated */
+    uint32_t len;
 };
 
 /* bytes written, 0 if it does not fit */
--- a/include/brambledoor/node.h
+++ b/include/brambledoor/node.h
@@ -61,7 +61,7 @@
     /* what adapters need to know of the owner's state */
     atomic_bool leading, want_barrier, types_known, step_down, up;
     atomic_ullong ring;
-    struct bd_queue reader_wake;
+    struct bd_queue reader_wake, to_peer[BD_MAX_PEERS];
     struct bd_cmd *pending_gain;
     /* what the mesh says of us */
     pthread_mutex_t said_lock;
@@ -87,6 +87,8 @@
 int bd_cloud_start(struct bd_node *n);
 int bd_dispatch_start(struct bd_node *n);
 int bd_mesh_start(struct bd_node *n);
+/* false: not sent, nothing will come back */
+bool bd_mesh_send(struct bd_node *n, int peer, const struct bd_frame *f);
 struct sockaddr_in;
 bool bd_parse_addr(const char *text, struct sockaddr_in *out);
 #endif
--- a/src/core.c
+++ b/src/core.c
@@ -79,6 +79,13 @@
     free_rounds(c);
     bd_commit_free(c->commit);
     bd_deputy_end(c);
+    while (c->forwards) {
+        struct bd_forward *f = c->forwards;
+        c->forwards = f->next;
+        bd_wire_report_drop(f->report);
+        free(f->report);
+        free(f);
+    }
     free(c->deputy.charges);
     struct bd_effect *e = bd_core_effects(c);
     while (e) {
@@ -105,8 +112,15 @@
 
 void bd_reply(struct bd_core *c, void *request, int status, char *body, int retry_after)
 {
-    struct bd_effect *e = bd_emit(c, BD_E_REPLY);
-    e->request = request;
+    struct bd_remote *q = request;
+    bool remote = q && q->remote;
+    struct bd_effect *e = bd_emit(c, remote ? BD_E_ANSWER : BD_E_REPLY);
+    e->request = remote ? NULL : request;
+    if (remote) {
+        e->machine = (uint32_t)q->peer;
+        e->seal = q->id;
+        free(q);
+    }
     e->status = status;
     e->body = body;
     e->retry_after = retry_after;
--- a/src/core_in.h
+++ b/src/core_in.h
@@ -77,6 +77,10 @@
 
 /* deputies */
 #define DEPUTY_FRESH_S 1.5 /* a deputy answers so long after its record was last confirmed */
+bool bd_forward_checkin(struct bd_core *c, void *request, const struct bd_report *r,
+                        const char *body, size_t len);
+int bd_forward_steer(struct bd_core *c, struct bd_machine *m, const struct bd_report *r);
+void bd_forward_tick(struct bd_core *c);
 bool bd_deputy_checkin(struct bd_core *c, void *request, const struct bd_report *r);
 void bd_deputy_tick(struct bd_core *c);
 void bd_deputy_end(struct bd_core *c);
--- /dev/null
+++ b/src/forward.c
@@ -0,0 +1,136 @@
+/* Workers report to a controller of their own zone, which passes their reports to the leader and
+ * the answers back: if the zone is cut off, its workers are already where they are answered on
+ * (see deputy.c), instead of trying nodes that they cannot reach while their leases run out. */
+#include "brambledoor/frame.h"
+#include "core_in.h"
+#include <stdio.h>
+
+/* named defaults */
+#define ANSWER_S 1.2 /* then the deputy's way is tried, or the worker sent to the leader */
+#define HEARD_S 1.3  /* a controller that was heard no longer ago can be passed to */
+#define STEER_S 8.0  /* a worker is not sent to its zone's controller more often */
+#define FORWARDS_MOST 256
+
+static int leader_peer(const struct bd_core *c)
+{
+    for (int i = 0; i < c->set->npeers; i++)
+        if (strcmp(c->set->peers[i].name, c->leader_name) == 0)
+            return bd_between(c->peers[i].heard, c->now) < HEARD_S ? i : -1;
+    return -1;
+}
+
+static struct bd_report *copy_report(const struct bd_report *r)
+{
+    struct bd_report *k = malloc(sizeof *k);
+    if (!k)
+        return NULL;
+    *k = *r;
+    k->tasks = calloc(r->n + 1, sizeof *k->tasks);
+    if (!k->tasks) {
+        free(k);
+        return NULL;
+    }
+    memcpy(k->tasks, r->tasks, r->n * sizeof *k->tasks);
+    return k;
+}
+
+static uint32_t waiting(const struct bd_core *c)
+{
+    uint32_t n = 0;
+    for (const struct bd_forward *f = c->forwards; f; f = f->next)
+        n++;
+    return n;
+}
+
+/* True if the report is on its way to the leader; it is answered, or its time runs out. */
+bool bd_forward_checkin(struct bd_core *c, void *request, const struct bd_report *r,
+                        const char *body, size_t len)
+{
+    int peer = leader_peer(c);
+    if (peer < 0 || strcmp(r->zone, c->set->zone) != 0 ||
+        strcmp(c->set->peers[peer].zone, c->set->zone) == 0 || waiting(c) >= FORWARDS_MOST)
+        return false;
+    struct bd_forward *f = calloc(1, sizeof *f);
+    struct bd_report *k = f ? copy_report(r) : NULL;
+    if (!k) {
+        free(f);
+        return false;
+    }
+    f->id = ++c->forward_n;
+    f->request = request;
+    f->report = k;
+    f->until = bd_add(c->now, bd_secs(ANSWER_S));
+    f->next = c->forwards;
+    c->forwards = f;
+    struct bd_effect *e = bd_emit(c, BD_E_FORWARD);
+    e->machine = (uint32_t)peer;
+    e->seal = f->id;
+    e->body = strndup(body, len);
+    return true;
+}
+
+static void drop(struct bd_forward *f)
+{
+    bd_wire_report_drop(f->report);
+    free(f->report);
+    free(f);
+}
+
+static void fall_back(struct bd_core *c, struct bd_forward *f)
+{
+    if (c->role == BD_FOLLOWER && bd_deputy_checkin(c, f->request, f->report))
+        return;
+    bool other = *c->leader_name && strcmp(c->leader_name, c->set->node) != 0;
+    bd_reply(c, f->request, 421, bd_wire_steer(other ? c->leader_name : ""), 0);
+}
+
+void bd_core_answered(struct bd_core *c, uint64_t id, int status, const char *body, size_t len)
+{
+    struct bd_forward **at = &c->forwards;
+    while (*at && (*at)->id != id)
+        at = &(*at)->next;
+    struct bd_forward *f = *at;
+    if (!f)
+        return; /* too late: the worker was answered otherwise */
+    *at = f->next;
+    if (status == 200 && body)
+        bd_reply(c, f->request, 200, strndup(body, len), 0);
+    else
+        fall_back(c, f);
+    drop(f);
+}
+
+void bd_forward_tick(struct bd_core *c)
+{
+    struct bd_forward **at = &c->forwards;
+    while (*at) {
+        struct bd_forward *f = *at;
+        if (bd_before(c->now, f->until)) {
+            at = &f->next;
+            continue;
+        }
+        *at = f->next;
+        fall_back(c, f);
+        drop(f);
+    }
+}
+
+/* As leader: the controller of the machine's own zone that it should report to, or -1. */
+int bd_forward_steer(struct bd_core *c, struct bd_machine *m, const struct bd_report *r)
+{
+    int found = -1, n = 0;
+    if (strcmp(r->zone, c->set->zone) == 0 || !bd_core_valid(c) ||
+        (!bd_is_zero(m->steered) && bd_between(m->steered, c->now) < STEER_S))
+        return -1;
+    for (int i = 0; i < c->set->npeers; i++) {
+        if (strcmp(c->set->peers[i].zone, r->zone) != 0 ||
+            bd_between(c->peers[i].heard, c->now) > HEARD_S || !(c->peers[i].flags & BD_PEER_STATE))
+            continue;
+        n++;
+        if (found < 0 || m->index % (uint32_t)n == 0)
+            found = i;
+    }
+    if (found >= 0)
+        m->steered = c->now;
+    return found;
+}
--- a/src/frame.c
+++ b/src/frame.c
@@ -33,6 +33,47 @@
     o->len += n;
 }
 
+static void put_bytes(struct out *o, const char *s, size_t n)
+{
+    put(o, n, 4);
+    if (o->bad || o->len + n > o->cap) {
+        o->bad = 1;
+        return;
+    }
+    memcpy(o->p + o->len, s, n);
+    o->len += n;
+}
+
+static void put_body(struct out *o, const struct bd_frame *f)
+{
+    switch (f->type) {
+    case BD_FRAME_STATUS:
+        put_text(o, f->name);
+        put(o, f->term, 8);
+        put(o, f->flags, 1);
+        put(o, f->age_ms, 4);
+        break;
+    case BD_FRAME_PROGRESS:
+        put(o, f->count, 2);
+        for (unsigned i = 0; i < f->count; i++) {
+            put_text(o, f->jobs[i].id);
+            put(o, f->jobs[i].done, 4);
+            put(o, f->jobs[i].running, 4);
+        }
+        break;
+    case BD_FRAME_REPORT:
+        put(o, f->id, 8);
+        put_text(o, f->name);
+        put_bytes(o, f->text, f->len);
+        break;
+    case BD_FRAME_ANSWER:
+        put(o, f->id, 8);
+        put(o, f->status, 2);
+        put_bytes(o, f->text, f->len);
+        break;
+    }
+}
+
 size_t bd_frame_write(const struct bd_frame *f, unsigned char *buf, size_t cap)
 {
     struct out o = {buf, 0, cap < BD_FRAME_MOST ? cap : BD_FRAME_MOST, 0};
@@ -40,23 +81,12 @@
     put(&o, VERSION, 1);
     put(&o, f->type, 1);
     put(&o, 0, 2);
-    if (f->type == BD_FRAME_STATUS) {
-        put_text(&o, f->name);
-        put(&o, f->term, 8);
-        put(&o, f->flags, 1);
-        put(&o, f->age_ms, 4);
-    } else {
-        put(&o, f->count, 2);
-        for (unsigned i = 0; i < f->count; i++) {
-            put_text(&o, f->jobs[i].id);
-            put(&o, f->jobs[i].done, 4);
-            put(&o, f->jobs[i].running, 4);
-        }
-    }
+    put(&o, 0, 4);
+    put_body(&o, f);
     if (o.bad)
         return 0;
-    struct out head = {buf + 6, 0, 2, 0};
-    put(&head, o.len - BD_FRAME_HEAD, 2);
+    struct out head = {buf + 8, 0, 4, 0};
+    put(&head, o.len - BD_FRAME_HEAD, 4);
     return o.len;
 }
 
@@ -104,6 +134,43 @@
     }
 }
 
+static void get_bytes(struct in *i, struct bd_frame *f)
+{
+    f->len = (uint32_t)get(i, 4);
+    if (i->bad || f->len > i->len - i->at) {
+        i->bad = 1;
+        f->len = 0;
+        return;
+    }
+    f->text = (const char *)i->p + i->at;
+    i->at += f->len;
+}
+
+static void get_body(struct in *i, struct bd_frame *f)
+{
+    switch (f->type) {
+    case BD_FRAME_STATUS:
+        get_text(i, f->name, sizeof f->name);
+        f->term = get(i, 8);
+        f->flags = (uint8_t)get(i, 1);
+        f->age_ms = (uint32_t)get(i, 4);
+        break;
+    case BD_FRAME_PROGRESS:
+        read_progress(i, f);
+        break;
+    case BD_FRAME_REPORT:
+        f->id = get(i, 8);
+        get_text(i, f->name, sizeof f->name);
+        get_bytes(i, f);
+        break;
+    case BD_FRAME_ANSWER:
+        f->id = get(i, 8);
+        f->status = (uint16_t)get(i, 2);
+        get_bytes(i, f);
+        break;
+    }
+}
+
 long bd_frame_read(const unsigned char *buf, size_t len, struct bd_frame *f)
 {
     struct in head = {buf, len < BD_FRAME_HEAD ? len : BD_FRAME_HEAD, 0, 0};
@@ -111,22 +178,16 @@
     if (len < BD_FRAME_HEAD)
         return 0;
     uint64_t magic = get(&head, 4), version = get(&head, 1), type = get(&head, 1);
-    size_t body = (size_t)get(&head, 2);
-    if (magic != MAGIC || version != VERSION || body + BD_FRAME_HEAD > BD_FRAME_MOST ||
-        (type != BD_FRAME_STATUS && type != BD_FRAME_PROGRESS))
+    uint64_t zero = get(&head, 2);
+    size_t body = (size_t)get(&head, 4);
+    if (magic != MAGIC || version != VERSION || zero || body + BD_FRAME_HEAD > BD_FRAME_MOST ||
+        type < BD_FRAME_STATUS || type > BD_FRAME_ANSWER)
         return -1;
     if (len < BD_FRAME_HEAD + body)
         return 0;
     struct in i = {buf + BD_FRAME_HEAD, body, 0, 0};
     f->type = (enum bd_frame_type)type;
-    if (f->type == BD_FRAME_STATUS) {
-        get_text(&i, f->name, sizeof f->name);
-        f->term = get(&i, 8);
-        f->flags = (uint8_t)get(&i, 1);
-        f->age_ms = (uint32_t)get(&i, 4);
-    } else {
-        read_progress(&i, f);
-    }
+    get_body(&i, f);
     if (i.bad || i.at != body)
         return -1;
     return (long)(BD_FRAME_HEAD + body);
--- a/src/front.c
+++ b/src/front.c
@@ -15,6 +15,7 @@
 #define PENDING_MOST 512 /* requests that wait for the owner */
 
 struct request {
+    bool remote; /* never: see struct bd_remote */
     struct MHD_Connection *conn;
     char *buf;
     size_t len, cap;
--- a/src/mesh.c
+++ b/src/mesh.c
@@ -21,8 +21,9 @@
 struct line { /* one connection that came in */
     int fd;
     size_t len;
+    size_t cap;
     struct timespec heard;
-    unsigned char buf[BD_FRAME_MOST];
+    unsigned char *buf;
 };
 
 struct ear {
@@ -34,7 +35,7 @@
 struct mouth {
     struct bd_node *n;
     int peer, fd;
-    unsigned sent_version;
+    struct timespec next_beat;
 };
 
 static void set_timeouts(int fd, double s)
@@ -49,8 +50,10 @@
 static void hang_up(struct line *l)
 {
     (void)close(l->fd);
+    free(l->buf);
+    l->buf = NULL;
     l->fd = -1;
-    l->len = 0;
+    l->len = l->cap = 0;
 }
 
 static void tell(struct bd_node *n, const struct bd_frame *f)
@@ -60,31 +63,56 @@
     if (!cmd->data)
         abort();
     memcpy(cmd->data, f, sizeof *f);
+    if (f->text) {
+        cmd->text = strndup(f->text, f->len);
+        cmd->len = f->len;
+    }
     if (!bd_queue_put(&n->to_owner, cmd))
         bd_cmd_free(cmd); /* the next beat says it again */
 }
 
+/* Room for one whole frame is the most that a connection can claim. */
+static bool make_room(struct line *l)
+{
+    if (l->len < l->cap)
+        return true;
+    size_t cap = l->cap ? l->cap * 2 : 4096;
+    if (cap > BD_FRAME_MOST)
+        cap = BD_FRAME_MOST;
+    unsigned char *p = cap > l->cap ? realloc(l->buf, cap) : NULL;
+    if (!p)
+        return false;
+    l->buf = p;
+    l->cap = cap;
+    return true;
+}
+
 static void hear(struct ear *e, struct line *l)
 {
-    struct bd_frame f;
-    ssize_t got = recv(l->fd, l->buf + l->len, sizeof l->buf - l->len, MSG_DONTWAIT);
-    if (got <= 0) {
-        if (got == 0 || (errno != EAGAIN && errno != EINTR))
-            hang_up(l);
-        return;
+    struct bd_frame *f = calloc(1, sizeof *f);
+    long used = -1;
+    ssize_t got = -1;
+    if (f && make_room(l)) {
+        got = recv(l->fd, l->buf + l->len, l->cap - l->len, MSG_DONTWAIT);
+        if (got < 0 && (errno == EAGAIN || errno == EINTR)) {
+            free(f);
+            return;
+        }
     }
-    l->len += (size_t)got;
-    l->heard = bd_now();
-    long used;
-    while ((used = bd_frame_read(l->buf, l->len, &f)) > 0) {
-        tell(e->n, &f);
-        l->len -= (size_t)used;
-        memmove(l->buf, l->buf + used, l->len);
+    if (got > 0) {
+        l->len += (size_t)got;
+        l->heard = bd_now();
+        while ((used = bd_frame_read(l->buf, l->len, f)) > 0) {
+            tell(e->n, f);
+            l->len -= (size_t)used;
+            memmove(l->buf, l->buf + used, l->len);
+        }
+        if (used < 0)
+            bd_say(&e->n->log, BD_ERROR, "malformed frame from another controller");
     }
-    if (used < 0 || l->len == sizeof l->buf) {
-        bd_say(&e->n->log, BD_ERROR, "malformed frame from another controller");
+    free(f);
+    if (used < 0)
         hang_up(l);
-    }
 }
 
 static void take_in(struct ear *e)
@@ -146,11 +174,46 @@
     return fd;
 }
 
+static bool send_all(int fd, const unsigned char *buf, size_t len)
+{
+    while (len > 0) {
+        ssize_t n = send(fd, buf, len, MSG_NOSIGNAL);
+        if (n <= 0)
+            return false;
+        buf += n;
+        len -= (size_t)n;
+    }
+    return true;
+}
+
 static bool speak(struct mouth *m, const struct bd_frame *f)
 {
-    unsigned char buf[BD_FRAME_MOST];
+    unsigned char buf[8192]; /* a full progress frame is smaller */
     size_t len = bd_frame_write(f, buf, sizeof buf);
-    return len > 0 && send(m->fd, buf, len, MSG_NOSIGNAL) == (ssize_t)len;
+    return len > 0 && send_all(m->fd, buf, len);
+}
+
+struct note { /* a frame to be sent at once */
+    size_t len;
+    unsigned char bytes[];
+};
+
+bool bd_mesh_send(struct bd_node *n, int peer, const struct bd_frame *f)
+{
+    struct note *k = malloc(sizeof *k + f->len + 256);
+    if (!k)
+        return false;
+    k->len = bd_frame_write(f, k->bytes, f->len + 256);
+    if (k->len > 0 && bd_queue_put(&n->to_peer[peer], k))
+        return true;
+    free(k);
+    return false;
+}
+
+static void hang(struct mouth *m)
+{
+    (void)close(m->fd);
+    m->fd = -1;
 }
 
 static void beat(struct mouth *m, struct bd_frame *f)
@@ -177,10 +240,16 @@
             break;
         ok = speak(m, f);
     }
-    if (!ok) {
-        (void)close(m->fd);
-        m->fd = -1;
-    }
+    if (!ok)
+        hang(m);
+}
+
+/* What cannot be sent is dropped: whoever waits for the answer has a deadline. */
+static void pass_on(struct mouth *m, struct note *k)
+{
+    if (m->fd >= 0 && !send_all(m->fd, k->bytes, k->len))
+        hang(m);
+    free(k);
 }
 
 static void *speak_run(void *arg)
@@ -188,8 +257,13 @@
     struct mouth *m = arg;
     struct bd_frame *f = calloc(1, sizeof *f);
     while (f) {
+        void *k;
+        if (bd_queue_take(&m->n->to_peer[m->peer], &k, 1, m->next_beat) == 1)
+            pass_on(m, k);
+        if (bd_before(bd_now(), m->next_beat))
+            continue;
         beat(m, f);
-        bd_pause(BEAT_S);
+        m->next_beat = bd_add(bd_now(), bd_secs(BEAT_S));
     }
     return NULL;
 }
@@ -227,6 +301,8 @@
         if (!m)
             return -1;
         *m = (struct mouth){.n = n, .peer = i, .fd = -1};
+        if (bd_queue_init(&n->to_peer[i], 256) != 0)
+            return -1;
         rc |= bd_thread(speak_run, m, 131072);
     }
     return rc;
--- a/src/owner.c
+++ b/src/owner.c
@@ -4,6 +4,7 @@
 #include "brambledoor/node.h"
 #include "brambledoor/timeutil.h"
 #include <limits.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -70,7 +71,7 @@
     struct bd_report r;
     json_t *o = json_loadb(cmd->text, cmd->len, 0, NULL);
     if (o && bd_wire_report(o, &r)) {
-        bd_core_checkin(n->core, cmd->request, &r);
+        bd_core_checkin(n->core, cmd->request, &r, cmd->text, cmd->len);
         bd_wire_report_drop(&r);
     } else {
         bd_front_reply(n, cmd->request, 400, strdup("{\"error\":\"malformed report\"}"), 0);
@@ -102,10 +103,25 @@
     bd_core_relisted(n->core, cmd->ring, cmd->sent);
 }
 
-static void peer(struct bd_core *c, const struct bd_frame *f)
+static void forwarded(struct bd_core *c, const struct bd_frame *f, const char *text)
+{
+    struct bd_report r;
+    json_t *o = text ? json_loads(text, 0, NULL) : NULL;
+    if (o && bd_wire_report(o, &r)) {
+        bd_core_forwarded(c, f->name, f->id, &r);
+        bd_wire_report_drop(&r);
+    }
+    json_decref(o);
+}
+
+static void peer(struct bd_core *c, const struct bd_frame *f, const char *text, size_t len)
 {
     if (f->type == BD_FRAME_STATUS)
         bd_core_peer(c, f->name, f->term, f->flags, f->age_ms / 1000.0);
+    if (f->type == BD_FRAME_REPORT)
+        forwarded(c, f, text);
+    if (f->type == BD_FRAME_ANSWER)
+        bd_core_answered(c, f->id, f->status, text, len);
     for (unsigned i = 0; i < f->count; i++)
         bd_core_progress(c, f->jobs[i].id, f->jobs[i].done, f->jobs[i].running);
 }
@@ -130,7 +146,7 @@
         bd_core_rented(c, cmd->name, cmd->status, cmd->data, (int)cmd->n);
         break;
     case BD_C_PEER:
-        peer(c, cmd->data);
+        peer(c, cmd->data, cmd->text, cmd->len);
         break;
     case BD_C_DEPUTIES:
         bd_core_deputies(c, cmd->json, cmd->sent);
@@ -196,6 +212,23 @@
     }
 }
 
+/* Towards another controller: a report to the leader, or the answer to one. */
+static void pass_on(struct bd_node *n, const struct bd_effect *e)
+{
+    struct bd_frame *f = calloc(1, sizeof *f);
+    if (!f)
+        return;
+    f->type = e->kind == BD_E_FORWARD ? BD_FRAME_REPORT : BD_FRAME_ANSWER;
+    snprintf(f->name, sizeof f->name, "%s", n->set.node);
+    f->id = e->seal;
+    f->status = (uint16_t)e->status;
+    f->text = e->body;
+    f->len = e->body ? (uint32_t)strlen(e->body) : 0;
+    if (!bd_mesh_send(n, (int)e->machine, f))
+        bd_say(&n->log, BD_DEBUG, "a frame to another controller was dropped");
+    free(f);
+}
+
 static void perform(struct bd_node *n, struct bd_effect *e)
 {
     switch (e->kind) {
@@ -210,6 +243,10 @@
     case BD_E_LOST:
         atomic_store(&n->step_down, true);
         break;
+    case BD_E_FORWARD:
+    case BD_E_ANSWER:
+        pass_on(n, e);
+        break;
     case BD_E_DEPUTY:
         give(n, &n->to_users, e);
         return;
--- a/src/reports.c
+++ b/src/reports.c
@@ -308,21 +308,20 @@
     bd_reply(c, request, 200, bd_wire_orders(c->term, 0, l->o, l->n), 0);
 }
 
-void bd_core_checkin(struct bd_core *c, void *request, const struct bd_report *r)
+/* As leader, or in its grace. */
+static void lead_checkin(struct bd_core *c, void *request, const struct bd_report *r, bool direct)
 {
-    if (!bd_core_may_answer(c)) {
-        if (c->role == BD_FOLLOWER && bd_deputy_checkin(c, request, r))
-            return;
-        bool other = *c->leader_name && strcmp(c->leader_name, c->set->node) != 0;
-        bd_reply(c, request, 421, bd_wire_steer(other ? c->leader_name : ""), 0);
-        return;
-    }
     struct bd_machine *m = bd_machine_get(c, r->machine);
     /* returned machines are gone; what still comes from one is a late copy */
     if (m->gone || (m->lapsed_session && r->session <= m->lapsed_session)) {
         bd_reply(c, request, 503, bd_wire_steer(""), 0);
         return;
     }
+    int peer = direct ? bd_forward_steer(c, m, r) : -1;
+    if (peer >= 0) {
+        bd_reply(c, request, 421, bd_wire_steer(c->set->peers[peer].name), 0);
+        return;
+    }
     struct orders l = {0};
     (void)take_report(c, m, r, &l);
     if (!bd_core_valid(c))
@@ -332,6 +331,38 @@
     bd_orders_send(c, m);
 }
 
+void bd_core_checkin(struct bd_core *c, void *request, const struct bd_report *r, const char *body,
+                     size_t len)
+{
+    if (bd_core_may_answer(c)) {
+        lead_checkin(c, request, r, true);
+        return;
+    }
+    if (c->role == BD_FOLLOWER &&
+        (bd_forward_checkin(c, request, r, body, len) || bd_deputy_checkin(c, request, r)))
+        return;
+    bool other = *c->leader_name && strcmp(c->leader_name, c->set->node) != 0;
+    bd_reply(c, request, 421, bd_wire_steer(other ? c->leader_name : ""), 0);
+}
+
+void bd_core_forwarded(struct bd_core *c, const char *peer, uint64_t id, const struct bd_report *r)
+{
+    for (int i = 0; i < c->set->npeers; i++) {
+        if (strcmp(c->set->peers[i].name, peer) != 0)
+            continue;
+        struct bd_remote *q = calloc(1, sizeof *q);
+        if (!q)
+            abort();
+        q->remote = true;
+        q->peer = i;
+        q->id = id;
+        if (bd_core_may_answer(c))
+            lead_checkin(c, q, r, false);
+        else
+            bd_reply(c, q, 421, bd_wire_steer(""), 0);
+    }
+}
+
 /* A machine that does not answer directly is left to its reports for a while. */
 static void direct_failed(struct bd_core *c, struct bd_machine *m)
 {
--- a/src/rounds.c
+++ b/src/rounds.c
@@ -608,6 +608,7 @@
         c->barrier_out = true;
         (void)bd_emit(c, BD_E_BARRIER);
     }
+    bd_forward_tick(c);
     if (c->role != BD_LEADER) {
         bd_deputy_tick(c);
         return;
@@ -630,7 +631,7 @@
 
 struct timespec bd_core_next(const struct bd_core *c)
 {
-    double s = 1.0;
+    double s = c->forwards || c->deputy.ncharges ? 0.2 : 1.0;
     if (c->role == BD_LEADER)
         s = c->round_wanted && !c->commit ? ROUND_S : 0.25;
     return bd_add(c->now, bd_secs(s));
--- a/tests/inputs.c
+++ b/tests/inputs.c
@@ -274,7 +274,7 @@
           "a status frame survives");
     for (size_t i = 0; i < n; i++)
         check(bd_frame_read(buf, i, g) == 0, "a frame that is cut off waits for more");
-    check(bd_frame_write(f, buf, 12) == 0, "a frame that does not fit is not written");
+    check(bd_frame_write(f, buf, 16) == 0, "a frame that does not fit is not written");
     f->type = BD_FRAME_PROGRESS;
     f->count = 2;
     snprintf(f->jobs[0].id, BD_ID, "job-1");
@@ -285,6 +285,17 @@
     check(n > 0 && bd_frame_read(buf, n, g) == (long)n && g->count == 2 && g->jobs[0].done == 3 &&
               strcmp(g->jobs[1].id, "job-22") == 0 && g->jobs[1].running == 100000,
           "a progress frame survives");
+    f->type = BD_FRAME_ANSWER;
+    f->id = 77;
+    f->status = 421;
+    f->text = "{\"steward\":\"node-1\"}";
+    f->len = (uint32_t)strlen(f->text);
+    size_t m = bd_frame_write(f, buf + n, sizeof buf - n);
+    check(m > 0 && bd_frame_read(buf + n, m, g) == (long)m && g->id == 77 && g->status == 421 &&
+              g->len == f->len && memcmp(g->text, f->text, f->len) == 0,
+          "an answer frame survives");
+    buf[n + 12 + 8 + 2 + 3]++; /* the text's length goes past the frame */
+    check(bd_frame_read(buf + n, m, g) == -1, "a text longer than its frame is refused");
     int refused = 0;
     for (size_t i = 0; i < n; i++) {
         for (unsigned bit = 0; bit < 8; bit++) {
@@ -297,7 +308,7 @@
         }
     }
     check(refused > 50, "changed frames are refused");
-    buf[6] = 0xff;
+    buf[8] = 0xff;
     check(bd_frame_read(buf, n, g) == -1, "an over-long frame is refused at once");
     free(f);
     free(g);
--- a/tests/scenario.c
+++ b/tests/scenario.c
@@ -6,13 +6,15 @@
  *   job job-1 mark=5 tasks=2 cpus=2 ... [mood=cancelled]   a record change seen by the replica
  *   gain 1 [receipt=job-1/0:03] [intent=job-1:@1.1:vm-1:0,1]
  *   renew | lose | looked [fail] | tick
- *   set peer=node-1; peer node-1 term=0 state=1 age=0      a status frame of another controller
- *   leader node-1 7                                    who holds the lease, by a fresh look
- *   deputies [p/node-1:mark:vm-1,vm-2]                 the leader's look at the deputies' records
- *   watch 28                                           as `at`, with such a look every 2 s
+ *   set zone=a peer=node-1:b; peer node-1 term=0 state=1 age=0      a status frame of another
+ * controller leader node-1 7                                    who holds the lease, by a fresh
+ * look deputies [p/node-1:mark:vm-1,vm-2]                 the leader's look at the deputies'
+ * records watch 28                                           as `at`, with such a look every 2 s
  *   deputycommitted STATUS [unknown]                   the fate of our own deputy's record
  *   listed vm-1:small:a[:running|booting|failed] ...   a list of the cloud
  *   report vm-1 small a session=1 seq=1 seal=1 [notice=5] [job-1/0:@1.1:running ...]
+ *   forwarded node-1 5 vm-1 small a session=1 ...      a report that another controller passes on
+ *   answered 1 200 {text}                              the answer to a report that we passed on
  *   did vm-1 seal=1 status=200 ...                     answer to a direct command, as report
  *   committed ok|lost|failed KEY...
  *   submit {json} | get job-1 | withdraw job-1 | usercommitted STATUS
@@ -119,8 +121,12 @@
     p->set.leader_ttl = bd_secs(num(p, "ttl", bd_to_secs(p->set.leader_ttl)));
     p->set.txn_ops = (size_t)num(p, "ops", (double)p->set.txn_ops);
     const char *t = arg(p, "team"), *peer = arg(p, "peer");
-    if (peer)
-        snprintf(p->set.peers[p->set.npeers++].name, BD_NAME, "%s", peer);
+    if (peer) {
+        struct bd_peer *b = &p->set.peers[p->set.npeers++];
+        (void)sscanf(peer, "%63[^:]:%63s", b->name, b->zone);
+    }
+    if (arg(p, "zone"))
+        snprintf(p->set.zone, sizeof p->set.zone, "%s", arg(p, "zone"));
     if (t) {
         struct bd_team_limits *l = &p->set.teams[p->set.nteams++];
         char name[BD_NAME];
@@ -279,7 +285,29 @@
     fill_report(p, &r, tasks);
     snprintf(r.type, sizeof r.type, "%s", p->w[2]);
     snprintf(r.zone, sizeof r.zone, "%s", p->w[3]);
-    bd_core_checkin(p->c, NULL, &r);
+    bd_core_checkin(p->c, NULL, &r, "{}", 2);
+}
+
+static void cmd_forwarded(struct play *p)
+{
+    struct bd_report r;
+    struct bd_seen_task tasks[WORDS];
+    char *peer = p->w[1];
+    uint64_t id = strtoull(p->w[2], NULL, 10);
+    memset(tasks, 0, sizeof tasks);
+    for (int i = 1; i + 2 < p->n; i++)
+        p->w[i] = p->w[i + 2];
+    p->n -= 2;
+    fill_report(p, &r, tasks);
+    snprintf(r.type, sizeof r.type, "%s", p->w[2]);
+    snprintf(r.zone, sizeof r.zone, "%s", p->w[3]);
+    bd_core_forwarded(p->c, peer, id, &r);
+}
+
+static void cmd_answered(struct play *p)
+{
+    bd_core_answered(p->c, strtoull(p->w[1], NULL, 10), atoi(p->w[2]), p->n > 3 ? p->w[3] : "",
+                     p->n > 3 ? strlen(p->w[3]) : 0);
 }
 
 static void cmd_did(struct play *p)
@@ -411,8 +439,8 @@
     bd_core_rented(p->c, request, refused ? 503 : 200, names, n);
 }
 
-static const char *const kinds[] = {"reply",  "user",    "commit", "do",    "rent",
-                                    "return", "barrier", "lost",   "deputy"};
+static const char *const kinds[] = {"reply",   "user", "commit", "do",      "rent",  "return",
+                                    "barrier", "lost", "deputy", "forward", "answer"};
 
 static bool holds_all(struct play *p, const struct bd_effect *e)
 {
@@ -568,6 +596,8 @@
                  {"job", 2, cmd_job},
                  {"gain", 2, cmd_gain},
                  {"report", 4, cmd_report},
+                 {"forwarded", 6, cmd_forwarded},
+                 {"answered", 3, cmd_answered},
                  {"did", 2, cmd_did},
                  {"listed", 1, cmd_listed},
                  {"committed", 2, cmd_committed},
