--- a/include/brambledoor/core.h
+++ b/include/brambledoor/core.h
@@ -274,6 +274,7 @@
     /* cloud */
     struct bd_rental rentals[64];
     int nrentals;
+    bool gpu_waiting;                           /* some live job's GPU tasks have no place */
     struct bd_spec gpu_wanted[BD_MAX_TYPES][2]; /* by type and spot: a live job's GPU task */
     struct bd_market markets[BD_MAX_TYPES][BD_MAX_ZONES][2];
     int cloud_out;
--- a/src/deputy.c
+++ b/src/deputy.c
@@ -96,13 +96,21 @@
     e->body = bd_txn_end(&t);
 }
 
-static void answer_asking(struct bd_core *c)
+/* Answers who asked; those who came while the record was being written wait for the next one. */
+static void answer_asking(struct bd_core *c, bool all)
 {
     struct bd_wait_checkin *w = c->deputy.asking;
     c->deputy.asking = NULL;
     while (w) {
         struct bd_wait_checkin *next = w->next;
         struct bd_charge *k = charge_of(c, w->machine, false);
+        if (k && !k->sent && !all) {
+            w->next = c->deputy.asking;
+            c->deputy.asking = w;
+            c->deputy.next_beat = c->now;
+            w = next;
+            continue;
+        }
         bool ok = k && k->confirmed && bd_before(c->now, c->deputy.confirmed_until);
         bd_reply(c, w->request, ok ? 200 : 421,
                  ok ? bd_wire_orders(c->deputy.term, 0, NULL, 0) : bd_wire_steer(""), 0);
@@ -128,13 +136,15 @@
         d->next_beat = c->now;
         return;
     }
-    answer_asking(c);
+    if (status != 200)
+        bd_say(c->log, BD_INFO, "the deputy's record was not written: status %ld", status);
+    answer_asking(c, status != 200);
 }
 
 void bd_deputy_end(struct bd_core *c)
 {
     c->deputy.confirmed_until = (struct timespec){0, 0};
-    answer_asking(c);
+    answer_asking(c, true);
     c->deputy.ncharges = 0;
 }
 
@@ -155,7 +165,7 @@
     if (c->leader_term && bd_between(c->leader_seen, c->now) < DEPUTY_FRESH_S)
         write_record(c);
     else if (d->asking)
-        answer_asking(c);
+        answer_asking(c, true);
 }
 
 /* Halts of what users have withdrawn: nobody's leave is needed for these. */
@@ -199,6 +209,9 @@
         abort();
     w->request = request;
     snprintf(w->machine, sizeof w->machine, "%s", r->machine);
+    if (d->ncharges == 1)
+        bd_say(c->log, BD_INFO, "%s is not heard: answers its workers, first %s", c->leader_name,
+               r->machine);
     w->next = d->asking;
     d->asking = w;
     d->next_beat = c->now;
--- a/src/place.c
+++ b/src/place.c
@@ -446,8 +446,10 @@
 static void gpu_demand(struct bd_core *c, struct bd_job **jobs, uint32_t n)
 {
     memset(c->gpu_wanted, 0, sizeof c->gpu_wanted);
+    c->gpu_waiting = false;
     for (uint32_t i = 0; i < n; i++) {
         const struct bd_spec *s = &jobs[i]->spec;
+        c->gpu_waiting |= s->gpus > 0 && jobs[i]->nwait > 0 && quota_left(c, s, 1) > 0;
         for (int t = 0; s->gpus > 0 && t < c->ntypes; t++)
             for (int spot = 0; spot < 2; spot++)
                 if ((s->any_type || (s->types >> t & 1)) && (s->spot || !spot) &&
--- a/src/price.c
+++ b/src/price.c
@@ -3,8 +3,11 @@
 #include <math.h>
 
 /* named defaults */
-#define DEAR 2.5       /* times the cheapest ordinary place for the task */
-#define PATIENCE 1.0   /* of the time that a job can spare */
+#define DEAR 2.5     /* times the cheapest ordinary place for the task */
+#define PATIENCE 1.0 /* of the time that a job can spare */
+#define HOPE_S 20.0  /* with less to spare an aim is not counted on */
+#define YIELD 2.0    /* times as patient while GPU work waits for machines */
+#define YIELD_LEAST_S 15.0
 #define RUN_FACTOR 1.5 /* a job's slowest task against its owner's guess */
 
 int bd_tasks_a_machine(const struct bd_type *t, const struct bd_spec *s)
@@ -61,29 +64,35 @@
 }
 
 /* Seconds from its submission that the job can wait for a cheap place; a class with an aim for its
- * start waits for nothing. */
+ * start waits for nothing. A job that is too long for the tightest aim goes by the next one. */
 static double patience(const struct bd_core *c, const struct bd_spec *s)
 {
-    double least = INFINITY, lead = 0;
+    double tight = INFINITY, loose = 0, lead = 0;
+    bool any = false;
+    for (int t = 0; t < c->ntypes; t++)
+        if (place_price(c, s, t, false) < INFINITY)
+            lead = fmax(lead, c->types[t].boot + s->image_gb / c->types[t].fetch);
     for (int i = 0; i < c->set->naims; i++) {
         const struct bd_aim *a = &c->set->aims[i];
-        double v = bd_slack(c, s->klass, s->estimate, a);
-        if (v < 0)
+        double v = bd_slack(c, s->klass, s->estimate, a) - lead;
+        if (bd_slack(c, s->klass, s->estimate, a) < 0)
             continue;
-        least = fmin(least, a->kind == BD_AIM_WAIT ? 0 : v);
+        if (a->kind == BD_AIM_WAIT)
+            return 0;
+        any = true;
+        loose = fmax(loose, v);
+        if (v >= HOPE_S)
+            tight = fmin(tight, v);
     }
-    if (least == INFINITY)
-        return 0;
-    for (int t = 0; t < c->ntypes; t++)
-        if (place_price(c, s, t, false) < INFINITY)
-            lead = fmax(lead, c->types[t].boot + s->image_gb / c->types[t].fetch);
-    return fmax(0, PATIENCE * (least - lead));
+    return any ? PATIENCE * fmin(tight, loose) : 0;
 }
 
 enum bd_reach bd_reach_of(const struct bd_core *c, const struct bd_job *j)
 {
     double can = patience(c, &j->spec), waited = c->wall - j->at;
-    if (waited >= can)
+    bool yields = c->gpu_waiting && j->spec.gpus <= 0 && j->spec.shape == BD_ARRAY &&
+                  j->spec.rank <= BD_STANDARD;
+    if (waited >= (yields ? YIELD * fmax(can, YIELD_LEAST_S) : can))
         return BD_REACH_ANY;
     return j->spec.spot && waited < can / 2 ? BD_REACH_SPOT : BD_REACH_CHEAP;
 }
