--- a/cli/main.c
+++ b/cli/main.c
@@ -5,6 +5,9 @@
 #include <stdlib.h>
 #include <string.h>
 
+#define TTL_LEAST_S 2.0 /* several slow answers of the state service fit in */
+#define TTL_MOST_S 2.5
+
 const char *argp_program_version = "brambledoor " BD_VERSION;
 
 struct arguments {
@@ -45,8 +48,8 @@
 {
     if (!bd_is_zero(s->leader_ttl))
         return;
-    double ttl = bd_to_secs(s->lease) / 3;
-    s->leader_ttl = bd_secs(ttl < 2.5 ? 2.5 : ttl > 5 ? 5 : ttl);
+    double ttl = bd_to_secs(s->lease) / 5;
+    s->leader_ttl = bd_secs(ttl < TTL_LEAST_S ? TTL_LEAST_S : ttl > TTL_MOST_S ? TTL_MOST_S : ttl);
 }
 
 int main(int argc, char **argv)
--- a/src/place.c
+++ b/src/place.c
@@ -7,6 +7,7 @@
 #define COST_LEFTOVER 5.0    /* the whole machine left free after the placement */
 #define COST_NOT_SPOT 20.0   /* work that may use spot, on an ordinary machine */
 #define COST_STOPPING 10.0   /* the whole room of a task made by stopping others */
+#define WORTH_MOVING_S 12.0  /* a fetch longer than this is worth stopping borrowed work */
 #define PREEMPT_MOST 32u     /* places made for one job in one round */
 #define EPS 1e-6
 
@@ -233,7 +234,8 @@
 static bool may_stop(const struct bd_job *want, const struct bd_job *j, const struct bd_task *t)
 {
     /* a team's guarantee may take what another team runs beyond its own */
-    bool owed = want->in_guarantee && !j->in_guarantee && want->spec.team != j->spec.team;
+    bool owed = want->in_guarantee && !j->in_guarantee && want->spec.team != j->spec.team &&
+                t->state == BD_T_LIVE && t->sub == BD_RUNNING;
     return (j->spec.rank < want->spec.rank || owed) && !(t->flags & BD_F_STOP) &&
            (t->state == BD_T_LIVE || t->state == BD_T_LAUNCH) && j->spec.shape != BD_SERVICE;
 }
@@ -344,6 +346,36 @@
     return made;
 }
 
+/* A job within its guarantee need not wait for a long fetch while its image lies on a machine that
+ * another team uses beyond its own guarantee: true if such a machine is being vacated for it. */
+static bool waits_for_image(struct round *r, struct bd_job *j)
+{
+    struct bd_core *c = r->c;
+    uint32_t zones[BD_MAX_ZONES];
+    struct bd_machine *pick = NULL;
+    double low = INFINITY;
+    zone_counts(c, j, zones);
+    struct bd_machine *now = best(r, j, zones, BD_REACH_ANY, true);
+    if (!j->in_guarantee || j->ntasks != 1 || !now || has_image(now, j->spec.image) ||
+        j->spec.image_gb / c->types[now->type].fetch < WORTH_MOVING_S)
+        return false;
+    for (uint32_t i = 0; i < c->nmachines; i++) {
+        struct bd_machine *m = c->by_index[i];
+        double v = has_image(m, j->spec.image) ? stop_cost(r, j, m, zones, false) : INFINITY;
+        if (v < low) {
+            low = v;
+            pick = m;
+        }
+    }
+    if (!pick)
+        return false;
+    struct room soon, most;
+    later_room(r, j, pick, &soon, &most);
+    stop_for(r, j, pick, soon);
+    add(&r->claimed[pick->index], &j->spec, 1);
+    return true;
+}
+
 static uint32_t place_gang(struct round *r, struct bd_job *j, uint64_t attempt)
 {
     uint32_t from = r->k->nplan;
@@ -364,6 +396,8 @@
     if (r->conds >= r->most_conds || want == 0 || (gang && want < j->ntasks))
         return;
     uint64_t attempt = (r->c->base_term << 20) + r->c->counter + 1;
+    if (gang && waits_for_image(r, j))
+        return;
     if (gang) {
         got = place_gang(r, j, attempt);
         want = j->ntasks == 1 ? want : got; /* only a single task's room is made by force */
