--- a/include/brambledoor/core.h
+++ b/include/brambledoor/core.h
@@ -58,7 +58,7 @@
     uint64_t receipt_chunks; /* bits of chunks committed */
     uint32_t dirty_chunks;
     double at;
-    struct timespec first_seen, hold_until, last_placed, last_begun;
+    struct timespec hold_until, last_placed, last_begun;
     uint32_t restarts; /* tasks that lost a place they had */
     uint32_t errors, error_machines;
     struct bd_spec spec;
--- a/src/core.c
+++ b/src/core.c
@@ -461,7 +461,6 @@
         snprintf(j->id, sizeof j->id, "%s", id);
         j->ntasks = r.tasks;
         j->klass = *r.spec.klass ? bd_intern(&c->classes, r.spec.klass) : -1;
-        j->first_seen = c->now;
         HASH_ADD_STR(c->jobs, id, j);
     }
     j->mark = ch->mark;
--- a/src/rounds.c
+++ b/src/rounds.c
@@ -334,13 +334,14 @@
 
 static void done_kept(struct bd_core *c, struct bd_job *j, uint64_t ring)
 {
+    double age = c->wall - j->at;
     bd_say(
         c->log, BD_INFO,
         "%s is done: %u tasks, rank %d, guess %.0f s; last placed after %.1f s, last begun after "
         "%.1f s, done after %.1f s, %u places lost",
         j->id, j->ntasks, (int)j->spec.rank, j->spec.estimate,
-        bd_between(j->first_seen, j->last_placed), bd_between(j->first_seen, j->last_begun),
-        bd_between(j->first_seen, c->now), j->restarts);
+        age - bd_between(j->last_placed, c->now), age - bd_between(j->last_begun, c->now), age,
+        j->restarts);
     j->mark = ring;
     j->mood = BD_DONE;
     bd_job_unlead(j);
