--- a/src/fleet.c
+++ b/src/fleet.c
@@ -22,7 +22,9 @@
 #define SETTLE_S 4.0
 #define SUMMARY_S 20.0
 #define SETTLED_S 40.0   /* a service younger than this stays where it is */
-#define GATHER_SHARE 0.5 /* of a machine: with more services than this it is left as it is */
+#define GATHER_SHARE 0.6 /* of a machine: with more services than this it is left as it is */
+#define MOVES_A_TICK 2
+#define MOVE_FETCH_S 4.0 /* a longer fetch is not worth a move */
 
 void bd_core_types(struct bd_core *c, const struct bd_type_text *t, int n)
 {
@@ -436,6 +438,118 @@
                 want_job(d, &k[i].spec, spare_slots(d, &k[i], window), BD_REACH_ANY);
 }
 
+/* ---- gathering: services that keep dear machines busy move together ---- */
+
+/* Whether services alone keep a dear machine from GPU work, and how much of it they use. */
+static bool only_services(const struct bd_core *c, const struct bd_machine *m, double *services)
+{
+    *services = 0;
+    if (m->gpus > 0)
+        return false;
+    for (uint32_t k = 0; k < m->nrefs; k++) {
+        const struct bd_job *j = m->refs[k].job;
+        if (j->spec.shape == BD_SERVICE && bd_dear(c, &j->spec, m->type, m->spot))
+            *services += j->spec.cpus;
+    }
+    return *services > 0;
+}
+
+static bool settled(const struct bd_core *c, const struct bd_job *j, const struct bd_task *t)
+{
+    return j->spec.shape == BD_SERVICE && j->nwait == 0 && t->state == BD_T_LIVE &&
+           t->sub == BD_RUNNING && !(t->flags & BD_F_STOP) &&
+           bd_between(j->last_begun, c->now) > SETTLED_S;
+}
+
+/* Whether a move there is short: the image is there, or quickly fetched. */
+static bool quick_start(const struct bd_core *c, const struct bd_machine *m,
+                        const struct bd_spec *s)
+{
+    for (int k = 0; k < m->nimages; k++)
+        if (m->images[k] == s->image)
+            return true;
+    return s->image_gb / c->types[m->type].fetch < MOVE_FETCH_S;
+}
+
+/* Whether a place for the task is free where no GPU work is harmed: on a cheap machine, beside GPU
+ * work, or on a machine that holds more services already. */
+static bool place_elsewhere(struct bd_core *c, const struct bd_job *j,
+                            const struct bd_machine *from, double services)
+{
+    for (uint32_t i = 0; i < c->nmachines; i++) {
+        struct bd_machine *m = c->by_index[i];
+        double held = 0;
+        if (m == from || m->drain || m->zone != from->zone || !bd_machine_usable(c, m) ||
+            !bd_allowed(c, &j->spec, m->type, m->zone, m->spot) || !quick_start(c, m, &j->spec))
+            continue;
+        const struct bd_type *t = &c->types[m->type];
+        if (t->cpus - m->cpus < j->spec.cpus || t->gpus - m->gpus < j->spec.gpus ||
+            t->mem - m->mem < j->spec.mem)
+            continue;
+        if (!bd_dear(c, &j->spec, m->type, m->spot) || m->gpus > 0)
+            return true;
+        if (only_services(c, m, &held) && held > services)
+            return true;
+    }
+    return false;
+}
+
+/* The machine with the least services is emptied first. */
+static struct bd_machine *least_services(struct bd_core *c, double *least)
+{
+    struct bd_machine *pick = NULL;
+    *least = INFINITY;
+    for (uint32_t i = 0; i < c->nmachines; i++) {
+        struct bd_machine *m = c->by_index[i];
+        double held;
+        m->drain = m->drain && m->nrefs > 0 && !m->gone;
+        if (m->gone || !bd_machine_usable(c, m) || !only_services(c, m, &held))
+            continue;
+        if (held < *least) {
+            *least = held;
+            pick = m;
+        }
+    }
+    return pick;
+}
+
+static void gather(struct bd_core *c)
+{
+    double held;
+    struct bd_machine *m = least_services(c, &held);
+    if (!m)
+        return;
+    /* a machine full of services is worth emptying into cheap room only */
+    double than = held > GATHER_SHARE * c->types[m->type].cpus ? INFINITY : held;
+    int moved = 0;
+    for (uint32_t k = m->nrefs; k > 0 && moved < MOVES_A_TICK; k--) {
+        if (k > m->nrefs)
+            continue;
+        struct bd_ref r = m->refs[k - 1];
+        if (!settled(c, r.job, &r.job->tasks[r.task]) || !place_elsewhere(c, r.job, m, than))
+            continue;
+        m->drain = true;
+        bd_say(c->log, BD_INFO, "%s/%u moves off %s", r.job->id, r.task, m->id);
+        bd_task_stop(c, r.job, r.task, false);
+        moved++;
+    }
+}
+
+/* Cheap room for the services on dear machines: nothing waits for it, so that no demand shows. */
+static void want_cheap_room(struct demand *d)
+{
+    struct bd_core *c = d->c;
+    for (uint32_t i = 0; i < c->nmachines; i++) {
+        struct bd_machine *m = c->by_index[i];
+        double held;
+        if (m->gone || !bd_machine_usable(c, m) || !only_services(c, m, &held))
+            continue;
+        for (uint32_t k = 0; k < m->nrefs; k++)
+            if (m->refs[k].job->spec.shape == BD_SERVICE && m->refs[k].job->mood == BD_LIVE)
+                want_job(d, &m->refs[k].job->spec, 1, BD_REACH_CHEAP);
+    }
+}
+
 static void rent_wanted(struct demand *d)
 {
     struct bd_core *c = d->c;
@@ -476,6 +590,7 @@
     for (uint32_t i = 0; i < c->nmachines; i++)
         c->by_index[i]->spare = false;
     want_spares(d);
+    want_cheap_room(d);
     rent_wanted(d);
     free(d);
 }
@@ -548,91 +663,6 @@
     }
 }
 
-/* ---- gathering: services that keep dear machines busy move together ---- */
-
-static bool only_movable(const struct bd_core *c, const struct bd_machine *m, double *services)
-{
-    *services = 0;
-    for (uint32_t k = 0; k < m->nrefs; k++) {
-        const struct bd_job *j = m->refs[k].job;
-        const struct bd_task *t = &j->tasks[m->refs[k].task];
-        if (j->spec.gpus > 0)
-            return false;
-        if (j->spec.shape != BD_SERVICE)
-            continue; /* ends by itself */
-        if (t->state != BD_T_LIVE || t->sub != BD_RUNNING || t->flags & BD_F_STOP ||
-            bd_between(j->last_begun, c->now) < SETTLED_S ||
-            !bd_dear(c, &j->spec, m->type, m->spot))
-            return false;
-        *services += j->spec.cpus;
-    }
-    return *services > 0;
-}
-
-static bool has_image(const struct bd_machine *m, int image)
-{
-    for (int k = 0; k < m->nimages; k++)
-        if (m->images[k] == image)
-            return true;
-    return false;
-}
-
-/* Whether a place for the task is free where its image is and no GPU work is harmed: on a cheap
- * machine, or on one that holds services already and more of them. */
-static bool place_elsewhere(struct bd_core *c, const struct bd_job *j,
-                            const struct bd_machine *from, double services)
-{
-    for (uint32_t i = 0; i < c->nmachines; i++) {
-        struct bd_machine *m = c->by_index[i];
-        double held = 0;
-        if (m == from || m->drain || m->zone != from->zone || !bd_machine_usable(c, m) ||
-            !bd_allowed(c, &j->spec, m->type, m->zone, m->spot) || !has_image(m, j->spec.image))
-            continue;
-        const struct bd_type *t = &c->types[m->type];
-        if (t->cpus - m->cpus < j->spec.cpus || t->gpus - m->gpus < j->spec.gpus ||
-            t->mem - m->mem < j->spec.mem)
-            continue;
-        if (!bd_dear(c, &j->spec, m->type, m->spot) || m->gpus > 0)
-            return true;
-        if (only_movable(c, m, &held) && held > services)
-            return true;
-    }
-    return false;
-}
-
-/* The machine with the least services is emptied first, one service at a time. */
-static void gather(struct bd_core *c)
-{
-    struct bd_machine *pick = NULL;
-    double least = INFINITY, held;
-    for (uint32_t i = 0; i < c->nmachines; i++) {
-        struct bd_machine *m = c->by_index[i];
-        m->drain = m->drain && m->nrefs > 0 && !m->gone;
-        if (m->gone || !bd_machine_usable(c, m) || m->nrefs == 0 || !only_movable(c, m, &held))
-            continue;
-        if (m->drain)
-            held = 0; /* go on with what was begun */
-        if (held < least) {
-            least = held;
-            pick = m;
-        }
-    }
-    if (!pick || (!pick->drain && least > GATHER_SHARE * c->types[pick->type].cpus))
-        return;
-    (void)only_movable(c, pick, &held);
-    for (uint32_t k = 0; k < pick->nrefs; k++) {
-        struct bd_ref r = pick->refs[k];
-        if (r.job->spec.shape != BD_SERVICE || r.job->nwait > 0 ||
-            !place_elsewhere(c, r.job, pick, held))
-            continue;
-        pick->drain = true;
-        bd_say(c->log, BD_INFO, "%s/%u moves off %s", r.job->id, r.task, pick->id);
-        bd_task_stop(c, r.job, r.task, false);
-        return;
-    }
-    pick->drain = false;
-}
-
 /* One line a type, for whoever asks what the money is spent on. */
 static void say_fleet(struct bd_core *c)
 {
