--- a/src/core.c
+++ b/src/core.c
@@ -297,6 +297,8 @@
     e->body = bd_txn_end(&t);
 }
 
+#define HEARD_S 2.0 /* another controller's word counts so long */
+
 static const int outage_retry_s = 2;
 
 static void wait_barrier(struct bd_core *c, void *request, const char *id, enum bd_wait_how how)
@@ -526,7 +528,7 @@
 
 /* ---- leadership ---- */
 
-static bool newer_term(const struct bd_core *c);
+static int newer_leader(const struct bd_core *c);
 static bool cut_alone(const struct bd_core *c);
 
 bool bd_core_valid(const struct bd_core *c)
@@ -550,7 +552,7 @@
         return false;
     if (bd_core_valid(c))
         return true;
-    if (newer_term(c) || cut_alone(c))
+    if (newer_leader(c) >= 0 || cut_alone(c))
         return false;
     struct timespec seen = bd_min(c->renewed, c->fresh);
     double grace = bd_grace_s(c->set) * (1 - DRIFT) - 0.1;
@@ -591,20 +593,31 @@
 /* Whether another controller is served by the state service while we are not. */
 static bool cut_alone(const struct bd_core *c)
 {
-    const double behind = 1.5, recent = 2.0;
+    const double behind = 1.5;
     for (int i = 0; i < c->set->npeers; i++)
-        if (bd_between(c->peers[i].heard, c->now) < recent && c->peers[i].flags & BD_PEER_STATE &&
+        if (bd_between(c->peers[i].heard, c->now) < HEARD_S && c->peers[i].flags & BD_PEER_STATE &&
             bd_between(c->fresh, c->peers[i].state_seen) > behind)
             return true;
     return false;
 }
 
-static bool newer_term(const struct bd_core *c)
+/* The controller that says it holds a newer term than ours, or -1. */
+static int newer_leader(const struct bd_core *c)
 {
     for (int i = 0; i < c->set->npeers; i++)
-        if (c->peers[i].term > c->term)
-            return true;
-    return false;
+        if (c->peers[i].term > c->term && bd_between(c->peers[i].heard, c->now) < HEARD_S)
+            return i;
+    return -1;
+}
+
+/* Without the state service we are told here, not there, that somebody else leads. */
+void bd_core_step_aside(struct bd_core *c)
+{
+    int i = c->role == BD_LEADER && !bd_core_valid(c) ? newer_leader(c) : -1;
+    if (i < 0)
+        return;
+    bd_core_lost(c);
+    snprintf(c->leader_name, sizeof c->leader_name, "%s", c->set->peers[i].name);
 }
 
 bool bd_core_up(const struct bd_core *c)
--- a/src/core_in.h
+++ b/src/core_in.h
@@ -63,6 +63,7 @@
 struct timespec bd_lease_end(const struct bd_core *c, struct timespec answered);
 void bd_orders_send(struct bd_core *c, struct bd_machine *m);
 
+void bd_core_step_aside(struct bd_core *c);
 double bd_grace_s(const struct bd_settings *s);
 
 /* prices: which machines a job may take, by how long it has waited */
--- a/src/rounds.c
+++ b/src/rounds.c
@@ -609,6 +609,7 @@
         c->barrier_out = true;
         (void)bd_emit(c, BD_E_BARRIER);
     }
+    bd_core_step_aside(c);
     bd_forward_tick(c);
     if (c->role != BD_LEADER) {
         bd_deputy_tick(c);
