--- a/include/brambledoor/core.h
+++ b/include/brambledoor/core.h
@@ -107,6 +107,7 @@
     struct bd_job *error_job;
     bool deputised;          /* in a deputy's record at the last look */
     struct timespec steered; /* when it was last sent to its own zone's controller */
+    bool direct;             /* its last report came from itself, not by another controller */
     bool drain;              /* being emptied, so that a dear machine is free again */
     bool bad, spare;         /* spare: kept for work that is expected */
     struct timespec bad_until;
@@ -228,6 +229,8 @@
         } * charges;
         uint32_t ncharges, cap_charges;
         struct bd_wait_checkin *asking;
+        char canary[BD_LABEL]; /* sent to the leader, to see whether he can be reached */
+        struct timespec canary_at, release_until;
     } deputy;
     uint64_t leader_term;
     struct timespec leader_seen;
@@ -240,6 +243,8 @@
         struct bd_forward *next;
     } * forwards;
     uint64_t forward_n;
+    struct timespec deaf_until; /* the leader's workers are better passed on than sent to him */
+    bool deaf;                  /* as leader: most workers are silent */
     /* as leader: deputies' records as last looked at */
     struct timespec deputies_looked;
     char stale_deputy[BD_LABEL];
@@ -324,6 +329,7 @@
 void bd_core_deputy_committed(struct bd_core *c, long status, uint64_t ring, struct timespec sent,
                               bool mark_known);
 bool bd_core_up(const struct bd_core *c);
+bool bd_core_hears_leader(const struct bd_core *c);
 /* workers */
 /* body: the report as it came, passed on if the leader is elsewhere */
 void bd_core_checkin(struct bd_core *c, void *request, const struct bd_report *r, const char *body,
--- a/include/brambledoor/frame.h
+++ b/include/brambledoor/frame.h
@@ -22,7 +22,12 @@
     BD_FRAME_REPORT = 3,
     BD_FRAME_ANSWER = 4
 };
-enum { BD_PEER_LEADS = 1, BD_PEER_STATE = 2 };
+enum {
+    BD_PEER_LEADS = 1,
+    BD_PEER_STATE = 2, /* the state service answers it */
+    BD_PEER_DEAF = 4,  /* as leader: most workers are silent to it */
+    BD_PEER_HEARS = 8  /* it hears the leader */
+};
 
 struct bd_progress {
     char id[BD_ID];
--- a/src/deputy.c
+++ b/src/deputy.c
@@ -18,6 +18,9 @@
 #define STALE_S 5.0
 #define GAP_S 2.5 /* between looks: shorter than KEEP_S, so that none can slip through */
 #define CHARGES 512
+#define CANARY_S 6.0      /* twice as long for a worker that has tasks */
+#define CANARY_BACK_S 8.0 /* two nodes that cannot be reached, and the way back */
+#define RELEASE_S 60.0
 
 struct bd_wait_checkin {
     void *request;
@@ -190,12 +193,41 @@
     return text;
 }
 
+/* We may be the one who is cut off from the leader, and the workers not: then they would be kept
+ * from him for nothing. Now and then one with little to lose is sent to him. If it does not come
+ * back, he can be reached, and all are sent. */
+static bool try_leader(struct bd_core *c, const struct bd_report *r)
+{
+    struct bd_deputy *d = &c->deputy;
+    double ago = bd_between(d->canary_at, c->now);
+    if (d->ncharges == 0) {
+        d->canary_at = c->now;
+        d->canary[0] = '\0';
+        return false;
+    }
+    if (*d->canary && strcmp(d->canary, r->machine) == 0)
+        d->canary[0] = '\0'; /* back: it could not reach him */
+    if (*d->canary && ago > CANARY_BACK_S) {
+        bd_say(c->log, BD_INFO, "%s can be reached by workers, though not by us", c->leader_name);
+        d->release_until = bd_add(c->now, bd_secs(RELEASE_S));
+        d->canary[0] = '\0';
+        return true;
+    }
+    if (*d->canary || ago < CANARY_S || (r->n > 0 && ago < 2 * CANARY_S))
+        return false;
+    snprintf(d->canary, sizeof d->canary, "%s", r->machine);
+    d->canary_at = c->now;
+    return true;
+}
+
 /* True if the report was answered, or will be once the record is confirmed. */
 bool bd_deputy_checkin(struct bd_core *c, void *request, const struct bd_report *r)
 {
     struct bd_deputy *d = &c->deputy;
     if (!called_for(c))
         return false;
+    if (bd_before(c->now, d->release_until) || try_leader(c, r))
+        return false;
     struct bd_charge *k = charge_of(c, r->machine, true);
     if (!k)
         return false;
--- a/src/forward.c
+++ b/src/forward.c
@@ -10,6 +10,9 @@
 #define HEARD_S 1.3  /* a controller that was heard no longer ago can be passed to */
 #define STEER_S 8.0  /* a worker is not sent to its zone's controller more often */
 #define FORWARDS_MOST 256
+#define DEAF_S 60.0
+#define DEAF_SHARE 0.6 /* of the machines heard before */
+#define DEAF_LEAST 3u
 
 static int leader_peer(const struct bd_core *c)
 {
@@ -19,6 +22,24 @@
     return -1;
 }
 
+/* Whether the worker's report is better passed on than the worker sent to the leader: it is of our
+ * zone, or the leader says that he does not hear his workers (cut off from them, but not from us).
+ */
+static bool passed_on(struct bd_core *c, const struct bd_report *r, int peer)
+{
+    if (c->peers[peer].flags & BD_PEER_DEAF)
+        c->deaf_until = bd_add(c->now, bd_secs(DEAF_S));
+    if (bd_before(c->now, c->deaf_until))
+        return true;
+    return strcmp(r->zone, c->set->zone) == 0 &&
+           strcmp(c->set->peers[peer].zone, c->set->zone) != 0;
+}
+
+bool bd_core_hears_leader(const struct bd_core *c)
+{
+    return leader_peer(c) >= 0;
+}
+
 static struct bd_report *copy_report(const struct bd_report *r)
 {
     struct bd_report *k = malloc(sizeof *k);
@@ -47,8 +68,7 @@
                         const char *body, size_t len)
 {
     int peer = leader_peer(c);
-    if (peer < 0 || strcmp(r->zone, c->set->zone) != 0 ||
-        strcmp(c->set->peers[peer].zone, c->set->zone) == 0 || waiting(c) >= FORWARDS_MOST)
+    if (peer < 0 || !passed_on(c, r, peer) || waiting(c) >= FORWARDS_MOST)
         return false;
     struct bd_forward *f = calloc(1, sizeof *f);
     struct bd_report *k = f ? copy_report(r) : NULL;
@@ -134,3 +154,20 @@
         m->steered = c->now;
     return found;
 }
+
+/* As leader: whether most of the machines that reported to us directly are silent at once. Machines
+ * do not fail together like that; more likely it is we who are cut off from them. */
+void bd_forward_listen(struct bd_core *c)
+{
+    uint32_t known = 0, silent = 0;
+    double late = 1.5 * bd_to_secs(c->set->report) + 0.5;
+    for (uint32_t i = 0; i < c->nmachines; i++) {
+        const struct bd_machine *m = c->by_index[i];
+        double ago = bd_between(m->heard, c->now);
+        if (m->gone || !m->direct || ago > late + bd_to_secs(c->set->lease))
+            continue;
+        known++;
+        silent += ago > late;
+    }
+    c->deaf = known >= DEAF_LEAST && silent >= DEAF_SHARE * known;
+}
--- a/src/mesh.c
+++ b/src/mesh.c
@@ -15,6 +15,7 @@
 /* named defaults */
 #define BEAT_S 0.4
 #define SEND_S 0.5
+#define LIFE_S 4.0
 #define SILENT_S 20.0 /* an incoming connection that says nothing is closed */
 #define INCOMING 24
 
@@ -35,7 +36,7 @@
 struct mouth {
     struct bd_node *n;
     int peer, fd;
-    struct timespec next_beat;
+    struct timespec next_beat, dialled;
 };
 
 static void set_timeouts(int fd, double s)
@@ -216,10 +217,23 @@
     m->fd = -1;
 }
 
+/* A connection can be dead without an error, for minutes: what is sent goes nowhere and the peer
+ * hears nothing. So each is replaced after a while, the new one being opened first. */
+static void redial(struct mouth *m)
+{
+    struct timespec now = bd_now();
+    if (m->fd >= 0 && bd_between(m->dialled, now) < LIFE_S)
+        return;
+    int fd = dial(m->n->set.peers[m->peer].addr);
+    if (m->fd >= 0)
+        (void)close(m->fd);
+    m->fd = fd;
+    m->dialled = now;
+}
+
 static void beat(struct mouth *m, struct bd_frame *f)
 {
-    if (m->fd < 0)
-        m->fd = dial(m->n->set.peers[m->peer].addr);
+    redial(m);
     if (m->fd < 0)
         return;
     bool ok = true;
--- a/src/owner.c
+++ b/src/owner.c
@@ -311,6 +311,10 @@
     (void)pthread_mutex_lock(&n->said_lock);
     n->status.term = c->role == BD_LEADER ? c->term : 0;
     n->status.flags = c->role == BD_LEADER ? BD_PEER_LEADS : 0;
+    if (bd_core_hears_leader(c))
+        n->status.flags |= BD_PEER_HEARS;
+    if (c->role == BD_LEADER && c->deaf)
+        n->status.flags |= BD_PEER_DEAF;
     if (age < 1.0 && c->replica_ready)
         n->status.flags |= BD_PEER_STATE;
     n->status.age_ms = age > 1e6 ? 1000000000u : (uint32_t)(age * 1000);
--- a/src/reports.c
+++ b/src/reports.c
@@ -323,7 +323,8 @@
         return;
     }
     struct orders l = {0};
-    (void)take_report(c, m, r, &l);
+    if (take_report(c, m, r, &l))
+        m->direct = direct;
     if (!bd_core_valid(c))
         l.n = 0;
     answer_checkin(c, request, m, &l);
--- a/src/rounds.c
+++ b/src/rounds.c
@@ -617,6 +617,7 @@
     }
     if (bd_before(c->next_tick, c->now)) {
         c->next_tick = bd_add(c->now, bd_secs(0.25));
+        bd_forward_listen(c);
         lapses(c);
         late_launches(c);
     }
--- a/tests/scenario.c
+++ b/tests/scenario.c
@@ -6,11 +6,11 @@
  *   job job-1 mark=5 tasks=2 cpus=2 ... [mood=cancelled]   a record change seen by the replica
  *   gain 1 [receipt=job-1/0:03] [intent=job-1:@1.1:vm-1:0,1]
  *   renew | lose | looked [fail] | tick
- *   set zone=a peer=node-1:b; peer node-1 term=0 state=1 age=0      a status frame of another
- * controller leader node-1 7                                    who holds the lease, by a fresh
- * look deputies [p/node-1:mark:vm-1,vm-2]                 the leader's look at the deputies'
- * records watch 28                                           as `at`, with such a look every 2 s
- *   deputycommitted STATUS [unknown]                   the fate of our own deputy's record
+ *   set zone=a peer=node-1:b; peer node-1 term=0 state=1 deaf=0 hears=1 age=0      a status frame
+ * of another controller leader node-1 7                                    who holds the lease, by
+ * a fresh look deputies [p/node-1:mark:vm-1,vm-2]                 the leader's look at the
+ * deputies' records watch 28                                           as `at`, with such a look
+ * every 2 s deputycommitted STATUS [unknown]                   the fate of our own deputy's record
  *   listed vm-1:small:a[:running|booting|failed] ...   a list of the cloud
  *   report vm-1 small a session=1 seq=1 seal=1 [notice=5] [job-1/0:@1.1:running ...]
  *   forwarded node-1 5 vm-1 small a session=1 ...      a report that another controller passes on
@@ -347,6 +347,8 @@
 static void cmd_peer(struct play *p)
 {
     uint8_t flags = num(p, "state", 1) != 0 ? BD_PEER_STATE : 0;
+    flags |= num(p, "hears", 1) != 0 ? BD_PEER_HEARS : 0;
+    flags |= num(p, "deaf", 0) != 0 ? BD_PEER_DEAF : 0;
     bd_core_peer(p->c, p->w[1], (uint64_t)num(p, "term", 0), flags, num(p, "age", 0));
 }
 
