--- a/src/reports.c
+++ b/src/reports.c
@@ -98,7 +98,10 @@
 
 static void machine_failed_task(struct bd_core *c, struct bd_machine *m, struct bd_job *j)
 {
-    if (m->error_job != j || j->ndone > 0)
+    bool proven = j->ndone > 0 || j->nrun > 0; /* its tasks do run on other machines */
+    if (proven)
+        m->errors += 2;
+    else if (m->error_job != j)
         m->errors++;
     m->error_job = j;
     if (m->errors >= SICK_ERRORS && !m->bad) {
