--- a/include/brambledoor/core.h
+++ b/include/brambledoor/core.h
@@ -10,6 +10,7 @@
 
 #define BD_NO_MACHINE UINT32_MAX
 #define BD_IMAGES 24
+#define BD_CANARIES 64
 
 enum bd_task_state {
     BD_T_WAIT,    /* on no machine; may be placed */
@@ -229,8 +230,10 @@
         } * charges;
         uint32_t ncharges, cap_charges;
         struct bd_wait_checkin *asking;
-        char canary[BD_LABEL]; /* sent to the leader, to see whether he can be reached */
-        struct timespec canary_at, release_until;
+        /* workers sent to the leader, to see whether he can be reached */
+        char canaries[BD_CANARIES][BD_LABEL];
+        uint32_t ncanaries, batch;
+        struct timespec canaries_at, since;
     } deputy;
     uint64_t leader_term;
     struct timespec leader_seen;
--- a/src/deputy.c
+++ b/src/deputy.c
@@ -18,9 +18,11 @@
 #define STALE_S 5.0
 #define GAP_S 2.5 /* between looks: shorter than KEEP_S, so that none can slip through */
 #define CHARGES 512
-#define CANARY_S 6.0      /* twice as long for a worker that has tasks */
-#define CANARY_BACK_S 8.0 /* two nodes that cannot be reached, and the way back */
-#define RELEASE_S 60.0
+#define CANARY_S 6.0       /* before a canary is sent, and after one came back */
+#define GATHER_S 2.5       /* in which the workers of one batch are sent */
+#define PATIENT_S 40.0     /* then one with tasks may be sent too */
+#define WORKER_WAITS_S 4.0 /* the platform's: a worker waits so long for an answer, */
+#define WORKER_PAUSE_S 1.0 /* and goes to the next node after this */
 
 struct bd_wait_checkin {
     void *request;
@@ -193,30 +195,69 @@
     return text;
 }
 
+/* The longest way round for a worker: every other node hangs, and a pause after each. */
+static double way_back_s(const struct bd_core *c)
+{
+    return c->set->npeers * (WORKER_WAITS_S + WORKER_PAUSE_S) + 2.0;
+}
+
+static bool may_go(const struct bd_core *c, const struct bd_report *r)
+{
+    const struct bd_deputy *d = &c->deputy;
+    return r->n == 0 || bd_to_secs(c->set->lease) > way_back_s(c) || d->batch > 1 ||
+           bd_between(d->since, c->now) > PATIENT_S;
+}
+
+static bool send_canary(struct bd_core *c, const struct bd_report *r)
+{
+    struct bd_deputy *d = &c->deputy;
+    if (!may_go(c, r) || d->ncanaries == BD_CANARIES)
+        return false;
+    snprintf(d->canaries[d->ncanaries++], BD_LABEL, "%s", r->machine);
+    return true;
+}
+
+static bool came_back(const struct bd_deputy *d, const struct bd_report *r)
+{
+    for (uint32_t i = 0; i < d->ncanaries; i++)
+        if (strcmp(d->canaries[i], r->machine) == 0)
+            return true;
+    return false;
+}
+
 /* We may be the one who is cut off from the leader, and the workers not: then they would be kept
- * from him for nothing. Now and then one with little to lose is sent to him. If it does not come
- * back, he can be reached, and all are sent. */
+ * from him for nothing. So one with nothing to lose is sent to him; if it does not come back, two
+ * more, and so on. A worker may stay away for another reason (its machine went back), which is why
+ * not all are sent at once. True: this one goes. */
 static bool try_leader(struct bd_core *c, const struct bd_report *r)
 {
     struct bd_deputy *d = &c->deputy;
-    double ago = bd_between(d->canary_at, c->now);
+    double ago = bd_between(d->canaries_at, c->now);
     if (d->ncharges == 0) {
-        d->canary_at = c->now;
-        d->canary[0] = '\0';
+        d->ncanaries = 0;
+        d->batch = 1;
+        d->canaries_at = d->since = c->now;
         return false;
     }
-    if (*d->canary && strcmp(d->canary, r->machine) == 0)
-        d->canary[0] = '\0'; /* back: it could not reach him */
-    if (*d->canary && ago > CANARY_BACK_S) {
-        bd_say(c->log, BD_INFO, "%s can be reached by workers, though not by us", c->leader_name);
-        d->release_until = bd_add(c->now, bd_secs(RELEASE_S));
-        d->canary[0] = '\0';
-        return true;
+    if (came_back(d, r)) {
+        d->ncanaries = 0;
+        d->batch = 1;
+        d->canaries_at = c->now;
+        return false;
+    }
+    if (d->ncanaries > 0 && ago <= way_back_s(c))
+        return d->ncanaries < d->batch && ago < GATHER_S && send_canary(c, r);
+    if (d->ncanaries > 0) {
+        bd_say(c->log, BD_INFO, "%u workers did reach %s, whom we do not hear", d->ncanaries,
+               c->leader_name);
+        d->batch = d->batch * 2 < BD_CANARIES ? d->batch * 2 : BD_CANARIES;
+        d->ncanaries = 0;
+    } else if (ago < CANARY_S) {
+        return false;
     }
-    if (*d->canary || ago < CANARY_S || (r->n > 0 && ago < 2 * CANARY_S))
+    if (!send_canary(c, r))
         return false;
-    snprintf(d->canary, sizeof d->canary, "%s", r->machine);
-    d->canary_at = c->now;
+    d->canaries_at = c->now;
     return true;
 }
 
@@ -226,7 +267,7 @@
     struct bd_deputy *d = &c->deputy;
     if (!called_for(c))
         return false;
-    if (bd_before(c->now, d->release_until) || try_leader(c, r))
+    if (try_leader(c, r))
         return false;
     struct bd_charge *k = charge_of(c, r->machine, true);
     if (!k)
--- a/src/reports.c
+++ b/src/reports.c
@@ -3,7 +3,7 @@
 #include <stdio.h>
 
 /* named defaults */
-#define SICK_ERRORS 3u      /* failures in a row, of at least two jobs or on a proven job */
+#define SICK_ERRORS 3u      /* failures in a row; those of a job that runs elsewhere count twice */
 #define REFUSED_PAUSE_S 3.0 /* a machine that said no_room is left alone */
 #define RETRY_FIRST_S 1.0   /* pause of a job whose tasks fail, doubled each time */
 #define RETRY_MOST_S 30.0
