--- a/include/brambledoor/core.h
+++ b/include/brambledoor/core.h
@@ -35,6 +35,7 @@
     uint64_t attempt;
     uint32_t machine;
     uint8_t state, sub, flags, fails;
+    uint32_t begun; /* tenths of a second of the steady clock; 0: not seen to begin */
 };
 
 struct bd_spec {
@@ -62,6 +63,7 @@
     struct timespec hold_until, last_placed, last_begun;
     uint32_t restarts; /* tasks that lost a place they had */
     uint32_t errors, error_machines;
+    uint32_t runs, longest_run; /* finished tasks seen from begin to end, and tenths of a second */
     struct bd_spec spec;
     bool has_spec, in_guarantee;
     int klass;             /* -1: not known */
@@ -111,7 +113,6 @@
     bool direct;             /* its last report came from itself, not by another controller */
     bool drain;              /* being emptied, so that a dear machine is free again */
     bool bad, spare;         /* spare: kept for work that is expected */
-    struct timespec bad_until;
 };
 
 struct bd_intent {
--- a/src/core_in.h
+++ b/src/core_in.h
@@ -61,6 +61,8 @@
 void bd_machine_gone(struct bd_core *c, struct bd_machine *m);
 bool bd_machine_usable(const struct bd_core *c, const struct bd_machine *m);
 struct timespec bd_lease_end(const struct bd_core *c, struct timespec answered);
+uint32_t bd_tenths(struct timespec t);
+void bd_find_slow(struct bd_core *c, struct bd_machine *m);
 void bd_orders_send(struct bd_core *c, struct bd_machine *m);
 
 void bd_core_step_aside(struct bd_core *c);
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -649,6 +649,7 @@
 {
     for (uint32_t i = 0; i < c->nmachines; i++) {
         struct bd_machine *m = c->by_index[i];
+        bd_find_slow(c, m);
         if (m->gone || (m->notice_left < 0 && !m->bad))
             continue;
         for (uint32_t k = m->nrefs; k > 0; k--) {
--- a/src/reports.c
+++ b/src/reports.c
@@ -7,7 +7,10 @@
 #define REFUSED_PAUSE_S 3.0 /* a machine that said no_room is left alone */
 #define RETRY_FIRST_S 1.0   /* pause of a job whose tasks fail, doubled each time */
 #define RETRY_MOST_S 30.0
-#define SICK_PAUSE_S 300.0
+#define SLOW_TASKS 2u   /* of a machine, */
+#define SLOW_FACTOR 1.6 /* this many times as long as the longest run */
+#define SLOW_EXTRA_TENTHS 50u
+#define SLOW_RUNS 4u        /* of at least so many */
 #define DIRECT_DOUBLINGS 4u /* longest pause: 16 report intervals */
 
 struct orders {
@@ -106,7 +109,6 @@
     m->error_job = j;
     if (m->errors >= SICK_ERRORS && !m->bad) {
         m->bad = true;
-        m->bad_until = bd_add(c->now, bd_secs(SICK_PAUSE_S));
         bd_say(c->log, BD_INFO, "%s fails its tasks and is taken out of use", m->id);
     }
 }
@@ -125,6 +127,28 @@
     j->hold_until = bd_add(c->now, bd_secs(pause < RETRY_MOST_S ? pause : RETRY_MOST_S));
 }
 
+/* A machine is slow if several of its tasks run far longer than any of their jobs' finished ones.
+ */
+void bd_find_slow(struct bd_core *c, struct bd_machine *m)
+{
+    uint32_t late = 0;
+    if (m->gone || m->bad || !m->fenced)
+        return;
+    for (uint32_t k = 0; k < m->nrefs; k++) {
+        const struct bd_job *j = m->refs[k].job;
+        const struct bd_task *t = &j->tasks[m->refs[k].task];
+        if (t->state != BD_T_LIVE || t->sub != BD_RUNNING || !t->begun ||
+            j->spec.shape != BD_ARRAY || j->runs < SLOW_RUNS)
+            continue;
+        uint32_t run = bd_tenths(c->now) - t->begun;
+        late += run > SLOW_FACTOR * j->longest_run + SLOW_EXTRA_TENTHS;
+    }
+    if (late < SLOW_TASKS)
+        return;
+    m->bad = true;
+    bd_say(c->log, BD_INFO, "%s runs %u tasks far too slowly and is taken out of use", m->id, late);
+}
+
 static bool is_current(const struct bd_machine *m, const struct bd_task *t, uint64_t attempt)
 {
     return t->machine == m->index && t->attempt == attempt && t->state != BD_T_PLAN &&
@@ -158,6 +182,11 @@
             t->flags |= BD_F_EXITED;
             return;
         }
+        if (current && t->begun) {
+            uint32_t run = bd_tenths(c->now) - t->begun;
+            j->longest_run = run > j->longest_run ? run : j->longest_run;
+            j->runs++;
+        }
         bd_task_done(c, j, s->task);
         if (t->flags & BD_F_RECEIPT)
             order(l, BD_FORGET, s->job, s->task, s->attempt, 0);
@@ -187,8 +216,11 @@
             t->flags |= BD_F_STOP | BD_F_FORCE;
     }
     uint8_t flags = t->flags;
-    if (s->sub == BD_RUNNING && t->sub != BD_RUNNING)
+    if (s->sub == BD_RUNNING && (t->sub != BD_RUNNING || t->state != BD_T_LIVE)) {
         j->last_begun = c->now;
+        /* one that was taken over running began before: how long ago is not known */
+        t->begun = t->state == BD_T_LAUNCH || t->state == BD_T_LIVE ? bd_tenths(c->now) : 0;
+    }
     bd_task_set(c, j, s->task, BD_T_WAIT); /* so that the sums see the new sub-state */
     t->sub = (uint8_t)s->sub;
     bd_task_set(c, j, s->task, BD_T_LIVE);
--- a/src/tasks.c
+++ b/src/tasks.c
@@ -2,6 +2,11 @@
 #include "core_in.h"
 #include <stdio.h>
 
+uint32_t bd_tenths(struct timespec t)
+{
+    return (uint32_t)((uint64_t)t.tv_sec * 10 + (uint64_t)t.tv_nsec / 100000000u) | 1u;
+}
+
 static bool holds(const struct bd_task *t)
 {
     return t->machine != BD_NO_MACHINE;
@@ -126,6 +131,7 @@
     t->machine = m->index;
     t->attempt = attempt;
     t->flags = 0;
+    t->begun = 0;
     t->sub = BD_FETCHING;
     bd_task_set(c, j, i, st);
     j->last_placed = c->now;
