--- a/include/brambledoor/core.h
+++ b/include/brambledoor/core.h
@@ -11,6 +11,7 @@
 #define BD_NO_MACHINE UINT32_MAX
 #define BD_IMAGES 24
 #define BD_CANARIES 64
+#define BD_SENT_AWAY 128
 
 enum bd_task_state {
     BD_T_WAIT,    /* on no machine; may be placed */
@@ -247,6 +248,12 @@
         struct bd_forward *next;
     } * forwards;
     uint64_t forward_n;
+    struct { /* workers that we sent to the leader, the oldest overwritten */
+        char id[BD_LABEL];
+        struct timespec at;
+        bool back; /* it came back: its reports are passed on */
+    } sent_away[BD_SENT_AWAY];
+    uint32_t nsent_away;
     struct timespec deaf_until; /* the leader's workers are better passed on than sent to him */
     bool deaf;                  /* as leader: most workers are silent */
     /* as leader: deputies' records as last looked at */
--- a/src/core_in.h
+++ b/src/core_in.h
@@ -82,6 +82,7 @@
 #define DEPUTY_FRESH_S 1.5 /* a deputy answers so long after its record was last confirmed */
 bool bd_forward_checkin(struct bd_core *c, void *request, const struct bd_report *r,
                         const char *body, size_t len);
+void bd_forward_away(struct bd_core *c, void *request, const struct bd_report *r);
 int bd_forward_steer(struct bd_core *c, struct bd_machine *m, const struct bd_report *r);
 void bd_forward_listen(struct bd_core *c);
 void bd_forward_tick(struct bd_core *c);
--- a/src/forward.c
+++ b/src/forward.c
@@ -6,9 +6,11 @@
 #include <stdio.h>
 
 /* named defaults */
-#define ANSWER_S 1.2 /* then the deputy's way is tried, or the worker sent to the leader */
-#define HEARD_S 1.3  /* a controller that was heard no longer ago can be passed to */
-#define STEER_S 8.0  /* a worker is not sent to its zone's controller more often */
+#define ANSWER_S 1.2      /* then the deputy's way is tried, or the worker sent to the leader */
+#define HEARD_S 1.3       /* a controller that was heard no longer ago can be passed to */
+#define STEER_S 8.0       /* a worker is not sent to its zone's controller more often */
+#define BACK_S 12.0       /* it hung at the leader, and perhaps at another node */
+#define BACK_HOLDS_S 40.0 /* then he is tried again */
 #define FORWARDS_MOST 256
 #define DEAF_S 60.0
 #define DEAF_SHARE 0.6 /* of the machines heard before */
@@ -22,11 +24,45 @@
     return -1;
 }
 
+/* A worker that comes back soon after it was sent to the leader cannot reach him. It would go round
+ * between him and us until its lease ran out. */
+static bool came_back(struct bd_core *c, const char *id)
+{
+    for (uint32_t i = 0; i < BD_SENT_AWAY; i++) {
+        if (strcmp(c->sent_away[i].id, id) != 0)
+            continue;
+        double ago = bd_between(c->sent_away[i].at, c->now);
+        if (ago > (c->sent_away[i].back ? BACK_HOLDS_S : BACK_S)) {
+            c->sent_away[i].id[0] = '\0';
+            return false;
+        }
+        if (!c->sent_away[i].back)
+            c->sent_away[i].at = c->now;
+        c->sent_away[i].back = true;
+        return true;
+    }
+    return false;
+}
+
+/* Not ours to answer: to the leader, where one is known. */
+void bd_forward_away(struct bd_core *c, void *request, const struct bd_report *r)
+{
+    bool other = *c->leader_name && strcmp(c->leader_name, c->set->node) != 0;
+    if (other) {
+        uint32_t i = c->nsent_away++ % BD_SENT_AWAY;
+        snprintf(c->sent_away[i].id, sizeof c->sent_away[i].id, "%s", r->machine);
+        c->sent_away[i].at = c->now;
+        c->sent_away[i].back = false;
+    }
+    bd_reply(c, request, 421, bd_wire_steer(other ? c->leader_name : ""), 0);
+}
+
 /* Whether the worker's report is better passed on than the worker sent to the leader: it is of our
- * zone, or the leader says that he does not hear his workers (cut off from them, but not from us).
- */
+ * zone, or he cannot be reached by it, or he says that he does not hear his workers. */
 static bool passed_on(struct bd_core *c, const struct bd_report *r, int peer)
 {
+    if (came_back(c, r->machine))
+        return true;
     if (c->peers[peer].flags & BD_PEER_DEAF)
         c->deaf_until = bd_add(c->now, bd_secs(DEAF_S));
     if (bd_before(c->now, c->deaf_until))
@@ -100,8 +136,7 @@
 {
     if (c->role == BD_FOLLOWER && bd_deputy_checkin(c, f->request, f->report))
         return;
-    bool other = *c->leader_name && strcmp(c->leader_name, c->set->node) != 0;
-    bd_reply(c, f->request, 421, bd_wire_steer(other ? c->leader_name : ""), 0);
+    bd_forward_away(c, f->request, f->report);
 }
 
 void bd_core_answered(struct bd_core *c, uint64_t id, int status, const char *body, size_t len)
--- a/src/reports.c
+++ b/src/reports.c
@@ -140,7 +140,8 @@
         if (t->state != BD_T_LIVE || t->sub != BD_RUNNING || !t->begun ||
             j->spec.shape != BD_ARRAY || j->runs < SLOW_RUNS)
             continue;
-        uint32_t run = bd_tenths(c->now) - t->begun;
+        /* as its last report showed it: a machine that we do not hear may be done long since */
+        uint32_t run = bd_tenths(bd_max(m->heard, bd_secs(t->begun / 10.0))) - t->begun;
         late += run > SLOW_FACTOR * j->longest_run + SLOW_EXTRA_TENTHS;
     }
     if (late < SLOW_TASKS)
@@ -377,8 +378,7 @@
     if (c->role == BD_FOLLOWER &&
         (bd_forward_checkin(c, request, r, body, len) || bd_deputy_checkin(c, request, r)))
         return;
-    bool other = *c->leader_name && strcmp(c->leader_name, c->set->node) != 0;
-    bd_reply(c, request, 421, bd_wire_steer(other ? c->leader_name : ""), 0);
+    bd_forward_away(c, request, r);
 }
 
 void bd_core_forwarded(struct bd_core *c, const char *peer, uint64_t id, const struct bd_report *r)
