--- a/src/front.c
+++ b/src/front.c
@@ -12,6 +12,7 @@
 #define POOL_BYTES 6144u /* memory a connection keeps */
 #define IDLE_S 120u
 #define SOCKETS_KEPT 96  /* for our own outgoing connections */
+#define BODY_SHARE 0.15  /* of the memory: bodies that are being received or decided */
 #define PENDING_MOST 512 /* requests that wait for the owner */
 
 struct request {
@@ -19,7 +20,7 @@
     struct MHD_Connection *conn;
     char *buf;
     size_t len, cap;
-    bool too_large, asked, answered;
+    bool too_large, too_much, asked, answered;
     int status, retry_after;
     char *body;
 };
@@ -27,6 +28,7 @@
 struct bd_front {
     struct MHD_Daemon *daemon;
     atomic_int pending;
+    size_t held, most_held; /* bytes of bodies, used by the polling thread only */
 };
 
 static enum MHD_Result send_now(struct MHD_Connection *conn, int status, char *body, int retry)
@@ -66,12 +68,19 @@
     MHD_resume_connection(r->conn);
 }
 
-static bool take_body(struct request *r, const char *data, size_t size)
+/* Many large bodies at once would not fit the memory: beyond a part of it they are not kept, and
+ * the request gets 503. */
+static bool take_body(struct bd_front *front, struct request *r, const char *data, size_t size)
 {
     if (r->too_large || r->len + size > BODY_MAX) {
         r->too_large = true;
         return true;
     }
+    if (r->too_much || front->held + size > front->most_held) {
+        r->too_much = true;
+        return true;
+    }
+    front->held += size;
     if (r->len + size > r->cap) {
         size_t cap = r->len + size + 1024;
         char *grown = realloc(r->buf, cap);
@@ -144,7 +153,7 @@
         return say(r->conn, 405, "wrong method", 0);
     if (r->too_large)
         return say(r->conn, 413, "body over 64 KiB", 0);
-    if (atomic_load(&n->front->pending) >= PENDING_MOST)
+    if (r->too_much || atomic_load(&n->front->pending) >= PENDING_MOST)
         return say(r->conn, 503, "busy", 1);
     return ask_owner(n, r, kind, name);
 }
@@ -164,7 +173,7 @@
         return MHD_YES;
     }
     if (*size > 0) {
-        bool ok = take_body(r, data, *size);
+        bool ok = take_body(((struct bd_node *)arg)->front, r, data, *size);
         *size = 0;
         return ok ? MHD_YES : MHD_NO;
     }
@@ -181,12 +190,13 @@
 static void completed(void *arg, struct MHD_Connection *conn, void **ctx,
                       enum MHD_RequestTerminationCode code)
 {
-    (void)arg;
+    struct bd_node *n = arg;
     (void)conn;
     (void)code;
     struct request *r = *ctx;
     if (!r)
         return;
+    n->front->held -= r->len;
     free(r->buf);
     free(r->body);
     free(r);
@@ -215,13 +225,14 @@
     n->front = calloc(1, sizeof *n->front);
     if (!n->front)
         return -1;
+    n->front->most_held = (size_t)(n->set.ram_mb * BODY_SHARE * 1048576.0);
     int most = n->set.max_sockets - SOCKETS_KEPT;
     n->front->daemon = MHD_start_daemon(
         MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL, handle, n,
         MHD_OPTION_SOCK_ADDR, (struct sockaddr *)&addr, MHD_OPTION_CONNECTION_LIMIT,
         (unsigned)(most > 8 ? most : 8), MHD_OPTION_CONNECTION_TIMEOUT, IDLE_S,
         MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)POOL_BYTES, MHD_OPTION_NOTIFY_COMPLETED,
-        completed, NULL, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u, MHD_OPTION_LISTEN_BACKLOG_SIZE,
-        256u, MHD_OPTION_THREAD_STACK_SIZE, (size_t)131072, MHD_OPTION_END);
+        completed, n, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u, MHD_OPTION_LISTEN_BACKLOG_SIZE, 256u,
+        MHD_OPTION_THREAD_STACK_SIZE, (size_t)131072, MHD_OPTION_END);
     return n->front->daemon ? 0 : -1;
 }
--- a/src/rounds.c
+++ b/src/rounds.c
@@ -201,6 +201,8 @@
     }
     HASH_ITER(hh, c->jobs, j, jt)
     {
+        if (j->mood == BD_CANCELLED && j->tasks && j->nlive == 0)
+            bd_job_unlead(j); /* nothing of it is anywhere any more */
         if (j->mood == BD_LIVE || !j->receipt_chunks)
             continue;
         for (uint32_t ch = 0; ch < 64 && can_drop(c, b); ch++) {
