--- a/include/brambledoor/settings.h
+++ b/include/brambledoor/settings.h
@@ -48,7 +48,7 @@
     /* operators' own */
     struct timespec leader_ttl; /* zero: derived from the worker lease */
     double spare_share;         /* spare room, as a multiple of what the aims ask for */
-    double idle_return_s;       /* an idle machine is returned after this */
+    double idle_boots; /* an idle machine goes back after this many of its type's boot times */
 };
 
 /* 0, or -1 with one line in err naming file and field */
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -609,6 +609,7 @@
            bd_between(m->heard, c->now) > bd_to_secs(c->set->lease) + DEAD_EXTRA_S;
 }
 
+/* A machine is kept idle for about as long as getting it again would take. */
 static bool wants_return(struct bd_core *c, struct bd_machine *m)
 {
     if (m->gone || bd_before(c->now, m->return_after))
@@ -622,7 +623,8 @@
     if (!m->fenced)
         return false;
     return m->bad || m->notice_left >= 0 ||
-           (!m->spare && bd_between(m->idle_since, c->now) > c->set->idle_return_s);
+           (!m->spare &&
+            bd_between(m->idle_since, c->now) > c->set->idle_boots * c->types[m->type].boot);
 }
 
 static void return_machines(struct bd_core *c)
--- a/src/settings.c
+++ b/src/settings.c
@@ -182,7 +182,7 @@
     json_error_t je;
     memset(s, 0, sizeof *s);
     s->spare_share = 1.4;
-    s->idle_return_s = 20.0;
+    s->idle_boots = 0.7;
     json_t *root = json_load_file(path, 0, &je);
     if (!root) {
         snprintf(err, errlen, "%s: line %d: %s", path, je.line, je.text);
@@ -230,8 +230,8 @@
         s->leader_ttl = bd_secs(d);
     else if (strcmp(name, "spare-share") == 0)
         s->spare_share = d;
-    else if (strcmp(name, "idle-return-s") == 0)
-        s->idle_return_s = d;
+    else if (strcmp(name, "idle-boots") == 0)
+        s->idle_boots = d;
     else
         fault(r, name, "unknown field");
 }
--- a/tests/scenario.c
+++ b/tests/scenario.c
@@ -653,7 +653,7 @@
     s->value_bytes = 8192;
     s->txn_ops = 24;
     s->spare_share = 0;
-    s->idle_return_s = 40;
+    s->idle_boots = 1;
 }
 
 int main(int argc, char **argv)
