--- a/tests/loopback.c
+++ b/tests/loopback.c
@@ -247,6 +247,9 @@
     killed(&t);
     outage(&t);
     check(&t, world_ran_twice(t.w) == 0, "no task ran twice at the same time");
+    int applied = 0;
+    check(&t, world_copies(t.w, &applied) > 5 && applied == 0,
+          "late copies of transactions came and none applied");
     check(&t, world_starts(t.w) >= 29, "all of the work was started");
     for (int i = 0; i < NODES; i++)
         check(&t, t.pid[i] > 0 && waitpid(t.pid[i], NULL, WNOHANG) == 0, "no node ended by itself");
--- a/tests/standin.c
+++ b/tests/standin.c
@@ -59,6 +59,8 @@
     int nserved;
     struct key keys[KEYS];
     struct change log[4096];
+    json_t *old[8]; /* transactions that applied, to come again as late copies */
+    int nold, applied_again, copies;
     int nkeys, nlog, ran_twice, starts, garbles;
     uint64_t ring, grants;
     struct {
@@ -262,6 +264,36 @@
     return 200;
 }
 
+static bool of_leader(json_t *in)
+{
+    json_t *v;
+    size_t i;
+    json_array_foreach(json_object_get(in, "if"), i, v)
+    {
+        if (strcmp(json_string_value(json_object_get(v, "k")), "w") == 0)
+            return true;
+    }
+    return false;
+}
+
+/* A transaction, and after it a late copy of one that applied some time ago. */
+static int commit_and_copy(struct world *w, json_t *in, json_t **out)
+{
+    json_t *ignored = NULL;
+    int status = commit(w, in, out);
+    if (status != 200 || !of_leader(in))
+        return status;
+    int at = w->nold++ % 8;
+    if (w->old[at]) {
+        w->copies++;
+        w->applied_again += commit(w, w->old[at], &ignored) == 200;
+        json_decref(ignored);
+        json_decref(w->old[at]);
+    }
+    w->old[at] = json_incref(in);
+    return status;
+}
+
 static int by_name(const void *a, const void *b)
 {
     return strcmp(((const struct key *)a)->name, ((const struct key *)b)->name);
@@ -351,7 +383,7 @@
         return 503;
     end_grants(w);
     if (strcmp(url, "/commit") == 0)
-        return commit(w, in, out);
+        return commit_and_copy(w, in, out);
     if (strcmp(url, "/kv") == 0)
         return list(w, conn, out);
     if (strncmp(url, "/kv/", 4) == 0)
@@ -639,6 +671,15 @@
     return sum(w, twice);
 }
 
+int world_copies(struct world *w, int *applied)
+{
+    pthread_mutex_lock(&w->lock);
+    int n = w->copies;
+    *applied = w->applied_again;
+    pthread_mutex_unlock(&w->lock);
+    return n;
+}
+
 int world_starts(struct world *w)
 {
     return sum(w, starts);
@@ -679,6 +720,8 @@
         json_decref(w->keys[i].value);
     for (int i = 0; i < w->nlog; i++)
         json_decref(w->log[i].value);
+    for (int i = 0; i < 8; i++)
+        json_decref(w->old[i]);
     (void)pthread_mutex_destroy(&w->lock);
     free(w);
 }
--- a/tests/standin.h
+++ b/tests/standin.h
@@ -15,6 +15,8 @@
 /* starts of tasks, and tasks that run now */
 int world_starts(struct world *w);
 int world_running(struct world *w);
+/* late copies of leaders' transactions that the state service got, and how many of them applied */
+int world_copies(struct world *w, int *applied);
 /* while on, the state service answers 503 to everything */
 void world_state_down(struct world *w, bool down);
 /* the next answers of the state service are cut off in the middle of their JSON */
