--- a/src/tasks.c
+++ b/src/tasks.c
@@ -160,13 +160,20 @@
     }
 }
 
+static bool stoppable(const struct bd_task *t)
+{
+    return (t->state == BD_T_LAUNCH || t->state == BD_T_LIVE || t->state == BD_T_UNKNOWN) &&
+           !(t->flags & BD_F_STOP);
+}
+
 /* A gang that lost a member cannot go on: the rest is stopped, and the whole is placed again. */
 static void gang_member_gone(struct bd_core *c, struct bd_job *j)
 {
     for (uint32_t i = 0; i < j->ntasks; i++) {
-        enum bd_task_state st = j->tasks[i].state;
-        if (st == BD_T_LAUNCH || st == BD_T_LIVE || st == BD_T_UNKNOWN)
-            bd_task_stop(c, j, i, false);
+        if (!stoppable(&j->tasks[i]))
+            continue;
+        bd_task_stop(c, j, i, false); /* and with it all others */
+        return;
     }
 }
 
@@ -209,7 +216,7 @@
         one_done(c, j, k);
 }
 
-void bd_task_stop(struct bd_core *c, struct bd_job *j, uint32_t i, bool force)
+static void stop_one(struct bd_core *c, struct bd_job *j, uint32_t i, bool force)
 {
     struct bd_task *t = &j->tasks[i];
     struct bd_machine *m = bd_machine_of(c, t->machine);
@@ -222,6 +229,17 @@
         bd_orders_send(c, m);
 }
 
+/* A gang saves only if all its members are told within a short time: they are stopped together. */
+void bd_task_stop(struct bd_core *c, struct bd_job *j, uint32_t i, bool force)
+{
+    stop_one(c, j, i, force);
+    if (j->spec.shape != BD_GANG)
+        return;
+    for (uint32_t k = 0; k < j->ntasks; k++)
+        if (stoppable(&j->tasks[k]))
+            stop_one(c, j, k, force);
+}
+
 struct bd_machine *bd_machine_of(struct bd_core *c, uint32_t index)
 {
     return index < c->nmachines ? c->by_index[index] : NULL;
