--- a/include/brambledoor/core.h
+++ b/include/brambledoor/core.h
@@ -66,7 +66,7 @@
     uint32_t errors, error_machines;
     uint32_t runs, longest_run; /* finished tasks seen from begin to end, and tenths of a second */
     struct bd_spec spec;
-    bool has_spec, in_guarantee;
+    bool has_spec, in_guarantee, pinned;
     int klass;             /* -1: not known */
     json_t *record_spec;   /* the record's own text of the job, kept for rewriting */
     struct bd_task *tasks; /* only while leading */
@@ -160,6 +160,7 @@
     BD_E_BARRIER,
     BD_E_LOST,
     BD_E_DEPUTY,
+    BD_E_LOOKUP,  /* one job's record: request, key is the id, status is how it was asked */
     BD_E_FORWARD, /* a report to the leader: seal is the id, machine the peer */
     BD_E_ANSWER   /* the answer to a forwarded one */
 };
@@ -208,6 +209,8 @@
     /* replica */
     uint64_t ring;
     bool replica_ready;
+    bool evicted; /* some old final records are not in memory any more */
+    struct timespec next_evict;
     struct timespec fresh; /* when the newest answered look at the state service was sent */
     struct bd_wait *waiting, *asked;
     bool barrier_out;
@@ -315,6 +318,11 @@
 void bd_core_change(struct bd_core *c, const struct bd_change *ch);
 void bd_core_followed(struct bd_core *c, uint64_t after, uint64_t ring, struct timespec sent,
                       bool barrier, bool ok);
+/* keeps only the newer of the final records when there are many */
+void bd_core_evict(struct bd_core *c);
+/* status 200 with the record, 404, or others: not known */
+void bd_core_looked_up(struct bd_core *c, void *request, const char *id, int how, long status,
+                       const struct bd_change *ch);
 void bd_core_relisted(struct bd_core *c, uint64_t ring, struct timespec sent);
 /* leadership */
 struct bd_gain {
--- a/include/brambledoor/node.h
+++ b/include/brambledoor/node.h
@@ -30,7 +30,8 @@
     BD_C_RETURNED,
     BD_C_PEER,
     BD_C_DEPUTIES,
-    BD_C_DEPUTY_COMMITTED
+    BD_C_DEPUTY_COMMITTED,
+    BD_C_LOOKED_UP
 };
 
 /* What the adapters tell the owner. Owned by the receiver. */
@@ -59,7 +60,7 @@
     struct bd_front *front;
     struct bd_core *core;
     /* what adapters need to know of the owner's state */
-    atomic_bool leading, want_barrier, types_known, step_down, up;
+    atomic_bool leading, want_barrier, types_known, step_down, up, page_out;
     atomic_ullong ring;
     struct bd_queue reader_wake, to_peer[BD_MAX_PEERS];
     struct bd_cmd *pending_gain;
--- a/include/brambledoor/store.h
+++ b/include/brambledoor/store.h
@@ -6,5 +6,5 @@
 
 long bd_store_call(struct bd_node *n, struct bd_http *h, const char *method, const char *path,
                    const char *body, double timeout_s, json_t **out);
-json_t *bd_store_list(struct bd_node *n, struct bd_http *h, const char *prefix, uint64_t *ring);
+json_t *bd_store_list(struct bd_node *n, struct bd_http *h, const char *prefix);
 #endif
--- a/src/core.c
+++ b/src/core.c
@@ -480,6 +480,24 @@
     c->round_wanted = true;
 }
 
+static void answer_none(struct bd_core *c, void *request, enum bd_wait_how how)
+{
+    if (how == BD_WAIT_BAD)
+        refuse(c, request, 400, "malformed", 0);
+    else if (how == BD_WAIT_NEVER)
+        refuse(c, request, 422, "can never run", 0);
+    else
+        refuse(c, request, 404, "no such job", 0);
+}
+
+static void look_up(struct bd_core *c, const struct bd_wait *w)
+{
+    struct bd_effect *e = bd_emit(c, BD_E_LOOKUP);
+    e->request = w->request;
+    e->status = (int)w->how;
+    snprintf(e->key, sizeof e->key, "%s", w->id);
+}
+
 static void answer_wait(struct bd_core *c, const struct bd_wait *w)
 {
     const char *id = w->id;
@@ -488,12 +506,73 @@
         user_commit(c, w->request, id, j->mark, cancelled_record(j));
     else if (j)
         answer_state(c, w->request, j);
-    else if (w->how == BD_WAIT_BAD)
-        refuse(c, w->request, 400, "malformed", 0);
-    else if (w->how == BD_WAIT_NEVER)
-        refuse(c, w->request, 422, "can never run", 0);
+    else if (c->evicted)
+        look_up(c, w);
     else
-        refuse(c, w->request, 404, "no such job", 0);
+        answer_none(c, w->request, w->how);
+}
+
+void bd_core_looked_up(struct bd_core *c, void *request, const char *id, int how, long status,
+                       const struct bd_change *ch)
+{
+    struct bd_wait w = {.request = request, .how = (enum bd_wait_how)how};
+    snprintf(w.id, sizeof w.id, "%s", id);
+    if (status == 200)
+        bd_core_change(c, ch);
+    if (status == 200 && bd_job_find(c, id))
+        answer_wait(c, &w);
+    else if (status == 404)
+        answer_none(c, request, w.how);
+    else
+        refuse(c, request, 503, "state service not reached", outage_retry_s);
+}
+
+/* ---- final records in memory ---- */
+
+#define FINALS_SHARE 0.12    /* of the memory */
+#define FINALS_FRESH_S 600.0 /* younger ones are asked about */
+
+static uint32_t finals_most(const struct bd_core *c)
+{
+    double n = c->set->ram_mb * 1048576.0 * FINALS_SHARE / sizeof(struct bd_job);
+    return n < 100 ? 100 : (uint32_t)n;
+}
+
+/* Jobs that something else still points to stay. */
+static void pin(struct bd_core *c)
+{
+    for (struct bd_job *j = c->jobs; j; j = j->hh.next)
+        j->pinned = j->mood == BD_LIVE || j->tasks || j->receipt_chunks;
+    for (uint32_t r = 0; r < c->nrounds; r++)
+        for (uint32_t k = 0; k < c->rounds[r].n; k++)
+            c->rounds[r].e[k].job->pinned = true;
+    for (uint32_t k = 0; c->commit && k < c->commit->nplan; k++)
+        c->commit->plan[k].job->pinned = true;
+    for (uint32_t k = 0; c->commit && k < c->commit->nreceipts; k++)
+        c->commit->receipts[k].job->pinned = true;
+    for (uint32_t k = 0; c->commit && k < c->commit->ndone; k++)
+        c->commit->done[k]->pinned = true;
+}
+
+void bd_core_evict(struct bd_core *c)
+{
+    struct bd_job *j, *jt;
+    uint32_t count = HASH_COUNT(c->jobs), most = finals_most(c);
+    if (count <= most)
+        return;
+    pin(c);
+    HASH_ITER(hh, c->jobs, j, jt)
+    {
+        if (count <= most)
+            return;
+        if (j->pinned || c->wall - j->at < FINALS_FRESH_S)
+            continue;
+        HASH_DEL(c->jobs, j);
+        json_decref(j->record_spec);
+        free(j);
+        count--;
+        c->evicted = true;
+    }
 }
 
 void bd_core_followed(struct bd_core *c, uint64_t after, uint64_t ring, struct timespec sent,
--- a/src/leader.c
+++ b/src/leader.c
@@ -159,9 +159,9 @@
         if (step == 0)
             ok = witness(s, g);
         else if (step == 1)
-            ok = (g->receipts = bd_store_list(s->n, s->h, "r/", NULL)) != NULL;
+            ok = (g->receipts = bd_store_list(s->n, s->h, "r/")) != NULL;
         else
-            ok = (g->intents = bd_store_list(s->n, s->h, "i/", NULL)) != NULL;
+            ok = (g->intents = bd_store_list(s->n, s->h, "i/")) != NULL;
         step += ok;
         if (renew(s) == 0)
             return false;
--- a/src/owner.c
+++ b/src/owner.c
@@ -100,7 +100,10 @@
 static void relisted(struct bd_node *n, struct bd_cmd *cmd)
 {
     changes(n->core, cmd->json);
-    bd_core_relisted(n->core, cmd->ring, cmd->sent);
+    bd_core_evict(n->core);
+    if (cmd->flag) /* the last page */
+        bd_core_relisted(n->core, cmd->ring, cmd->sent);
+    atomic_store(&n->page_out, false);
 }
 
 static void forwarded(struct bd_core *c, const struct bd_frame *f, const char *text)
@@ -126,6 +129,17 @@
         bd_core_progress(c, f->jobs[i].id, f->jobs[i].done, f->jobs[i].running);
 }
 
+static void looked_up(struct bd_node *n, struct bd_cmd *cmd)
+{
+    struct bd_change ch;
+    uint64_t grant;
+    long status = cmd->status;
+    if (status == 200 && !bd_wire_pair(cmd->json, &ch, &grant))
+        status = 0;
+    bd_core_looked_up(n->core, cmd->request, cmd->name, cmd->outcome, status,
+                      status == 200 ? &ch : NULL);
+}
+
 static void worker_cmd(struct bd_node *n, struct bd_cmd *cmd)
 {
     struct bd_core *c = n->core;
@@ -154,6 +168,9 @@
     case BD_C_DEPUTY_COMMITTED:
         bd_core_deputy_committed(c, cmd->status, cmd->ring, cmd->sent, cmd->flag);
         break;
+    case BD_C_LOOKED_UP:
+        looked_up(n, cmd);
+        break;
     case BD_C_RETURNED:
         bd_core_returned(c, cmd->data, (int)cmd->n, cmd->status == 200);
         break;
@@ -250,6 +267,7 @@
     case BD_E_DEPUTY:
         give(n, &n->to_users, e);
         return;
+    case BD_E_LOOKUP:
     case BD_E_USER_COMMIT:
         if (bd_queue_put(&n->to_users, e))
             return;
--- a/src/rounds.c
+++ b/src/rounds.c
@@ -6,6 +6,7 @@
 /* named defaults */
 #define ROUND_S 0.05
 #define GC_S 2.0
+#define EVICT_S 10.0
 #define WRITE_SHARE 0.6 /* of the state service's changes; the rest is the users' */
 #define TXN_BYTES 56000u
 #define BUMP_AFTER_S 1.5
@@ -605,6 +606,10 @@
 
 void bd_core_tick(struct bd_core *c)
 {
+    if (bd_before(c->next_evict, c->now)) {
+        c->next_evict = bd_add(c->now, bd_secs(EVICT_S));
+        bd_core_evict(c);
+    }
     if (!c->barrier_out && c->waiting) {
         c->asked = c->waiting;
         c->waiting = NULL;
--- a/src/store.c
+++ b/src/store.c
@@ -32,59 +32,77 @@
     return status;
 }
 
-/* All pairs of a prefix; ring gets the revision of the first page. NULL: failed. */
-json_t *bd_store_list(struct bd_node *n, struct bd_http *h, const char *prefix, uint64_t *ring)
+/* One page of a prefix after a key; NULL: failed. `after` moves on. */
+static json_t *list_page(struct bd_node *n, struct bd_http *h, const char *prefix, char *after,
+                         size_t cap, bool *more)
 {
-    json_t *all = json_array(), *page = NULL, *v;
-    char after[256] = "", path[512];
-    bool more = true, first = true;
+    char path[512];
+    json_t *page = NULL;
+    struct bd_change ch;
+    if (*after)
+        snprintf(path, sizeof path, "/kv?starts=%s&after=%s&limit=1000", prefix, after);
+    else
+        snprintf(path, sizeof path, "/kv?starts=%s&limit=1000", prefix);
+    if (bd_store_call(n, h, "GET", path, NULL, ANSWER_S, &page) != 200) {
+        json_decref(page);
+        return NULL;
+    }
+    json_t *pairs = bd_wire_pairs(page, more);
+    size_t count = json_array_size(pairs);
+    *more = *more && count > 0;
+    if (count > 0 && bd_wire_change(json_array_get(pairs, count - 1), &ch))
+        snprintf(after, cap, "%s", ch.key);
+    return page;
+}
+
+/* All pairs of a prefix, for lists that fit the memory. NULL: failed. */
+json_t *bd_store_list(struct bd_node *n, struct bd_http *h, const char *prefix)
+{
+    json_t *all = json_array();
+    char after[256] = "";
+    bool more = true;
     while (more) {
-        size_t i;
-        struct bd_change ch;
-        if (*after)
-            snprintf(path, sizeof path, "/kv?starts=%s&after=%s&limit=1000", prefix, after);
-        else
-            snprintf(path, sizeof path, "/kv?starts=%s&limit=1000", prefix);
-        if (bd_store_call(n, h, "GET", path, NULL, ANSWER_S, &page) != 200)
-            goto fail;
-        if (first && ring)
-            *ring = bd_wire_ring(page);
-        first = false;
-        json_t *pairs = bd_wire_pairs(page, &more);
-        if (json_array_size(pairs) == 0)
-            more = false;
-        json_array_foreach(pairs, i, v)
-        {
-            json_array_append(all, v);
-            if (bd_wire_change(v, &ch))
-                snprintf(after, sizeof after, "%s", ch.key);
+        json_t *page = list_page(n, h, prefix, after, sizeof after, &more);
+        if (!page) {
+            json_decref(all);
+            return NULL;
         }
+        bool ignored;
+        (void)json_array_extend(all, bd_wire_pairs(page, &ignored));
         json_decref(page);
-        page = NULL;
     }
     return all;
-fail:
-    json_decref(page);
-    json_decref(all);
-    return NULL;
 }
 
 /* ---- looking ---- */
 
+/* Job records are many: page by page, the owner taking in each before the next is read. */
 static void relist(struct bd_node *n, struct bd_http *h)
 {
     uint64_t ring = 0;
     struct timespec sent = bd_now();
-    json_t *all = bd_store_list(n, h, "j/", &ring);
-    if (!all) {
-        bd_pause(PAUSE_S);
-        return;
+    char after[256] = "";
+    bool more = true;
+    while (more) {
+        bool ignored;
+        json_t *page = list_page(n, h, "j/", after, sizeof after, &more);
+        if (!page) {
+            bd_pause(PAUSE_S);
+            return;
+        }
+        if (ring == 0)
+            ring = bd_wire_ring(page);
+        struct bd_cmd *cmd = bd_cmd_new(BD_C_RELISTED);
+        cmd->json = json_incref(bd_wire_pairs(page, &ignored));
+        json_decref(page);
+        cmd->ring = ring;
+        cmd->sent = sent;
+        cmd->flag = !more;
+        atomic_store(&n->page_out, true);
+        bd_tell(n, cmd);
+        while (atomic_load(&n->page_out))
+            bd_pause(0.005);
     }
-    struct bd_cmd *cmd = bd_cmd_new(BD_C_RELISTED);
-    cmd->json = all;
-    cmd->ring = ring;
-    cmd->sent = sent;
-    bd_tell(n, cmd);
 }
 
 /* One look; true if the list must be read anew. */
@@ -116,7 +134,7 @@
 {
     struct bd_cmd *cmd = bd_cmd_new(BD_C_DEPUTIES);
     cmd->sent = bd_now();
-    cmd->json = bd_store_list(n, h, "p/", NULL);
+    cmd->json = bd_store_list(n, h, "p/");
     if (cmd->json)
         bd_tell(n, cmd);
     else
@@ -133,7 +151,7 @@
     while (h) {
         if (again) {
             relist(n, h);
-            bd_pause(0.02); /* until the owner has taken it in */
+            bd_pause(0.02); /* until the owner has said how new it is */
             after = atomic_load(&n->ring);
             again = after == 0;
             continue;
@@ -280,6 +298,18 @@
     bd_tell(n, cmd);
 }
 
+static void look_up(struct bd_node *n, struct bd_http *h, struct bd_effect *e)
+{
+    struct bd_cmd *cmd = bd_cmd_new(BD_C_LOOKED_UP);
+    char path[128];
+    snprintf(path, sizeof path, "/kv/j/%s", e->key);
+    cmd->status = bd_store_call(n, h, "GET", path, NULL, ANSWER_S, &cmd->json);
+    cmd->request = e->request;
+    cmd->outcome = e->status;
+    snprintf(cmd->name, sizeof cmd->name, "%s", e->key);
+    bd_tell(n, cmd);
+}
+
 static void *user_committer(void *arg)
 {
     struct bd_node *n = arg;
@@ -291,6 +321,8 @@
         struct bd_effect *e = item;
         if (e->kind == BD_E_DEPUTY)
             commit_deputy(n, h, e);
+        else if (e->kind == BD_E_LOOKUP)
+            look_up(n, h, e);
         else
             commit_user(n, h, e);
         bd_effect_free(e);
--- a/tests/scenario.c
+++ b/tests/scenario.c
@@ -376,6 +376,34 @@
 }
 
 /* time passes with a look every two seconds that shows no deputy */
+/* many finished jobs, job-1000000 and on, long ago */
+static void cmd_finals(struct play *p)
+{
+    int n = atoi(p->w[1]);
+    for (int i = 0; i < n; i++) {
+        char key[BD_LABEL];
+        snprintf(key, sizeof key, "j/job-%d", 1000000 + i);
+        struct bd_record r = {.mood = BD_DONE, .tasks = 1, .at = 1};
+        json_t *v = bd_wire_record(&r);
+        struct bd_change ch = {key, v, (uint64_t)(i + 1)};
+        bd_core_change(p->c, &ch);
+        json_decref(v);
+    }
+    bd_core_evict(p->c);
+}
+
+static void cmd_lookedup(struct play *p)
+{
+    json_t *v = NULL;
+    char key[BD_LABEL];
+    snprintf(key, sizeof key, "j/%s", p->w[1]);
+    long status = atol(p->w[3]);
+    struct bd_record r = {.mood = BD_DONE, .tasks = 1, .at = 1};
+    struct bd_change ch = {key, v = bd_wire_record(&r), 5};
+    bd_core_looked_up(p->c, NULL, p->w[1], atoi(p->w[2]), status, status == 200 ? &ch : NULL);
+    json_decref(v);
+}
+
 static void cmd_watch(struct play *p)
 {
     double to = strtod(p->w[1], NULL), at = bd_to_secs(p->c->now) - 100;
@@ -441,8 +469,8 @@
     bd_core_rented(p->c, request, refused ? 503 : 200, names, n);
 }
 
-static const char *const kinds[] = {"reply",   "user", "commit", "do",      "rent",  "return",
-                                    "barrier", "lost", "deputy", "forward", "answer"};
+static const char *const kinds[] = {"reply",   "user", "commit", "do",     "rent",    "return",
+                                    "barrier", "lost", "deputy", "lookup", "forward", "answer"};
 
 static bool holds_all(struct play *p, const struct bd_effect *e)
 {
@@ -617,6 +645,8 @@
                  {"leader", 3, cmd_leader},
                  {"deputies", 1, cmd_deputies},
                  {"deputycommitted", 2, cmd_deputycommitted},
+                 {"finals", 2, cmd_finals},
+                 {"lookedup", 4, cmd_lookedup},
                  {"watch", 2, cmd_watch},
                  {"submit", 2, cmd_submit}};
     if (strcmp(p->w[0], "set") == 0) {
@@ -652,6 +682,7 @@
     s->cloud_rps = 3;
     s->value_bytes = 8192;
     s->txn_ops = 24;
+    s->ram_mb = 1;
     s->spare_share = 0;
     s->idle_boots = 1;
 }
