--- a/include/brambledoor/core.h
+++ b/include/brambledoor/core.h
@@ -63,7 +63,7 @@
     double at;
     struct timespec hold_until, last_placed, last_begun;
     uint32_t restarts; /* tasks that lost a place they had */
-    uint32_t errors, error_machines;
+    uint32_t errors;
     uint32_t runs, longest_run; /* finished tasks seen from begin to end, and tenths of a second */
     struct bd_spec spec;
     bool has_spec, in_guarantee, pinned;
@@ -89,7 +89,7 @@
     char id[BD_LABEL], addr[BD_LABEL];
     uint32_t index;
     int type, zone; /* -1: not known yet */
-    bool spot, listed, listed_now, failed, fenced, gone, returning;
+    bool spot, listed_now, failed, fenced, gone, returning;
     uint64_t session, seq, seal, lapsed_session;
     struct timespec age_known, return_after;
     struct timespec lapse_at; /* from here on nothing of the last session runs */
@@ -221,7 +221,6 @@
         uint64_t term;
         uint8_t flags;
     } peers[BD_MAX_PEERS];
-    struct timespec started;
 
     /* a follower that answers for a leader its workers cannot reach */
     struct bd_deputy {
@@ -282,7 +281,7 @@
     struct bd_commit *commit;
     struct bd_round *rounds;
     uint32_t nrounds, cap_rounds;
-    struct timespec next_round, next_fleet, next_gc, next_tick, next_bump, last_bump, next_summary;
+    struct timespec next_round, next_fleet, next_gc, next_tick, last_bump, next_summary;
     bool want_bump, round_wanted;
     double write_tokens;
     struct timespec token_at;
@@ -296,7 +295,6 @@
     bool gpu_waiting;                           /* some live job's GPU tasks have no place */
     struct bd_spec gpu_wanted[BD_MAX_TYPES][2]; /* by type and spot: a live job's GPU task */
     struct bd_market markets[BD_MAX_TYPES][BD_MAX_ZONES][2];
-    int cloud_out;
 
     struct bd_effect *first, *last;
 };
--- a/src/core.c
+++ b/src/core.c
@@ -731,7 +731,6 @@
     bd_commit_free(c->commit);
     c->commit = NULL;
     c->nrentals = 0;
-    c->cloud_out = 0;
     memset(c->team_cpus, 0, sizeof c->team_cpus);
     memset(c->team_gpus, 0, sizeof c->team_gpus);
     memset(c->markets, 0, sizeof c->markets);
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -60,7 +60,6 @@
     struct bd_machine *m = bd_machine_get(c, l->id);
     if (m->gone)
         return;
-    m->listed = true;
     m->listed_now = true;
     m->type = bd_type_index(c, l->type);
     m->zone = bd_zone_index(c, l->zone);
--- a/src/reports.c
+++ b/src/reports.c
@@ -117,8 +117,6 @@
 static void job_failed_task(struct bd_core *c, struct bd_machine *m, struct bd_job *j)
 {
     j->errors++;
-    if (!m->bad && m->errors == 0)
-        j->error_machines++;
     if (m->bad || j->ndone > 0)
         return;
     double pause = RETRY_FIRST_S;
