Read once more: repetitions made one piece, dead fields and parameters gone

One has-image check, one room less claims, one search for the machine to vacate (preempt and waits_for_image), one type check, one way to find the leader among the peers and to read a report. patience asks each aim once; a placement asks for dear machines only where that matters; the cheap guards of waits_for_image come before its search. What a user's transaction was for travels with it instead of being read out of its text, and the one wire name outside wire.c is gone.

--- a/include/brambledoor/core.h
+++ b/include/brambledoor/core.h
@@ -35,7 +35,7 @@
 struct bd_task {
     uint64_t attempt;
     uint32_t machine;
-    uint8_t state, sub, flags, fails;
+    uint8_t state, sub, flags;
     uint32_t begun; /* tenths of a second of the steady clock; 0: not seen to begin */
 };
 
@@ -54,9 +54,8 @@
     char id[BD_ID];
     uint64_t mark;
     enum bd_mood mood;
-    bool stale;        /* a transaction saw another mark; wait for the change itself */
-    bool dirty;        /* has receipts to commit */
-    bool done_pending; /* all receipts are in memory; the done record is to be committed */
+    bool stale; /* a transaction saw another mark; wait for the change itself */
+    bool dirty; /* has receipts to commit */
     uint32_t ntasks, ndone, nwait, nlive, nrun, shown_done, shown_run;
     uint64_t receipt_chunks; /* bits of chunks committed */
     uint32_t dirty_chunks;
@@ -90,7 +89,7 @@
     uint32_t index;
     int type, zone; /* -1: not known yet */
     bool spot, listed_now, failed, fenced, gone, returning;
-    uint64_t session, seq, seal, lapsed_session;
+    uint64_t session, seq, lapsed_session;
     struct timespec age_known, return_after;
     struct timespec lapse_at; /* from here on nothing of the last session runs */
     struct timespec heard, known_at, idle_since, refuse_until;
@@ -126,7 +125,6 @@
     char key[BD_LABEL];
     struct bd_intent *e;
     uint32_t n;
-    bool dropping;
 };
 
 struct bd_rental { /* one request to the cloud, from its first sending to its machines' listing */
@@ -168,7 +166,7 @@
 struct bd_effect {
     enum bd_effect_kind kind;
     void *request;   /* REPLY, USER_COMMIT */
-    int status;      /* REPLY */
+    int status;      /* REPLY; USER_COMMIT, LOOKUP: how it was asked */
     int retry_after; /* REPLY: 0 none */
     char key[BD_LABEL];
     char *body;
@@ -274,7 +272,7 @@
     uint64_t base_term, term, grant;
     char nonce[BD_LABEL];
     uint64_t counter; /* attempts */
-    struct timespec valid_until, renewed, gained;
+    struct timespec valid_until, renewed;
     struct timespec others_lapse; /* sessions renewed by earlier terms are over by then */
     bool listed_once;
     uint64_t witness_mark, witness_n, round_n, request_n;
@@ -310,8 +308,9 @@
 void bd_core_get(struct bd_core *c, void *request, const char *id);
 void bd_core_withdraw(struct bd_core *c, void *request, const char *id);
 /* status 200 with ring, 409, or 0 and others: not known */
-void bd_core_user_committed(struct bd_core *c, void *request, const char *key, const char *body,
-                            long status, uint64_t ring);
+/* how: as the effect's status said */
+void bd_core_user_committed(struct bd_core *c, void *request, const char *id, const char *body,
+                            int how, long status, uint64_t ring);
 /* replica */
 void bd_core_change(struct bd_core *c, const struct bd_change *ch);
 void bd_core_followed(struct bd_core *c, uint64_t after, uint64_t ring, struct timespec sent,
--- a/include/brambledoor/wire.h
+++ b/include/brambledoor/wire.h
@@ -100,6 +100,7 @@
 json_t *bd_wire_spec(const struct bd_spec_text *s);
 json_t *bd_wire_record(const struct bd_record *r);
 bool bd_wire_read_record(json_t *v, struct bd_record *out);
+char *bd_wire_accepted(const char *id);
 char *bd_wire_state(const char *id, const char *mood, uint32_t done, uint32_t running);
 bool bd_wire_report(json_t *o, struct bd_report *out);
 void bd_wire_report_drop(struct bd_report *r);
--- a/src/core.c
+++ b/src/core.c
@@ -276,13 +276,13 @@
     if (over(t->cpus_max, s->cpus * n) || over(t->gpus_max, s->gpus * n))
         return false;
     for (int i = 0; i < c->ntypes; i++)
-        if ((s->any_type || (s->types >> i & 1)) && fits_type(&c->types[i], s))
+        if (bd_type_allowed(s, i) && fits_type(&c->types[i], s))
             return true;
     return false;
 }
 
 static void user_commit(struct bd_core *c, void *request, const char *id, uint64_t mark,
-                        json_t *record)
+                        json_t *record, enum bd_wait_how how)
 {
     struct bd_effect *e = bd_emit(c, BD_E_USER_COMMIT);
     struct bd_txn t;
@@ -293,6 +293,7 @@
     bd_txn_if(&t, key, mark);
     bd_txn_set(&t, key, record, 0);
     e->request = request;
+    e->status = (int)how;
     snprintf(e->key, sizeof e->key, "%s", id);
     e->body = bd_txn_end(&t);
 }
@@ -349,7 +350,7 @@
         refuse(c, request, 503, "not ready", outage_retry_s);
     } else {
         r.tasks = r.spec.tasks;
-        user_commit(c, request, id, 0, bd_wire_record(&r));
+        user_commit(c, request, id, 0, bd_wire_record(&r), BD_WAIT_STATE);
     }
 }
 
@@ -385,14 +386,14 @@
     } else if (!reachable(c)) {
         refuse(c, request, 503, "state service not reached", outage_retry_s);
     } else if (j) {
-        user_commit(c, request, id, j->mark, cancelled_record(j));
+        user_commit(c, request, id, j->mark, cancelled_record(j), BD_WAIT_WITHDRAW);
     } else { /* perhaps accepted by another node a moment ago */
         wait_barrier(c, request, id, BD_WAIT_WITHDRAW);
     }
 }
 
 void bd_core_user_committed(struct bd_core *c, void *request, const char *id, const char *body,
-                            long status, uint64_t ring)
+                            int how, long status, uint64_t ring)
 {
     if (status == 200) {
         json_t *o = json_loads(body, 0, NULL);
@@ -407,17 +408,14 @@
         json_decref(o);
         struct bd_job *j = bd_job_find(c, id);
         if (j && j->mood == BD_LIVE) {
-            char buf[96];
-            snprintf(buf, sizeof buf, "{\"id\":\"%s\",\"mood\":\"pending\"}", id);
-            bd_reply(c, request, 201, strdup(buf), 0);
+            bd_reply(c, request, 201, bd_wire_accepted(id), 0);
         } else if (j) {
             answer_state(c, request, j);
         } else {
             refuse(c, request, 503, "not ready", 1);
         }
     } else if (status == 409) { /* somebody was faster: look again, then answer what is */
-        bool withdraw = strstr(body, "\"s\":\"cancelled\"") != NULL;
-        wait_barrier(c, request, id, withdraw ? BD_WAIT_WITHDRAW : BD_WAIT_STATE);
+        wait_barrier(c, request, id, (enum bd_wait_how)how);
     } else {
         refuse(c, request, 503, "state service not reached", 1);
     }
@@ -503,7 +501,7 @@
     const char *id = w->id;
     struct bd_job *j = bd_job_find(c, id);
     if (j && w->how == BD_WAIT_WITHDRAW && j->mood == BD_LIVE)
-        user_commit(c, w->request, id, j->mark, cancelled_record(j));
+        user_commit(c, w->request, id, j->mark, cancelled_record(j), BD_WAIT_WITHDRAW);
     else if (j)
         answer_state(c, w->request, j);
     else if (c->evicted)
--- a/src/core_in.h
+++ b/src/core_in.h
@@ -34,9 +34,13 @@
     char dropped[64][BD_LABEL];
     uint32_t ndropped;
     bool bump;
-    uint64_t old_term;
 };
 
+static inline bool bd_type_allowed(const struct bd_spec *s, int type)
+{
+    return s->any_type || (s->types >> type & 1);
+}
+
 struct bd_effect *bd_emit(struct bd_core *c, enum bd_effect_kind kind);
 void bd_reply(struct bd_core *c, void *request, int status, char *body, int retry_after);
 int bd_intern(struct bd_names **table, const char *name);
@@ -64,6 +68,7 @@
 uint32_t bd_tenths(struct timespec t);
 void bd_find_slow(struct bd_core *c, struct bd_machine *m);
 void bd_orders_send(struct bd_core *c, struct bd_machine *m);
+bool bd_has_image(const struct bd_machine *m, int image);
 
 void bd_core_step_aside(struct bd_core *c);
 double bd_grace_s(const struct bd_settings *s);
@@ -79,7 +84,9 @@
                  bool spot);
 
 /* deputies */
-#define DEPUTY_FRESH_S 1.5 /* a deputy answers so long after its record was last confirmed */
+#define LEADER_SILENT_S 1.3 /* not heard on the mesh for so long: he may be cut off */
+#define DEPUTY_FRESH_S 1.5  /* a deputy answers so long after its record was last confirmed */
+int bd_leader_index(const struct bd_core *c); /* among the peers, or -1 */
 bool bd_forward_checkin(struct bd_core *c, void *request, const struct bd_report *r,
                         const char *body, size_t len);
 void bd_forward_away(struct bd_core *c, void *request, const struct bd_report *r);
@@ -95,6 +102,6 @@
 void bd_round_commit(struct bd_core *c); /* builds and sends the transaction */
 void bd_commit_free(struct bd_commit *k);
 uint32_t bd_jobs_in_order(struct bd_core *c, struct bd_job ***out);
-bool bd_allowed(const struct bd_core *c, const struct bd_spec *s, int type, int zone, bool spot);
+bool bd_allowed(const struct bd_spec *s, int type, int zone, bool spot);
 void bd_fleet_tick(struct bd_core *c);
 #endif
--- a/src/deputy.c
+++ b/src/deputy.c
@@ -14,7 +14,6 @@
 /* named defaults */
 #define BEAT_S 0.5
 #define KEEP_S 3.0
-#define SILENT_S 1.3 /* a leader not heard for so long on the mesh may be cut off */
 #define STALE_S 5.0
 #define GAP_S 2.5 /* between looks: shorter than KEEP_S, so that none can slip through */
 #define CHARGES 512
@@ -37,10 +36,8 @@
 
 static bool leader_silent(const struct bd_core *c)
 {
-    for (int i = 0; i < c->set->npeers; i++)
-        if (strcmp(c->set->peers[i].name, c->leader_name) == 0)
-            return bd_between(c->peers[i].heard, c->now) > SILENT_S;
-    return false;
+    int i = bd_leader_index(c);
+    return i >= 0 && bd_between(c->peers[i].heard, c->now) > LEADER_SILENT_S;
 }
 
 /* Somebody else leads, by a fresh view, and we do not hear of him. */
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -267,7 +267,7 @@
         n = (uint32_t)n < left ? n : (int)left;
         for (int z = 0; z < c->nzones; z++) {
             for (int sp = 0; sp < 2; sp++) {
-                if (!(c->types[t].zones >> z & 1) || !bd_allowed(c, s, t, z, sp) ||
+                if (!(c->types[t].zones >> z & 1) || !bd_allowed(s, t, z, sp) ||
                     !bd_in_reach(c, s, reach, t, sp) ||
                     bd_before(c->now, c->markets[t][z][sp].refuse_until))
                     continue;
@@ -305,7 +305,7 @@
     bool spot = false;
     for (int i = 0; i < d->n && n > 0; i++) {
         struct bin *b = &d->bins[i];
-        while (n > 0 && bd_allowed(d->c, s, b->type, b->zone, b->spot) &&
+        while (n > 0 && bd_allowed(s, b->type, b->zone, b->spot) &&
                bd_in_reach(d->c, s, reach, b->type, b->spot) && bin_fits(b, s)) {
             bin_take(b, s);
             n--;
@@ -464,10 +464,7 @@
 static bool quick_start(const struct bd_core *c, const struct bd_machine *m,
                         const struct bd_spec *s)
 {
-    for (int k = 0; k < m->nimages; k++)
-        if (m->images[k] == s->image)
-            return true;
-    return s->image_gb / c->types[m->type].fetch < MOVE_FETCH_S;
+    return bd_has_image(m, s->image) || s->image_gb / c->types[m->type].fetch < MOVE_FETCH_S;
 }
 
 /* Whether a place for the task is free where no GPU work is harmed: on a cheap machine, beside GPU
@@ -479,7 +476,7 @@
         struct bd_machine *m = c->by_index[i];
         double held = 0;
         if (m == from || m->drain || m->zone != from->zone || !bd_machine_usable(c, m) ||
-            !bd_allowed(c, &j->spec, m->type, m->zone, m->spot) || !quick_start(c, m, &j->spec))
+            !bd_allowed(&j->spec, m->type, m->zone, m->spot) || !quick_start(c, m, &j->spec))
             continue;
         const struct bd_type *t = &c->types[m->type];
         if (t->cpus - m->cpus < j->spec.cpus || t->gpus - m->gpus < j->spec.gpus ||
--- a/src/forward.c
+++ b/src/forward.c
@@ -7,7 +7,6 @@
 
 /* named defaults */
 #define ANSWER_S 1.2      /* then the deputy's way is tried, or the worker sent to the leader */
-#define HEARD_S 1.3       /* a controller that was heard no longer ago can be passed to */
 #define STEER_S 8.0       /* a worker is not sent to its zone's controller more often */
 #define BACK_S 12.0       /* it hung at the leader, and perhaps at another node */
 #define BACK_HOLDS_S 40.0 /* then he is tried again */
@@ -16,14 +15,21 @@
 #define DEAF_SHARE 0.6 /* of the machines heard before */
 #define DEAF_LEAST 3u
 
-static int leader_peer(const struct bd_core *c)
+int bd_leader_index(const struct bd_core *c)
 {
     for (int i = 0; i < c->set->npeers; i++)
         if (strcmp(c->set->peers[i].name, c->leader_name) == 0)
-            return bd_between(c->peers[i].heard, c->now) < HEARD_S ? i : -1;
+            return i;
     return -1;
 }
 
+/* The leader's number among the peers if he is heard, or -1. */
+static int leader_peer(const struct bd_core *c)
+{
+    int i = bd_leader_index(c);
+    return i >= 0 && bd_between(c->peers[i].heard, c->now) < LEADER_SILENT_S ? i : -1;
+}
+
 /* A worker that comes back soon after it was sent to the leader cannot reach him. It would go round
  * between him and us until its lease ran out. */
 static bool came_back(struct bd_core *c, const char *id)
@@ -179,7 +185,8 @@
         return -1;
     for (int i = 0; i < c->set->npeers; i++) {
         if (strcmp(c->set->peers[i].zone, r->zone) != 0 ||
-            bd_between(c->peers[i].heard, c->now) > HEARD_S || !(c->peers[i].flags & BD_PEER_STATE))
+            bd_between(c->peers[i].heard, c->now) > LEADER_SILENT_S ||
+            !(c->peers[i].flags & BD_PEER_STATE))
             continue;
         n++;
         if (found < 0 || m->index % (uint32_t)n == 0)
--- a/src/owner.c
+++ b/src/owner.c
@@ -66,28 +66,32 @@
     }
 }
 
+static bool read_report(const char *text, size_t len, struct bd_report *r)
+{
+    json_t *o = text ? json_loadb(text, len, 0, NULL) : NULL;
+    bool ok = o && bd_wire_report(o, r);
+    json_decref(o);
+    return ok;
+}
+
 static void checkin(struct bd_node *n, struct bd_cmd *cmd)
 {
     struct bd_report r;
-    json_t *o = json_loadb(cmd->text, cmd->len, 0, NULL);
-    if (o && bd_wire_report(o, &r)) {
-        bd_core_checkin(n->core, cmd->request, &r, cmd->text, cmd->len);
-        bd_wire_report_drop(&r);
-    } else {
+    if (!read_report(cmd->text, cmd->len, &r)) {
         bd_front_reply(n, cmd->request, 400, strdup("{\"error\":\"malformed report\"}"), 0);
+        return;
     }
-    json_decref(o);
+    bd_core_checkin(n->core, cmd->request, &r, cmd->text, cmd->len);
+    bd_wire_report_drop(&r);
 }
 
 static void did(struct bd_node *n, const struct bd_cmd *cmd)
 {
     struct bd_report r;
-    json_t *o = cmd->text ? json_loads(cmd->text, 0, NULL) : NULL;
-    bool ok = o && bd_wire_report(o, &r);
+    bool ok = read_report(cmd->text, cmd->len, &r);
     bd_core_did(n->core, cmd->machine, cmd->number, cmd->flag, cmd->status, ok ? &r : NULL);
     if (ok)
         bd_wire_report_drop(&r);
-    json_decref(o);
 }
 
 static void followed(struct bd_node *n, struct bd_cmd *cmd)
@@ -106,15 +110,13 @@
     atomic_store(&n->page_out, false);
 }
 
-static void forwarded(struct bd_core *c, const struct bd_frame *f, const char *text)
+static void forwarded(struct bd_core *c, const struct bd_frame *f, const char *text, size_t len)
 {
     struct bd_report r;
-    json_t *o = text ? json_loads(text, 0, NULL) : NULL;
-    if (o && bd_wire_report(o, &r)) {
-        bd_core_forwarded(c, f->name, f->id, &r);
-        bd_wire_report_drop(&r);
-    }
-    json_decref(o);
+    if (!read_report(text, len, &r))
+        return;
+    bd_core_forwarded(c, f->name, f->id, &r);
+    bd_wire_report_drop(&r);
 }
 
 static void peer(struct bd_core *c, const struct bd_frame *f, const char *text, size_t len)
@@ -122,7 +124,7 @@
     if (f->type == BD_FRAME_STATUS)
         bd_core_peer(c, f->name, f->term, f->flags, f->age_ms / 1000.0);
     if (f->type == BD_FRAME_REPORT)
-        forwarded(c, f, text);
+        forwarded(c, f, text, len);
     if (f->type == BD_FRAME_ANSWER)
         bd_core_answered(c, f->id, f->status, text, len);
     for (unsigned i = 0; i < f->count; i++)
@@ -193,7 +195,8 @@
         bd_core_withdraw(c, cmd->request, cmd->name);
         break;
     case BD_C_USER_COMMITTED:
-        bd_core_user_committed(c, cmd->request, cmd->name, cmd->text, cmd->status, cmd->ring);
+        bd_core_user_committed(c, cmd->request, cmd->name, cmd->text, cmd->outcome, cmd->status,
+                               cmd->ring);
         break;
     case BD_C_FOLLOWED:
         followed(n, cmd);
--- a/src/place.c
+++ b/src/place.c
@@ -31,6 +31,13 @@
     return (struct room){t->cpus - m->cpus, t->gpus - m->gpus, t->mem - m->mem};
 }
 
+/* Free room that is not kept for a task whose place is being vacated. */
+static struct room unclaimed_room(const struct round *r, const struct bd_machine *m)
+{
+    struct room room = free_room(r->c, m), held = r->claimed[m->index];
+    return (struct room){room.cpus - held.cpus, room.gpus - held.gpus, room.mem - held.mem};
+}
+
 static uint32_t fit_one(double have, double need, uint32_t most)
 {
     if (need <= 0)
@@ -46,11 +53,9 @@
     return fit_one(r.mem, s->mem, most);
 }
 
-bool bd_allowed(const struct bd_core *c, const struct bd_spec *s, int type, int zone, bool spot)
+bool bd_allowed(const struct bd_spec *s, int type, int zone, bool spot)
 {
-    (void)c;
-    return (s->any_type || (s->types >> type & 1)) && (s->zone < 0 || s->zone == zone) &&
-           (s->spot || !spot);
+    return bd_type_allowed(s, type) && (s->zone < 0 || s->zone == zone) && (s->spot || !spot);
 }
 
 static uint32_t quota_left(const struct bd_core *c, const struct bd_spec *s, uint32_t most)
@@ -94,14 +99,6 @@
     return most;
 }
 
-static bool has_image(const struct bd_machine *m, int image)
-{
-    for (int k = 0; k < m->nimages; k++)
-        if (m->images[k] == image)
-            return true;
-    return false;
-}
-
 /* Whether a task here would take room that a GPU task could have, now or once what ends by itself
  * has ended: arrays must not refill a machine that GPU work waits for. */
 static bool harms_gpus(const struct bd_core *c, const struct bd_spec *s, const struct bd_machine *m)
@@ -125,7 +122,7 @@
     double v = left * COST_LEFTOVER;
     if (harm)
         v += COST_GPU_WASTE;
-    if (!has_image(m, s->image))
+    if (!bd_has_image(m, s->image))
         v += s->image_gb / t->fetch;
     if (s->spot && !m->spot)
         v += COST_NOT_SPOT;
@@ -141,20 +138,17 @@
     for (uint32_t i = 0; i < c->nmachines; i++) {
         struct bd_machine *m = c->by_index[i];
         if (!bd_machine_usable(c, m) || m->drain ||
-            !bd_allowed(c, &j->spec, m->type, m->zone, m->spot))
+            !bd_allowed(&j->spec, m->type, m->zone, m->spot))
             continue;
-        struct room room = free_room(c, m);
-        room.cpus -= r->claimed[i].cpus;
-        room.gpus -= r->claimed[i].gpus;
-        room.mem -= r->claimed[i].mem;
+        struct room room = unclaimed_room(r, m);
         if (!fit(room, &j->spec, 1) || !zone_left(c, j, zones, m->zone, 1))
             continue;
         bool harm = harms_gpus(c, &j->spec, m);
         if (harm && !may_harm)
             continue;
         /* a dear machine that GPU work cannot use anyway is as good as a cheap one */
-        bool spoilt = bd_dear(c, &j->spec, m->type, m->spot) && !harm;
-        if (!spoilt && !bd_in_reach(c, &j->spec, reach, m->type, m->spot))
+        if (!bd_in_reach(c, &j->spec, reach, m->type, m->spot) &&
+            (harm || !bd_dear(c, &j->spec, m->type, m->spot)))
             continue;
         double v = cost(c, &j->spec, m, room, harm);
         if (v < low) {
@@ -203,10 +197,7 @@
         struct bd_machine *m = best(r, j, zones, reach, may_harm);
         if (!m)
             break;
-        struct room room = free_room(r->c, m);
-        room.cpus -= r->claimed[m->index].cpus;
-        room.gpus -= r->claimed[m->index].gpus;
-        room.mem -= r->claimed[m->index].mem;
+        struct room room = unclaimed_room(r, m);
         uint32_t n = fit(room, &j->spec, most - placed);
         n = record_room(r, zone_left(r->c, j, zones, m->zone, n));
         if (n == 0)
@@ -251,12 +242,7 @@
 static void later_room(struct round *r, const struct bd_job *want, struct bd_machine *m,
                        struct room *soon, struct room *most)
 {
-    *soon = free_room(r->c, m);
-    add(soon,
-        &(struct bd_spec){.cpus = r->claimed[m->index].cpus,
-                          .gpus = r->claimed[m->index].gpus,
-                          .mem = r->claimed[m->index].mem},
-        -1);
+    *soon = unclaimed_room(r, m);
     *most = *soon;
     for (uint32_t k = 0; k < m->nrefs; k++) {
         struct bd_job *j = m->refs[k].job;
@@ -305,44 +291,53 @@
 {
     struct bd_core *c = r->c;
     struct room soon, most;
-    if (!bd_machine_usable(c, m) || m->drain ||
-        !bd_allowed(c, &j->spec, m->type, m->zone, m->spot) ||
+    if (!bd_machine_usable(c, m) || m->drain || !bd_allowed(&j->spec, m->type, m->zone, m->spot) ||
         (only_cheap && bd_dear(c, &j->spec, m->type, m->spot)) ||
         !zone_left(c, j, zones, m->zone, 1))
         return INFINITY;
     later_room(r, j, m, &soon, &most);
     if (!fit(most, &j->spec, 1))
         return INFINITY;
-    double v = has_image(m, j->spec.image) ? 0 : j->spec.image_gb / c->types[m->type].fetch;
+    double v = bd_has_image(m, j->spec.image) ? 0 : j->spec.image_gb / c->types[m->type].fetch;
     double lacking = fmax(0, fmax(j->spec.cpus - soon.cpus, 0) / fmax(j->spec.cpus, 1) +
                                  fmax(j->spec.gpus - soon.gpus, 0) / fmax(j->spec.gpus, 1));
     return v + lacking * COST_STOPPING;
 }
 
+/* Makes room for one task where that costs least, and keeps it for the task. False: nowhere. */
+static bool vacate(struct round *r, struct bd_job *j, uint32_t *zones, bool only_cheap,
+                   bool with_image)
+{
+    struct bd_machine *pick = NULL;
+    double low = INFINITY;
+    for (uint32_t i = 0; i < r->c->nmachines; i++) {
+        struct bd_machine *m = r->c->by_index[i];
+        if (with_image && !bd_has_image(m, j->spec.image))
+            continue;
+        double v = stop_cost(r, j, m, zones, only_cheap);
+        if (v < low) {
+            low = v;
+            pick = m;
+        }
+    }
+    if (!pick)
+        return false;
+    struct room soon, most;
+    later_room(r, j, pick, &soon, &most);
+    stop_for(r, j, pick, soon);
+    add(&r->claimed[pick->index], &j->spec, 1);
+    zones[pick->zone]++;
+    return true;
+}
+
 /* Makes room for up to n tasks; returns for how many room is made or on its way. */
 static uint32_t preempt(struct round *r, struct bd_job *j, uint32_t n, bool only_cheap)
 {
     uint32_t zones[BD_MAX_ZONES], made = 0;
     zone_counts(r->c, j, zones);
     n = n < PREEMPT_MOST ? n : PREEMPT_MOST;
-    for (; made < n; made++) {
-        struct bd_machine *pick = NULL;
-        double low = INFINITY;
-        for (uint32_t i = 0; i < r->c->nmachines; i++) {
-            double v = stop_cost(r, j, r->c->by_index[i], zones, only_cheap);
-            if (v < low) {
-                low = v;
-                pick = r->c->by_index[i];
-            }
-        }
-        if (!pick)
-            break;
-        struct room soon, most;
-        later_room(r, j, pick, &soon, &most);
-        stop_for(r, j, pick, soon);
-        add(&r->claimed[pick->index], &j->spec, 1);
-        zones[pick->zone]++;
-    }
+    while (made < n && vacate(r, j, zones, only_cheap, false))
+        made++;
     return made;
 }
 
@@ -352,28 +347,14 @@
 {
     struct bd_core *c = r->c;
     uint32_t zones[BD_MAX_ZONES];
-    struct bd_machine *pick = NULL;
-    double low = INFINITY;
+    if (!j->in_guarantee || j->ntasks != 1)
+        return false;
     zone_counts(c, j, zones);
     struct bd_machine *now = best(r, j, zones, BD_REACH_ANY, true);
-    if (!j->in_guarantee || j->ntasks != 1 || !now || has_image(now, j->spec.image) ||
+    if (!now || bd_has_image(now, j->spec.image) ||
         j->spec.image_gb / c->types[now->type].fetch < WORTH_MOVING_S)
         return false;
-    for (uint32_t i = 0; i < c->nmachines; i++) {
-        struct bd_machine *m = c->by_index[i];
-        double v = has_image(m, j->spec.image) ? stop_cost(r, j, m, zones, false) : INFINITY;
-        if (v < low) {
-            low = v;
-            pick = m;
-        }
-    }
-    if (!pick)
-        return false;
-    struct room soon, most;
-    later_room(r, j, pick, &soon, &most);
-    stop_for(r, j, pick, soon);
-    add(&r->claimed[pick->index], &j->spec, 1);
-    return true;
+    return vacate(r, j, zones, false, true);
 }
 
 static uint32_t place_gang(struct round *r, struct bd_job *j, uint64_t attempt)
@@ -486,8 +467,8 @@
         c->gpu_waiting |= s->gpus > 0 && jobs[i]->nwait > 0 && quota_left(c, s, 1) > 0;
         for (int t = 0; s->gpus > 0 && t < c->ntypes; t++)
             for (int spot = 0; spot < 2; spot++)
-                if ((s->any_type || (s->types >> t & 1)) && (s->spot || !spot) &&
-                    s->gpus <= c->types[t].gpus && s->gpus >= c->gpu_wanted[t][spot].gpus)
+                if (bd_type_allowed(s, t) && (s->spot || !spot) && s->gpus <= c->types[t].gpus &&
+                    s->gpus >= c->gpu_wanted[t][spot].gpus)
                     c->gpu_wanted[t][spot] = *s;
     }
 }
--- a/src/price.c
+++ b/src/price.c
@@ -26,7 +26,7 @@
 {
     const struct bd_type *t = &c->types[type];
     int n = t->known ? bd_tasks_a_machine(t, s) : 0;
-    if (n < 1 || (!s->any_type && !(s->types >> type & 1)) || (spot && !s->spot))
+    if (n < 1 || !bd_type_allowed(s, type) || (spot && !s->spot))
         return INFINITY;
     return (spot ? t->spot_price : t->price) / n;
 }
@@ -74,8 +74,8 @@
             lead = fmax(lead, c->types[t].boot + s->image_gb / c->types[t].fetch);
     for (int i = 0; i < c->set->naims; i++) {
         const struct bd_aim *a = &c->set->aims[i];
-        double v = bd_slack(c, s->klass, s->estimate, a) - lead;
-        if (bd_slack(c, s->klass, s->estimate, a) < 0)
+        double slack = bd_slack(c, s->klass, s->estimate, a), v = slack - lead;
+        if (slack < 0)
             continue;
         if (a->kind == BD_AIM_WAIT)
             return 0;
--- a/src/reports.c
+++ b/src/reports.c
@@ -227,9 +227,8 @@
 }
 
 /* Tasks that we hold on the machine and that its report does not show. */
-static void missing(struct bd_core *c, struct bd_machine *m, const struct bd_report *r)
+static void missing(struct bd_core *c, struct bd_machine *m)
 {
-    (void)r;
     uint32_t k = 0;
     while (k < m->nrefs) {
         struct bd_job *j = m->refs[k].job;
@@ -261,12 +260,11 @@
 }
 
 /* A session change or a higher seal excludes every direct launch that had no answer. */
-static void exclude_late(struct bd_core *c, struct bd_machine *m)
+static void exclude_late(struct bd_machine *m)
 {
     m->do_seal = 0;
     for (uint32_t k = 0; k < m->nrefs; k++)
         m->refs[k].job->tasks[m->refs[k].task].flags &= (uint8_t) ~(BD_F_DO | BD_F_EXITED);
-    (void)c;
 }
 
 static void identify(struct bd_core *c, struct bd_machine *m, const struct bd_report *r)
@@ -310,13 +308,11 @@
 {
     if (!newer(m, r))
         return false;
-    if (m->session && r->session > m->session) {
+    if (m->session && r->session > m->session)
         bd_machine_lapse(c, m);
-    }
     identify(c, m, r);
     m->session = r->session;
     m->seq = r->seq;
-    m->seal = r->seal;
     m->heard = c->now;
     if (r->seal < c->base_term)
         return true; /* an earlier term may still command it: no evidence yet */
@@ -324,9 +320,9 @@
         c->round_wanted = true;
     m->fenced = true;
     if (m->do_seal && r->seal > m->do_seal && !m->do_busy)
-        exclude_late(c, m);
+        exclude_late(m);
     mark_shown(c, m, r);
-    missing(c, m, r);
+    missing(c, m);
     evidence(c, m, r, l);
     return true;
 }
@@ -428,7 +424,7 @@
     }
     struct orders l = {0};
     if (launch && m->do_seal == 0)
-        exclude_late(c, m); /* answered: nothing of it is on its way any more */
+        exclude_late(m); /* answered: nothing of it is on its way any more */
     if (m->gone)
         return;
     (void)take_report(c, m, r, &l);
--- a/src/rounds.c
+++ b/src/rounds.c
@@ -160,7 +160,7 @@
     }
 }
 
-static bool round_live(struct bd_core *c, const struct bd_round *r)
+static bool round_live(const struct bd_round *r)
 {
     for (uint32_t i = 0; i < r->n; i++) {
         const struct bd_intent *e = &r->e[i];
@@ -170,7 +170,6 @@
         if (t->attempt == e->attempt && t->machine == e->machine)
             return true;
     }
-    (void)c;
     return false;
 }
 
@@ -195,11 +194,9 @@
     if (*c->stale_deputy && can_drop(c, b))
         drop_key(c, b, c->stale_deputy);
     c->stale_deputy[0] = '\0';
-    for (uint32_t i = 0; i < c->nrounds && can_drop(c, b); i++) {
-        c->rounds[i].dropping = !round_live(c, &c->rounds[i]);
-        if (c->rounds[i].dropping)
+    for (uint32_t i = 0; i < c->nrounds && can_drop(c, b); i++)
+        if (!round_live(&c->rounds[i]))
             drop_key(c, b, c->rounds[i].key);
-    }
     HASH_ITER(hh, c->jobs, j, jt)
     {
         if (j->mood == BD_CANCELLED && j->tasks && j->nlive == 0)
@@ -517,7 +514,6 @@
     c->request_n = 0;
     c->witness_mark = g->witness_mark;
     c->witness_n = g->witness_n;
-    c->gained = c->now;
     c->listed_once = false;
     snprintf(c->nonce, sizeof c->nonce, "%s", g->nonce);
     bd_core_leader_is(c, c->set->node, g->term, g->renewed);
--- a/src/store.c
+++ b/src/store.c
@@ -291,6 +291,7 @@
     cmd->status = bd_store_call(n, h, "POST", "/commit", e->body, USER_ANSWER_S, &o);
     cmd->ring = bd_wire_ring(o);
     cmd->request = e->request;
+    cmd->outcome = e->status;
     cmd->text = e->body;
     e->body = NULL;
     snprintf(cmd->name, sizeof cmd->name, "%s", e->key);
--- a/src/tasks.c
+++ b/src/tasks.c
@@ -45,7 +45,7 @@
     j->nwait = j->ntasks;
     j->ndone = j->nlive = j->nrun = 0;
     j->receipt_chunks = 0;
-    j->dirty = j->done_pending = false;
+    j->dirty = false;
     return true;
 }
 
@@ -58,7 +58,7 @@
     free(j->tasks);
     j->tasks = NULL;
     j->nwait = j->ndone = j->nlive = j->nrun = 0;
-    j->dirty = j->done_pending = false;
+    j->dirty = false;
     j->dirty_chunks = 0;
 }
 
@@ -109,6 +109,14 @@
     }
 }
 
+bool bd_has_image(const struct bd_machine *m, int image)
+{
+    for (int k = 0; k < m->nimages; k++)
+        if (m->images[k] == image)
+            return true;
+    return false;
+}
+
 static void remember_image(struct bd_machine *m, int image)
 {
     int k = 0;
--- a/src/wire.c
+++ b/src/wire.c
@@ -209,10 +209,9 @@
     uint64_t n = 0;
     memset(out, 0, sizeof *out);
     int m = index_of(moods, COUNT(moods), json_string_value(json_object_get(v, "s")));
-    if (m < 0 || !whole(v, "n", &n) || n > BD_MAX_TASKS || !amount(v, "at", &out->at))
-        out->at = json_number_value(json_object_get(v, "at"));
-    if (m < 0 || n < 1 || n > BD_MAX_TASKS)
+    if (m < 0 || !whole(v, "n", &n) || n < 1 || n > BD_MAX_TASKS)
         return false;
+    out->at = json_number_value(json_object_get(v, "at"));
     out->mood = (enum bd_mood)m;
     out->tasks = (uint32_t)n;
     json_t *job = json_object_get(v, "job");
@@ -222,6 +221,13 @@
     return out->has_spec || out->mood == BD_DONE;
 }
 
+char *bd_wire_accepted(const char *id)
+{
+    char buf[96];
+    snprintf(buf, sizeof buf, "{\"id\":\"%s\",\"mood\":\"pending\"}", id);
+    return strdup(buf);
+}
+
 char *bd_wire_state(const char *id, const char *mood, uint32_t done, uint32_t running)
 {
     char buf[160];
--- a/tests/scenario.c
+++ b/tests/scenario.c
@@ -449,7 +449,7 @@
     }
     *at = e->next;
     p->ring = p->ring < 1000 ? 1000 : p->ring + 1;
-    bd_core_user_committed(p->c, NULL, e->key, e->body, atol(p->w[1]), p->ring);
+    bd_core_user_committed(p->c, NULL, e->key, e->body, e->status, atol(p->w[1]), p->ring);
     bd_effect_free(e);
 }
 
