The leader steers workers only to controllers that hear it

Cause: controllers said on the mesh whether they hear the leader, and nobody looked; the check was lost when it was written. A worker sent to one that does not hear him would be answered by a deputy without need. Scenario steer-to-own-zone fails without the check.

--- a/src/forward.c
+++ b/src/forward.c
@@ -186,7 +186,7 @@
     for (int i = 0; i < c->set->npeers; i++) {
         if (strcmp(c->set->peers[i].zone, r->zone) != 0 ||
             bd_between(c->peers[i].heard, c->now) > LEADER_SILENT_S ||
-            !(c->peers[i].flags & BD_PEER_STATE))
+            !(c->peers[i].flags & BD_PEER_STATE) || !(c->peers[i].flags & BD_PEER_HEARS))
             continue;
         n++;
         if (found < 0 || m->index % (uint32_t)n == 0)
