Deputies halt withdrawn work in their first answer and keep a machine between its reports

Ruled out: the leader's halts (it could not reach the zone), the replica (it knew of the withdrawal). Now the first answer holds the halts, and a machine stays for 1.25 report intervals and 2 s.

--- a/src/core.c
+++ b/src/core.c
@@ -82,8 +82,7 @@
     while (c->forwards) {
         struct bd_forward *f = c->forwards;
         c->forwards = f->next;
-        bd_wire_report_drop(f->report);
-        free(f->report);
+        bd_report_free(f->report);
         free(f);
     }
     free(c->deputy.charges);
--- a/src/core_in.h
+++ b/src/core_in.h
@@ -87,6 +87,8 @@
 #define LEADER_SILENT_S 1.3 /* not heard on the mesh for so long: he may be cut off */
 #define DEPUTY_FRESH_S 1.5  /* a deputy answers so long after its record was last confirmed */
 int bd_leader_index(const struct bd_core *c); /* among the peers, or -1 */
+struct bd_report *bd_report_copy(const struct bd_report *r);
+void bd_report_free(struct bd_report *r);
 bool bd_forward_checkin(struct bd_core *c, void *request, const struct bd_report *r,
                         const char *body, size_t len);
 void bd_forward_away(struct bd_core *c, void *request, const struct bd_report *r);
--- a/src/deputy.c
+++ b/src/deputy.c
@@ -3,7 +3,7 @@
  *
  * What makes it safe: a deputy writes the machines it answers into its own record, conditional on
  * the leader's term, before it answers them, confirms the record every BEAT_S and stops
- * DEPUTY_FRESH_S after the last confirmation was sent. A machine stays in the record for KEEP_S
+ * DEPUTY_FRESH_S after the last confirmation was sent. A machine stays in the record for keep_s
  * after its last answer. The leader looks at all records; it never counts a lease as over while
  * a look shows the machine, nor before a look begun after the lease's end. It drops the record of
  * a deputy that no longer confirms. A deputy gives no command but halts of withdrawn jobs. */
@@ -13,9 +13,9 @@
 
 /* named defaults */
 #define BEAT_S 0.5
-#define KEEP_S 3.0
+#define KEEP_LEAST_S 3.0
 #define STALE_S 5.0
-#define GAP_S 2.5 /* between looks: shorter than KEEP_S, so that none can slip through */
+#define GAP_S 2.5 /* between looks: shorter than keep_s, so that none can slip through */
 #define CHARGES 512
 #define CANARY_S 6.0       /* before a canary is sent, and after one came back */
 #define GATHER_S 2.5       /* in which the workers of one batch are sent */
@@ -25,10 +25,18 @@
 
 struct bd_wait_checkin {
     void *request;
-    char machine[BD_LABEL];
+    struct bd_report *report;
     struct bd_wait_checkin *next;
 };
 
+/* Longer than a worker's pause between two reports: one that left the record in between would be
+ * new to it each time. */
+static double keep_s(const struct bd_core *c)
+{
+    double s = 1.25 * bd_to_secs(c->set->report) + 2.0;
+    return s > KEEP_LEAST_S ? s : KEEP_LEAST_S;
+}
+
 static void key_of(const struct bd_core *c, char *key, size_t cap)
 {
     snprintf(key, cap, "p/%.60s", c->set->node);
@@ -98,6 +106,28 @@
     e->body = bd_txn_end(&t);
 }
 
+/* Halts of what users have withdrawn: nobody's leave is needed for these. */
+static char *orders(struct bd_core *c, const struct bd_report *r)
+{
+    struct bd_order *o = calloc(r->n + 1, sizeof *o);
+    size_t n = 0;
+    if (!o)
+        abort();
+    for (size_t i = 0; i < r->n; i++) {
+        const struct bd_seen_task *s = &r->tasks[i];
+        struct bd_job *j = bd_job_find(c, s->job);
+        if (!j || j->mood != BD_CANCELLED || s->sub == BD_EXITED)
+            continue;
+        o[n].verb = BD_HALT;
+        memcpy(o[n].job, s->job, sizeof o[n].job);
+        o[n].task = s->task;
+        o[n++].attempt = s->attempt;
+    }
+    char *text = bd_wire_orders(c->deputy.term, 0, o, n);
+    free(o);
+    return text;
+}
+
 /* Answers who asked; those who came while the record was being written wait for the next one. */
 static void answer_asking(struct bd_core *c, bool all)
 {
@@ -105,7 +135,7 @@
     c->deputy.asking = NULL;
     while (w) {
         struct bd_wait_checkin *next = w->next;
-        struct bd_charge *k = charge_of(c, w->machine, false);
+        struct bd_charge *k = charge_of(c, w->report->machine, false);
         if (k && !k->sent && !all) {
             w->next = c->deputy.asking;
             c->deputy.asking = w;
@@ -114,8 +144,8 @@
             continue;
         }
         bool ok = k && k->confirmed && bd_before(c->now, c->deputy.confirmed_until);
-        bd_reply(c, w->request, ok ? 200 : 421,
-                 ok ? bd_wire_orders(c->deputy.term, 0, NULL, 0) : bd_wire_steer(""), 0);
+        bd_reply(c, w->request, ok ? 200 : 421, ok ? orders(c, w->report) : bd_wire_steer(""), 0);
+        bd_report_free(w->report);
         free(w);
         w = next;
     }
@@ -155,7 +185,7 @@
     struct bd_deputy *d = &c->deputy;
     bool had = d->ncharges > 0;
     for (uint32_t i = 0; i < d->ncharges;) {
-        if (!d->busy && bd_between(d->charges[i].heard, c->now) > KEEP_S)
+        if (!d->busy && bd_between(d->charges[i].heard, c->now) > keep_s(c))
             d->charges[i] = d->charges[--d->ncharges];
         else
             i++;
@@ -163,35 +193,13 @@
     /* the last one's going is written too, so that the leader need not wait for the record */
     if (!had || d->busy || (d->ncharges > 0 && bd_before(c->now, d->next_beat)))
         return;
-    /* with the leader in view again nobody is answered, but the record stands for KEEP_S */
+    /* with the leader in view again nobody is answered, but the record stands for keep_s */
     if (c->leader_term && bd_between(c->leader_seen, c->now) < DEPUTY_FRESH_S)
         write_record(c);
     else if (d->asking)
         answer_asking(c, true);
 }
 
-/* Halts of what users have withdrawn: nobody's leave is needed for these. */
-static char *orders(struct bd_core *c, const struct bd_report *r)
-{
-    struct bd_order *o = calloc(r->n + 1, sizeof *o);
-    size_t n = 0;
-    if (!o)
-        abort();
-    for (size_t i = 0; i < r->n; i++) {
-        const struct bd_seen_task *s = &r->tasks[i];
-        struct bd_job *j = bd_job_find(c, s->job);
-        if (!j || j->mood != BD_CANCELLED || s->sub == BD_EXITED)
-            continue;
-        o[n].verb = BD_HALT;
-        memcpy(o[n].job, s->job, sizeof o[n].job);
-        o[n].task = s->task;
-        o[n++].attempt = s->attempt;
-    }
-    char *text = bd_wire_orders(c->deputy.term, 0, o, n);
-    free(o);
-    return text;
-}
-
 /* The longest way round for a worker: every other node hangs, and a pause after each. */
 static double way_back_s(const struct bd_core *c)
 {
@@ -278,7 +286,7 @@
     if (!w)
         abort();
     w->request = request;
-    snprintf(w->machine, sizeof w->machine, "%s", r->machine);
+    w->report = bd_report_copy(r);
     if (d->ncharges == 1)
         bd_say(c->log, BD_INFO, "%s is not heard: answers its workers, first %s", c->leader_name,
                r->machine);
--- a/src/forward.c
+++ b/src/forward.c
@@ -82,17 +82,15 @@
     return leader_peer(c) >= 0;
 }
 
-static struct bd_report *copy_report(const struct bd_report *r)
+struct bd_report *bd_report_copy(const struct bd_report *r)
 {
     struct bd_report *k = malloc(sizeof *k);
     if (!k)
-        return NULL;
+        abort();
     *k = *r;
     k->tasks = calloc(r->n + 1, sizeof *k->tasks);
-    if (!k->tasks) {
-        free(k);
-        return NULL;
-    }
+    if (!k->tasks)
+        abort();
     memcpy(k->tasks, r->tasks, r->n * sizeof *k->tasks);
     return k;
 }
@@ -113,14 +111,11 @@
     if (peer < 0 || !passed_on(c, r, peer) || waiting(c) >= FORWARDS_MOST)
         return false;
     struct bd_forward *f = calloc(1, sizeof *f);
-    struct bd_report *k = f ? copy_report(r) : NULL;
-    if (!k) {
-        free(f);
+    if (!f)
         return false;
-    }
     f->id = ++c->forward_n;
     f->request = request;
-    f->report = k;
+    f->report = bd_report_copy(r);
     f->until = bd_add(c->now, bd_secs(ANSWER_S));
     f->next = c->forwards;
     c->forwards = f;
@@ -131,10 +126,15 @@
     return true;
 }
 
+void bd_report_free(struct bd_report *r)
+{
+    bd_wire_report_drop(r);
+    free(r);
+}
+
 static void drop(struct bd_forward *f)
 {
-    bd_wire_report_drop(f->report);
-    free(f->report);
+    bd_report_free(f->report);
     free(f);
 }
 
--- a/tests/scenario.c
+++ b/tests/scenario.c
@@ -1,6 +1,6 @@
 /* Plays a scenario, a small text file, against the core. One line, one step:
  *
- *   set lease=10 cancel=35 ttl=3 team=a:0:0:8:16      settings, before anything else
+ *   set lease=10 cancel=35 report=2 ttl=3 team=a:0:0:8:16      settings, before anything else
  *   type small cpus=8 gpus=0 mem=32 boot=10 zones=a,b
  *   at 12.5                                            the time, in seconds
  *   job job-1 mark=5 tasks=2 cpus=2 ... [mood=cancelled]   a record change seen by the replica
@@ -118,6 +118,7 @@
 {
     p->set.lease = bd_secs(num(p, "lease", bd_to_secs(p->set.lease)));
     p->set.cancel = bd_secs(num(p, "cancel", bd_to_secs(p->set.cancel)));
+    p->set.report = bd_secs(num(p, "report", bd_to_secs(p->set.report)));
     p->set.leader_ttl = bd_secs(num(p, "ttl", bd_to_secs(p->set.leader_ttl)));
     p->set.txn_ops = (size_t)num(p, "ops", (double)p->set.txn_ops);
     const char *t = arg(p, "team"), *peer = arg(p, "peer");
