Deaf machines, late copies, higher seals, quick restarts: guards and scenarios

- A copy of a check-in renews nothing, shows nothing and gets no order (the tally of check-ins tells).
- A machine that does not stay with the controller that answers it, or leaves a direct command unanswered, gets nothing new until it stays; not when a third of all seem so.
- A report with a higher seal than ours is sent on, and ends a leader's grace.
- Direct launches may come late as copies even when answered: results are forgotten once the machine has seen a higher seal, which rises when forgets wait.
- Numbers of forwarded reports begin at random, so that a former process's answers fit none.
- A controller that hears neither the state service nor any other is not up; 503 closes the connection, so that the next try may reach another node.

--- a/include/brambledoor/core.h
+++ b/include/brambledoor/core.h
@@ -90,6 +90,10 @@
     int type, zone; /* -1: not known yet */
     bool spot, listed_now, failed, fenced, gone, returning;
     uint64_t session, seq, lapsed_session;
+    uint64_t asked_seq; /* of its newest check-in: what is not newer is a copy */
+    int via;            /* the controller that the check-in came to: a peer's number, or -1 */
+    uint32_t strayed;   /* times in a row that it went elsewhere although it was answered */
+    bool mute;          /* seems not to hear what it is told */
     struct timespec age_known, return_after;
     struct timespec lapse_at; /* from here on nothing of the last session runs */
     struct timespec heard, known_at, idle_since, refuse_until;
@@ -256,6 +260,7 @@
     uint32_t nsent_away;
     struct timespec deaf_until; /* the leader's workers are better passed on than sent to him */
     bool deaf;                  /* as leader: most workers are silent */
+    bool mute_many;             /* as leader: so many seem not to hear us that it is rather us */
     /* as leader: deputies' records as last looked at */
     struct timespec deputies_looked;
     char stale_deputy[BD_LABEL];
@@ -271,7 +276,10 @@
     char leader_name[BD_LABEL];
     uint64_t base_term, term, grant;
     char nonce[BD_LABEL];
-    uint64_t counter; /* attempts */
+    uint64_t counter;            /* attempts */
+    uint64_t sealed_attempt;     /* up to here all direct launches carried a lower seal than ours */
+    uint32_t withheld;           /* forgets that wait for a higher seal, since it last rose */
+    struct timespec withheld_at; /* the first of them */
     struct timespec valid_until, renewed;
     struct timespec others_lapse; /* sessions renewed by earlier terms are over by then */
     bool listed_once;
@@ -299,6 +307,9 @@
 
 struct bd_core *bd_core_new(const struct bd_settings *set, const struct bd_log *log);
 void bd_core_free(struct bd_core *c);
+/* where the numbers begin that other controllers send back to us: not where our last process's did
+ */
+void bd_core_seed(struct bd_core *c, uint64_t seed);
 struct bd_effect *bd_core_effects(struct bd_core *c); /* takes the list */
 void bd_effect_free(struct bd_effect *e);
 void bd_core_time(struct bd_core *c, struct timespec now, double wall);
--- a/src/core.c
+++ b/src/core.c
@@ -15,6 +15,11 @@
     return c;
 }
 
+void bd_core_seed(struct bd_core *c, uint64_t seed)
+{
+    c->forward_n = seed;
+}
+
 static void free_names(struct bd_names **t)
 {
     struct bd_names *n, *tmp;
@@ -298,6 +303,7 @@
 }
 
 #define HEARD_S 2.0 /* another controller's word counts so long */
+#define ALONE_S 3.0 /* without a word from anywhere users are better sent elsewhere */
 
 static const int outage_retry_s = 2;
 
@@ -696,9 +702,20 @@
     snprintf(c->leader_name, sizeof c->leader_name, "%s", c->set->peers[i].name);
 }
 
+/* Neither the state service nor any other controller is heard: it is likely we who are cut off. */
+static bool quite_alone(const struct bd_core *c)
+{
+    if (c->set->npeers == 0 || bd_between(c->fresh, c->now) < ALONE_S)
+        return false;
+    for (int i = 0; i < c->set->npeers; i++)
+        if (bd_between(c->peers[i].heard, c->now) < ALONE_S)
+            return false;
+    return true;
+}
+
 bool bd_core_up(const struct bd_core *c)
 {
-    return c->replica_ready && c->types_known && !cut_alone(c);
+    return c->replica_ready && c->types_known && !cut_alone(c) && !quite_alone(c);
 }
 
 void bd_core_lost(struct bd_core *c)
--- a/src/core_in.h
+++ b/src/core_in.h
@@ -67,6 +67,7 @@
 struct timespec bd_lease_end(const struct bd_core *c, struct timespec answered);
 uint32_t bd_tenths(struct timespec t);
 void bd_find_slow(struct bd_core *c, struct bd_machine *m);
+void bd_find_mute(struct bd_core *c);
 void bd_orders_send(struct bd_core *c, struct bd_machine *m);
 bool bd_has_image(const struct bd_machine *m, int image);
 
--- a/src/front.c
+++ b/src/front.c
@@ -45,6 +45,9 @@
         snprintf(text, sizeof text, "%d", retry);
         (void)MHD_add_response_header(r, "Retry-After", text);
     }
+    /* the next try goes through the load balancer again, perhaps to a node that can */
+    if (status == MHD_HTTP_SERVICE_UNAVAILABLE)
+        (void)MHD_add_response_header(r, "Connection", "close");
     enum MHD_Result rc = MHD_queue_response(conn, (unsigned)status, r);
     MHD_destroy_response(r);
     return rc;
--- a/src/owner.c
+++ b/src/owner.c
@@ -7,6 +7,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/random.h>
 
 #define BATCH 128
 #define QUEUE_CAP 4096
@@ -406,6 +407,10 @@
     n->core = bd_core_new(&n->set, &n->log);
     if (!n->core)
         return -1;
+    uint64_t seed = 0;
+    if (getrandom(&seed, sizeof seed, GRND_NONBLOCK) != (ssize_t)sizeof seed)
+        seed = (uint64_t)bd_now().tv_nsec << 20;
+    bd_core_seed(n->core, seed >> 1);
     (void)clock_core(n);
     if (bd_store_start(n) != 0 || bd_cloud_start(n) != 0 || bd_dispatch_start(n) != 0 ||
         bd_leader_start(n) != 0 || bd_mesh_start(n) != 0)
--- a/src/reports.c
+++ b/src/reports.c
@@ -12,6 +12,8 @@
 #define SLOW_EXTRA_TENTHS 50u
 #define SLOW_RUNS 4u        /* of at least so many */
 #define DIRECT_DOUBLINGS 4u /* longest pause: 16 report intervals */
+#define STRAYS 2u           /* then a machine is taken not to hear */
+#define MUTE_SHARE 0.34     /* of the machines: more than that do not go deaf together */
 
 struct orders {
     struct bd_order *o;
@@ -44,8 +46,9 @@
     return j->spec.save + 1.0;
 }
 
-/* Halts and launches that the machine owes us, from the states of the tasks on it. */
-static bool owed(struct bd_core *c, struct bd_machine *m, struct orders *l)
+/* Halts and launches that the machine owes us, from the states of the tasks on it. An attempt that
+ * an earlier seal's direct launch may have carried is launched in answers only: see may_forget. */
+static bool owed(struct bd_core *c, struct bd_machine *m, struct orders *l, bool direct)
 {
     bool launch = false;
     for (uint32_t k = 0; k < m->nrefs; k++) {
@@ -58,24 +61,16 @@
             bool force = t->flags & BD_F_FORCE;
             if (t->state == BD_T_LIVE && (t->sub != BD_SAVING || force))
                 order(l, BD_HALT, j->id, i, t->attempt, grace_of(j, t));
-        } else if (t->state == BD_T_LAUNCH && bd_core_valid(c) && j->mood == BD_LIVE) {
+        } else if (t->state == BD_T_LAUNCH && bd_core_valid(c) && j->mood == BD_LIVE &&
+                   (!direct || t->attempt > c->sealed_attempt)) {
             order(l, BD_LAUNCH, j->id, i, t->attempt, 0);
-            t->flags |= BD_F_SENT;
+            t->flags |= direct ? BD_F_SENT | BD_F_DO : BD_F_SENT;
             launch = true;
         }
     }
     return launch;
 }
 
-static void mark_direct(struct bd_machine *m)
-{
-    for (uint32_t k = 0; k < m->nrefs; k++) {
-        struct bd_task *t = &m->refs[k].job->tasks[m->refs[k].task];
-        if (t->state == BD_T_LAUNCH && !(t->flags & BD_F_STOP))
-            t->flags |= BD_F_DO;
-    }
-}
-
 /* Sends what is owed directly, where the machine can be expected to answer. */
 void bd_orders_send(struct bd_core *c, struct bd_machine *m)
 {
@@ -83,11 +78,9 @@
     if (m->do_busy || bd_before(c->now, m->do_after) || !m->fenced || m->gone || !*m->addr ||
         !bd_core_valid(c))
         return;
-    bool launch = owed(c, m, &l);
+    bool launch = owed(c, m, &l, true);
     if (l.n == 0)
         return;
-    if (launch)
-        mark_direct(m);
     struct bd_effect *e = bd_emit(c, BD_E_DO);
     e->machine = m->index;
     e->seal = c->term;
@@ -168,15 +161,28 @@
     bd_task_free(c, j, i);
 }
 
+/* Even a direct launch that was answered may come once more, as a late copy. The worker ignores it
+ * while it knows the attempt, or once it has seen a higher seal: what a seal's direct launches may
+ * have carried is not forgotten before. */
+static void forget(struct bd_core *c, const struct bd_report *r, const struct bd_seen_task *s,
+                   struct orders *l)
+{
+    if (s->attempt <= c->sealed_attempt && r->seal >= c->term)
+        order(l, BD_FORGET, s->job, s->task, s->attempt, 0);
+    else if (c->withheld++ == 0)
+        c->withheld_at = c->now;
+}
+
 static void exited(struct bd_core *c, struct bd_machine *m, struct bd_job *j,
-                   const struct bd_seen_task *s, struct orders *l)
+                   const struct bd_report *r, const struct bd_seen_task *s, struct orders *l)
 {
     struct bd_task *t = &j->tasks[s->task];
     bool current = is_current(m, t, s->attempt);
     /* a late copy of the launch would start a forgotten attempt again */
     bool late = current && t->flags & BD_F_DO;
     if (s->why == BD_WHY_DONE && j->mood == BD_LIVE) {
-        m->errors = 0;
+        if (current) /* older ones are shown until they are forgotten, and prove nothing */
+            m->errors = 0;
         if (late) {
             t->flags |= BD_F_EXITED;
             return;
@@ -188,7 +194,7 @@
         }
         bd_task_done(c, j, s->task);
         if (t->flags & BD_F_RECEIPT)
-            order(l, BD_FORGET, s->job, s->task, s->attempt, 0);
+            forget(c, r, s, l);
         return;
     }
     if (late) {
@@ -197,7 +203,7 @@
     }
     if (current)
         ended(c, m, j, s->task, s);
-    order(l, BD_FORGET, s->job, s->task, s->attempt, 0);
+    forget(c, r, s, l);
 }
 
 static void alive(struct bd_core *c, struct bd_machine *m, struct bd_job *j,
@@ -285,13 +291,13 @@
         if (!j || !j->tasks || s->task >= j->ntasks) {
             /* done jobs' results may be forgotten; of others nothing is known here */
             if (s->sub == BD_EXITED && j && j->mood == BD_DONE)
-                order(l, BD_FORGET, s->job, s->task, s->attempt, 0);
+                forget(c, r, s, l);
             else if (s->sub != BD_EXITED)
                 order(l, BD_HALT, s->job, s->task, s->attempt, 0);
             continue;
         }
         if (s->sub == BD_EXITED)
-            exited(c, m, j, s, l);
+            exited(c, m, j, r, s, l);
         else
             alive(c, m, j, s, l);
     }
@@ -308,8 +314,11 @@
 {
     if (!newer(m, r))
         return false;
-    if (m->session && r->session > m->session)
+    if (m->session && r->session > m->session) {
         bd_machine_lapse(c, m);
+        m->asked_seq = 0;
+        m->mute = true; /* until it shows that it hears: its lease ran out, answered or not */
+    }
     identify(c, m, r);
     m->session = r->session;
     m->seq = r->seq;
@@ -331,19 +340,49 @@
 {
     /* no launch here while a direct one is on its way: one message at a time says it */
     if (m->fenced && !m->do_busy)
-        (void)owed(c, m, l);
+        (void)owed(c, m, l, false);
     m->lapse_at = bd_lease_end(c, c->now);
     if (!m->fenced) /* if this answer is lost, an earlier term may still renew it */
         m->lapse_at = bd_max(m->lapse_at, c->others_lapse);
     bd_reply(c, request, 200, bd_wire_orders(c->term, 0, l->o, l->n), 0);
 }
 
+/* A worker has one check-in under way and numbers them upwards; one that is not newer than the
+ * newest is a copy. A returned machine's, or a session's that is over, is one as well. */
+static bool is_copy(const struct bd_machine *m, const struct bd_report *r)
+{
+    return m->gone || (m->lapsed_session && r->session <= m->lapsed_session) ||
+           r->session < m->session || (r->session == m->session && r->seq <= m->asked_seq);
+}
+
+/* A worker that gets its answer stays with the controller that gave it, one that gets none goes to
+ * the next: two check-ins in a row tell which. Called before the report is taken in. */
+static void hears_us(struct bd_machine *m, const struct bd_report *r, int via)
+{
+    bool next = r->session == m->session && m->asked_seq && r->seq == m->asked_seq + 1;
+    if (next && via == m->via) {
+        m->mute = false;
+        m->strayed = 0;
+    } else if (next) {
+        m->mute = m->mute || ++m->strayed >= STRAYS;
+    }
+    m->via = via;
+}
+
 /* As leader, or in its grace. */
-static void lead_checkin(struct bd_core *c, void *request, const struct bd_report *r, bool direct)
+static void lead_checkin(struct bd_core *c, void *request, const struct bd_report *r, int via)
 {
-    struct bd_machine *m = bd_machine_get(c, r->machine);
-    /* returned machines are gone; what still comes from one is a late copy */
-    if (m->gone || (m->lapsed_session && r->session <= m->lapsed_session)) {
+    struct bd_machine *m = NULL;
+    bool direct = via < 0;
+    if (r->seal > c->term) { /* it would drop our answer and stay here until its lease is over */
+        if (!bd_core_valid(c))
+            bd_core_lost(c);
+        bd_reply(c, request, 421, bd_wire_steer(""), 0);
+        return;
+    }
+    m = bd_machine_get(c, r->machine);
+    /* a copy is no sign of life: nothing is learnt from it, and no lease renewed */
+    if (is_copy(m, r)) {
         bd_reply(c, request, 503, bd_wire_steer(""), 0);
         return;
     }
@@ -353,8 +392,10 @@
         return;
     }
     struct orders l = {0};
+    hears_us(m, r, via);
     if (take_report(c, m, r, &l))
         m->direct = direct;
+    m->asked_seq = r->seq;
     if (!bd_core_valid(c))
         l.n = 0;
     answer_checkin(c, request, m, &l);
@@ -366,7 +407,7 @@
                      size_t len)
 {
     if (bd_core_may_answer(c)) {
-        lead_checkin(c, request, r, true);
+        lead_checkin(c, request, r, -1);
         return;
     }
     if (c->role == BD_FOLLOWER &&
@@ -387,7 +428,7 @@
         q->peer = i;
         q->id = id;
         if (bd_core_may_answer(c))
-            lead_checkin(c, q, r, false);
+            lead_checkin(c, q, r, i);
         else
             bd_reply(c, q, 421, bd_wire_steer(""), 0);
     }
@@ -400,9 +441,24 @@
     for (uint32_t k = 0; k < m->do_fails && k < DIRECT_DOUBLINGS; k++)
         pause *= 2;
     m->do_fails++;
+    m->mute = true; /* nothing new for it until it shows that it hears */
     m->do_after = bd_add(c->now, bd_secs(pause));
 }
 
+/* As leader: whether so many seem not to hear that it is rather we who are not heard. */
+void bd_find_mute(struct bd_core *c)
+{
+    uint32_t known = 0, mute = 0;
+    for (uint32_t i = 0; i < c->nmachines; i++) {
+        const struct bd_machine *m = c->by_index[i];
+        if (m->gone || !m->fenced)
+            continue;
+        known++;
+        mute += m->mute;
+    }
+    c->mute_many = mute > MUTE_SHARE * known;
+}
+
 void bd_core_did(struct bd_core *c, uint32_t machine, uint64_t seal, bool launch, long status,
                  const struct bd_report *r)
 {
@@ -418,6 +474,7 @@
         return;
     }
     m->do_fails = 0;
+    m->mute = false;
     if (strcmp(r->machine, m->id) != 0) {
         direct_failed(c, m); /* the address serves another machine now */
         return;
--- a/src/rounds.c
+++ b/src/rounds.c
@@ -11,6 +11,8 @@
 #define TXN_BYTES 56000u
 #define BUMP_AFTER_S 1.5
 #define BUMP_EVERY_S 5.0
+#define FORGET_BUMP_S 25.0  /* so long results stay on the machines before the seal rises */
+#define WITHHELD_MOST 4000u /* ... or until reports show so many */
 
 static const char hex[] = "0123456789abcdef";
 
@@ -355,6 +357,8 @@
     if (k->bump) {
         c->term = ring;
         c->last_bump = c->now;
+        c->sealed_attempt = (c->base_term << 20) + c->counter;
+        c->withheld = 0;
     }
     for (uint32_t i = 0; i < k->nreceipts; i++)
         receipt_kept(&k->receipts[i]);
@@ -510,6 +514,8 @@
     c->base_term = c->term = g->term;
     c->grant = g->grant;
     c->counter = 0;
+    c->sealed_attempt = g->term << 20; /* earlier terms' launches carried lower seals */
+    c->withheld = 0;
     c->round_n = 0;
     c->request_n = 0;
     c->witness_mark = g->witness_mark;
@@ -575,6 +581,14 @@
     }
 }
 
+static void forgets_due(struct bd_core *c)
+{
+    if (c->withheld &&
+        (bd_between(c->withheld_at, c->now) > FORGET_BUMP_S ||
+         (c->withheld > WITHHELD_MOST && bd_between(c->last_bump, c->now) > BUMP_EVERY_S)))
+        c->want_bump = true;
+}
+
 static void tokens(struct bd_core *c)
 {
     double rate = c->set->state_write_rps * WRITE_SHARE;
@@ -623,6 +637,8 @@
         bd_forward_listen(c);
         lapses(c);
         late_launches(c);
+        forgets_due(c);
+        bd_find_mute(c);
     }
     if (!bd_core_valid(c))
         return;
--- a/src/tasks.c
+++ b/src/tasks.c
@@ -272,7 +272,7 @@
     }
     snprintf(m->id, sizeof m->id, "%s", id);
     m->index = c->nmachines;
-    m->type = m->zone = -1;
+    m->type = m->zone = m->via = -1;
     m->notice_left = -1;
     m->known_at = m->idle_since = c->now;
     /* it may have been renewed by an earlier term that we cannot see */
@@ -317,6 +317,7 @@
 {
     return m->type >= 0 && m->zone >= 0 && c->types[m->type].known && m->fenced && !m->gone &&
            !m->returning && !m->failed && !m->bad && m->notice_left < 0 &&
+           (!m->mute || c->mute_many) &&
            bd_between(m->heard, c->now) < 2.5 * bd_to_secs(c->set->report) + 0.5 &&
            bd_before(m->refuse_until, c->now);
 }
--- a/tests/scenario.c
+++ b/tests/scenario.c
@@ -18,6 +18,7 @@
  *   did vm-1 seal=1 status=200 ...                     answer to a direct command, as report
  *   committed ok|lost|failed KEY...
  *   submit {json} | get job-1 | withdraw job-1 | usercommitted STATUS
+ *   seed N | up 0|1                                    where numbers begin; whether /up says yes
  *   rented N vm-1 vm-2 (status 200), rented refused, returned vm-1
  *   expect KIND TEXT...   an effect of the kind that holds all the texts; it is taken off
  *   none KIND [TEXT...]   no such effect is waiting
@@ -611,7 +612,12 @@
         bd_core_get(p->c, NULL, p->w[1]);
     else if (strcmp(v, "withdraw") == 0)
         bd_core_withdraw(p->c, NULL, p->w[1]);
-    else if (strcmp(v, "ready") == 0)
+    else if (strcmp(v, "seed") == 0)
+        bd_core_seed(p->c, p->n > 1 ? strtoull(p->w[1], NULL, 10) : 0);
+    else if (strcmp(v, "up") == 0) {
+        if (p->n < 2 || bd_core_up(p->c) != (atoi(p->w[1]) != 0))
+            fail(p, "up is otherwise");
+    } else if (strcmp(v, "ready") == 0)
         bd_core_relisted(p->c, 10, p->c->now);
     else
         fail(p, "unknown step");
