Arrays look for spot first and leave GPU machines their room; the fleet's table grows

Idle cheap machines went back while 70 GPU machines ran services: the demand's table of 256 bins was full. Now: patience also from start aims that leave time for a new machine; arrays together may use only what GPU work must leave; the table grows.

--- a/src/fleet.c
+++ b/src/fleet.c
@@ -14,7 +14,6 @@
 #define RETURN_MOST 100
 #define RENTS_OPEN 3 /* requests under way at once */
 #define DEAD_EXTRA_S 15.0
-#define BINS 256
 #define FIXED_PENALTY 2.0 /* ordinary machines are left to work that may not use spot */
 #define CLASSES 32
 #define WINDOW_S 150.0 /* in which arrivals are counted */
@@ -194,15 +193,23 @@
 
 struct demand {
     struct bd_core *c;
-    struct bin bins[BINS];
-    int n;
+    struct bin *bins;
+    int n, cap;
+    double zone_use[BD_MAX_ZONES]; /* machines there */
     double team_cpus[BD_MAX_TEAMS], team_gpus[BD_MAX_TEAMS];
 };
 
+/* The bins move when they grow: no pointer into them may be kept. */
 static struct bin *add_bin(struct demand *d, int type, int zone, bool spot, bool wanted)
 {
-    if (d->n == BINS)
-        return NULL;
+    if (d->n == d->cap) {
+        int cap = d->cap ? d->cap * 2 : 256;
+        struct bin *b = realloc(d->bins, (size_t)cap * sizeof *b);
+        if (!b)
+            abort();
+        d->bins = b;
+        d->cap = cap;
+    }
     const struct bd_type *t = &d->c->types[type];
     d->bins[d->n] = (struct bin){type, zone, spot, wanted, NULL, t->cpus, t->gpus, t->mem};
     return &d->bins[d->n++];
@@ -244,12 +251,13 @@
     b->mem -= s->mem;
 }
 
-static double zone_use(const struct bd_core *c, int zone)
+static void count_zones(struct demand *d)
 {
-    double n = 0;
-    for (uint32_t i = 0; i < c->nmachines; i++)
-        n += !c->by_index[i]->gone && c->by_index[i]->zone == zone;
-    return n;
+    for (uint32_t i = 0; i < d->c->nmachines; i++) {
+        const struct bd_machine *m = d->c->by_index[i];
+        if (!m->gone && m->zone >= 0)
+            d->zone_use[m->zone]++;
+    }
 }
 
 /* The cheapest kind of machine for `left` more tasks, or false. */
@@ -274,7 +282,7 @@
                 double v = (sp ? c->types[t].spot_price : c->types[t].price) / n;
                 if (s->spot && !sp)
                     v *= FIXED_PENALTY;
-                v *= 1 + 1e-6 * zone_use(c, z); /* the emptier zone of equals */
+                v *= 1 + 1e-6 * d->zone_use[z]; /* the emptier zone of equals */
                 if (v < low - 1e-12) {
                     low = v;
                     *type = t;
@@ -315,8 +323,6 @@
     }
     while (n > 0 && choose(d, s, n, reach, &type, &zone, &spot)) {
         struct bin *b = add_bin(d, type, zone, spot, true);
-        if (!b)
-            return;
         while (n > 0 && bin_fits(b, s)) {
             bin_take(b, s);
             n--;
@@ -413,8 +419,6 @@
         if (!bd_machine_usable(c, m) || (m->nrefs == 0) != idle)
             continue;
         struct bin *b = add_bin(d, m->type, m->zone, m->spot, false);
-        if (!b)
-            return;
         b->machine = m;
         b->cpus -= m->cpus;
         b->gpus -= m->gpus;
@@ -574,6 +578,7 @@
     if (!d)
         return;
     d->c = c;
+    count_zones(d);
     memcpy(d->team_cpus, c->team_cpus, sizeof d->team_cpus);
     memcpy(d->team_gpus, c->team_gpus, sizeof d->team_gpus);
     bins_coming(d);
@@ -588,6 +593,7 @@
     want_spares(d);
     want_cheap_room(d);
     rent_wanted(d);
+    free(d->bins);
     free(d);
 }
 
@@ -662,31 +668,52 @@
     }
 }
 
-/* One line a type, for whoever asks what the money is spent on. */
+/* What a machine is kept busy with, the dearest kind of work first. */
+enum use { USE_COMING, USE_GPU, USE_SERVICES, USE_ARRAYS, USE_IDLE, USES };
+
+static enum use use_of(const struct bd_machine *m)
+{
+    enum use u = m->session ? USE_IDLE : USE_COMING;
+    for (uint32_t k = 0; k < m->nrefs; k++) {
+        const struct bd_spec *s = &m->refs[k].job->spec;
+        enum use v = s->gpus > 0 ? USE_GPU : s->shape == BD_SERVICE ? USE_SERVICES : USE_ARRAYS;
+        u = u == USE_COMING || v < u ? v : u;
+    }
+    return u;
+}
+
+static void say_kind(struct bd_core *c, int t, bool spot)
+{
+    uint32_t n[USES] = {0}, up = 0;
+    double cpus = 0, gpus = 0;
+    for (uint32_t i = 0; i < c->nmachines; i++) {
+        const struct bd_machine *m = c->by_index[i];
+        if (m->gone || m->type != t || m->spot != spot)
+            continue;
+        n[use_of(m)]++;
+        up += m->session != 0;
+        cpus += m->cpus;
+        gpus += m->gpus;
+    }
+    if (up + n[USE_COMING] == 0)
+        return;
+    bd_say(c->log, BD_INFO,
+           "fleet %s%s: %u up, %u coming, %u idle; %u with gpu work, %u with services, %u with "
+           "arrays; in use %.0f of %.0f cpus, %.0f of %.0f gpus",
+           c->types[t].label, spot ? " (spot)" : "", up, n[USE_COMING], n[USE_IDLE], n[USE_GPU],
+           n[USE_SERVICES], n[USE_ARRAYS], cpus, up * c->types[t].cpus, gpus,
+           up * c->types[t].gpus);
+}
+
+/* A line a type and kind, for whoever asks what the money is spent on. */
 static void say_fleet(struct bd_core *c)
 {
     if (bd_before(c->now, c->next_summary))
         return;
     c->next_summary = bd_add(c->now, bd_secs(SUMMARY_S));
     for (int t = 0; t < c->ntypes; t++) {
-        int up = 0, coming = 0, idle = 0, spot = 0;
-        double cpus = 0, gpus = 0;
-        for (uint32_t i = 0; i < c->nmachines; i++) {
-            const struct bd_machine *m = c->by_index[i];
-            if (m->gone || m->type != t)
-                continue;
-            coming += m->session == 0;
-            up += m->session != 0;
-            idle += m->session && m->nrefs == 0;
-            spot += m->spot;
-            cpus += m->cpus;
-            gpus += m->gpus;
-        }
-        bd_say(c->log, BD_INFO,
-               "fleet %s: %d up, %d coming, %d idle, %d spot; in use %.0f of %.0f cpus, %.0f of "
-               "%.0f gpus",
-               c->types[t].label, up, coming, idle, spot, cpus, up * c->types[t].cpus, gpus,
-               up * c->types[t].gpus);
+        say_kind(c, t, false);
+        say_kind(c, t, true);
     }
 }
 
--- a/src/place.c
+++ b/src/place.c
@@ -99,8 +99,8 @@
     return most;
 }
 
-/* Whether a task here would take room that a GPU task could have, now or once what ends by itself
- * has ended: arrays must not refill a machine that GPU work waits for. */
+/* Whether a task here would take room that a GPU task could have, now or once the arrays here have
+ * ended: together they may only use what GPU work must leave anyway. */
 static bool harms_gpus(const struct bd_core *c, const struct bd_spec *s, const struct bd_machine *m)
 {
     const struct bd_spec *g = &c->gpu_wanted[m->type][m->spot];
@@ -108,7 +108,7 @@
     if (s->gpus > 0 || g->gpus <= 0)
         return false;
     struct room r = {t->cpus - m->pinned_cpus, t->gpus - m->pinned_gpus, t->mem - m->pinned_mem};
-    struct room after = {r.cpus - s->cpus, r.gpus, r.mem - s->mem};
+    struct room after = {t->cpus - m->cpus - s->cpus, r.gpus, t->mem - m->mem - s->mem};
     return fit(after, g, 64) < fit(r, g, 64);
 }
 
--- a/src/price.c
+++ b/src/price.c
@@ -3,12 +3,11 @@
 #include <math.h>
 
 /* named defaults */
-#define DEAR 2.5     /* times the cheapest ordinary place for the task */
-#define PATIENCE 1.0 /* of the time that a job can spare */
-#define HOPE_S 20.0  /* with less to spare an aim is not counted on */
-#define YIELD 2.0    /* times as patient while GPU work waits for machines */
-#define YIELD_LEAST_S 15.0
-#define RUN_FACTOR 1.5 /* a job's slowest task against its owner's guess */
+#define DEAR 2.5           /* times the cheapest ordinary place for the task */
+#define PATIENCE 1.0       /* of the time that a job can spare */
+#define HOPE_S 20.0        /* with less to spare an aim is not counted on */
+#define YIELD_LEAST_S 15.0 /* while GPU work waits for machines */
+#define RUN_FACTOR 1.5     /* a job's slowest task against its owner's guess */
 
 int bd_tasks_a_machine(const struct bd_type *t, const struct bd_spec *s)
 {
@@ -63,8 +62,9 @@
     return -1;
 }
 
-/* Seconds from its submission that the job can wait for a cheap place; a class with an aim for its
- * start waits for nothing. A job that is too long for the tightest aim goes by the next one. */
+/* Seconds from its submission that the job can wait for a cheap place; a class whose aim for its
+ * start leaves no time for a new machine waits for nothing. A job that is too long for the tightest
+ * aim for its end goes by the next one. */
 static double patience(const struct bd_core *c, const struct bd_spec *s)
 {
     double tight = INFINITY, loose = 0, lead = 0;
@@ -77,7 +77,7 @@
         double slack = bd_slack(c, s->klass, s->estimate, a), v = slack - lead;
         if (slack < 0)
             continue;
-        if (a->kind == BD_AIM_WAIT)
+        if (a->kind == BD_AIM_WAIT && v < HOPE_S)
             return 0;
         any = true;
         loose = fmax(loose, v);
@@ -92,7 +92,7 @@
     double can = patience(c, &j->spec), waited = c->wall - j->at;
     bool yields = c->gpu_waiting && j->spec.gpus <= 0 && j->spec.shape == BD_ARRAY &&
                   j->spec.rank <= BD_STANDARD;
-    if (waited >= (yields ? YIELD * fmax(can, YIELD_LEAST_S) : can))
+    if (waited >= (yields ? fmax(can, YIELD_LEAST_S) : can))
         return BD_REACH_ANY;
     return j->spec.spot && waited < can / 2 ? BD_REACH_SPOT : BD_REACH_CHEAP;
 }
