--- a/src/fleet.c
+++ b/src/fleet.c
@@ -307,7 +307,10 @@
     return n;
 }
 
-static void want_job(struct demand *d, const struct bd_spec *s, uint32_t n, enum bd_reach reach)
+/* Finds n tasks room within the reach, in what is there or coming and then in what can be rented;
+ * returns for how many there was none. */
+static uint32_t want_within(struct demand *d, const struct bd_spec *s, uint32_t n,
+                            enum bd_reach reach)
 {
     int type = 0, zone = 0;
     bool spot = false;
@@ -328,6 +331,16 @@
             n--;
         }
     }
+    return n;
+}
+
+/* A job that may have a dear place by now still gets a cheap one rented where there is one: dear
+ * machines on their way are for work that needs them. */
+static void want_job(struct demand *d, const struct bd_spec *s, uint32_t n, enum bd_reach reach)
+{
+    if (reach == BD_REACH_ANY)
+        n = want_within(d, s, n, BD_REACH_CHEAP);
+    (void)want_within(d, s, n, reach);
 }
 
 /* ---- spare room, from the aims and what arrives ---- */
--- a/src/place.c
+++ b/src/place.c
@@ -99,17 +99,29 @@
     return most;
 }
 
-/* Whether a task here would take room that a GPU task could have, now or once the arrays here have
- * ended: together they may only use what GPU work must leave anyway. */
-static bool harms_gpus(const struct bd_core *c, const struct bd_spec *s, const struct bd_machine *m)
+/* How many tasks may come here, up to `most`, without taking room that a GPU task could have, now or
+ * once the arrays here have ended: together they may only use what GPU work must leave anyway. */
+static uint32_t harmless(const struct bd_core *c, const struct bd_spec *s,
+                         const struct bd_machine *m, uint32_t most)
 {
     const struct bd_spec *g = &c->gpu_wanted[m->type][m->spot];
     const struct bd_type *t = &c->types[m->type];
     if (s->gpus > 0 || g->gpus <= 0)
-        return false;
+        return most;
     struct room r = {t->cpus - m->pinned_cpus, t->gpus - m->pinned_gpus, t->mem - m->pinned_mem};
-    struct room after = {t->cpus - m->cpus - s->cpus, r.gpus, t->mem - m->mem - s->mem};
-    return fit(after, g, 64) < fit(r, g, 64);
+    uint32_t gpu_tasks = fit(r, g, 64);
+    if (gpu_tasks == 0)
+        return most;
+    struct room left = {t->cpus - m->cpus - gpu_tasks * g->cpus, 0,
+                        t->mem - m->mem - gpu_tasks * g->mem};
+    return left.cpus < 0 || left.mem < 0 ? 0 : fit(left, s, most);
+}
+
+/* Whether it is known what GPU work could do here: before any has come, nothing is harmless. */
+static bool known_use(const struct bd_core *c, const struct bd_machine *m)
+{
+    return c->types[m->type].gpus <= 0 || c->gpu_wanted[m->type][m->spot].gpus > 0 ||
+           m->pinned_cpus > 0;
 }
 
 static double cost(const struct bd_core *c, const struct bd_spec *s, const struct bd_machine *m,
@@ -143,12 +155,12 @@
         struct room room = unclaimed_room(r, m);
         if (!fit(room, &j->spec, 1) || !zone_left(c, j, zones, m->zone, 1))
             continue;
-        bool harm = harms_gpus(c, &j->spec, m);
+        bool harm = harmless(c, &j->spec, m, 1) == 0;
         if (harm && !may_harm)
             continue;
         /* a dear machine that GPU work cannot use anyway is as good as a cheap one */
         if (!bd_in_reach(c, &j->spec, reach, m->type, m->spot) &&
-            (harm || !bd_dear(c, &j->spec, m->type, m->spot)))
+            (harm || !known_use(c, m) || !bd_dear(c, &j->spec, m->type, m->spot)))
             continue;
         double v = cost(c, &j->spec, m, room, harm);
         if (v < low) {
@@ -198,7 +210,9 @@
         if (!m)
             break;
         struct room room = unclaimed_room(r, m);
-        uint32_t n = fit(room, &j->spec, most - placed);
+        uint32_t n = fit(room, &j->spec, most - placed), kind = harmless(r->c, &j->spec, m, n);
+        if (kind > 0) /* the next ones may do better elsewhere */
+            n = kind;
         n = record_room(r, zone_left(r->c, j, zones, m->zone, n));
         if (n == 0)
             break;
