Deputies wait out a rewritten leader key, and ask their zone before sending workers round

The leader rewrites its key for a higher seal, each deputy's write was refused once, and all workers that waited for it were sent to nodes beyond the cut, with leases of 10 s. Ruled out: takeovers (1 to 2 s).

--- a/src/deputy.c
+++ b/src/deputy.c
@@ -17,6 +17,8 @@
 #define STALE_S 5.0
 #define GAP_S 2.5 /* between looks: shorter than keep_s, so that none can slip through */
 #define CHARGES 512
+#define ASK_S 2.0          /* a worker waits so long for the record; it gives up after 4 s */
+#define AGAIN_S 0.15       /* after a refused write: the leader's key is looked at about as often */
 #define CANARY_S 6.0       /* before a canary is sent, and after one came back */
 #define GATHER_S 2.5       /* in which the workers of one batch are sent */
 #define PATIENT_S 40.0     /* then one with tasks may be sent too */
@@ -26,6 +28,7 @@
 struct bd_wait_checkin {
     void *request;
     struct bd_report *report;
+    struct timespec asked;
     struct bd_wait_checkin *next;
 };
 
@@ -136,15 +139,15 @@
     while (w) {
         struct bd_wait_checkin *next = w->next;
         struct bd_charge *k = charge_of(c, w->report->machine, false);
-        if (k && !k->sent && !all) {
+        bool ready = k && k->confirmed && bd_before(c->now, c->deputy.confirmed_until);
+        if (k && !ready && !all && bd_between(w->asked, c->now) < ASK_S) {
             w->next = c->deputy.asking;
             c->deputy.asking = w;
-            c->deputy.next_beat = c->now;
             w = next;
             continue;
         }
-        bool ok = k && k->confirmed && bd_before(c->now, c->deputy.confirmed_until);
-        bd_reply(c, w->request, ok ? 200 : 421, ok ? orders(c, w->report) : bd_wire_steer(""), 0);
+        bd_reply(c, w->request, ready ? 200 : 421, ready ? orders(c, w->report) : bd_wire_steer(""),
+                 0);
         bd_report_free(w->report);
         free(w);
         w = next;
@@ -170,7 +173,10 @@
     }
     if (status != 200)
         bd_say(c->log, BD_INFO, "the deputy's record was not written: status %ld", status);
-    answer_asking(c, status != 200);
+    /* a leader's key that was only rewritten is no reason to send the workers round */
+    answer_asking(c, status != 200 && status != 409);
+    if (d->asking)
+        d->next_beat = status == 200 ? c->now : bd_add(c->now, bd_secs(AGAIN_S));
 }
 
 void bd_deputy_end(struct bd_core *c)
@@ -266,13 +272,44 @@
     return true;
 }
 
+/* The other controllers of our zone tell whether the zone is cut off or we alone are. One that
+ * hears the leader can pass reports on: its number. -1: none, and *cut says whether one is in our
+ * case. */
+static int mate(const struct bd_core *c, bool *cut)
+{
+    *cut = false;
+    for (int i = 0; i < c->set->npeers; i++) {
+        if (strcmp(c->set->peers[i].zone, c->set->zone) != 0 || i == bd_leader_index(c) ||
+            !(c->peers[i].flags & BD_PEER_STATE) ||
+            bd_between(c->peers[i].heard, c->now) > LEADER_SILENT_S)
+            continue;
+        if (c->peers[i].flags & BD_PEER_HEARS)
+            return i;
+        *cut = true;
+    }
+    return -1;
+}
+
+/* Long enough that the others have noticed it too, if they could. */
+static bool long_silent(const struct bd_core *c)
+{
+    int i = bd_leader_index(c);
+    return i >= 0 && bd_between(c->peers[i].heard, c->now) > 2 * LEADER_SILENT_S;
+}
+
 /* True if the report was answered, or will be once the record is confirmed. */
 bool bd_deputy_checkin(struct bd_core *c, void *request, const struct bd_report *r)
 {
     struct bd_deputy *d = &c->deputy;
+    bool cut;
     if (!called_for(c))
         return false;
-    if (try_leader(c, r))
+    int hears = mate(c, &cut);
+    if (hears >= 0 && long_silent(c)) {
+        bd_reply(c, request, 421, bd_wire_steer(c->set->peers[hears].name), 0);
+        return true;
+    }
+    if (!cut && try_leader(c, r))
         return false;
     struct bd_charge *k = charge_of(c, r->machine, true);
     if (!k)
@@ -287,6 +324,7 @@
         abort();
     w->request = request;
     w->report = bd_report_copy(r);
+    w->asked = c->now;
     if (d->ncharges == 1)
         bd_say(c->log, BD_INFO, "%s is not heard: answers its workers, first %s", c->leader_name,
                r->machine);
--- a/src/place.c
+++ b/src/place.c
@@ -99,8 +99,9 @@
     return most;
 }
 
-/* How many tasks may come here, up to `most`, without taking room that a GPU task could have, now or
- * once the arrays here have ended: together they may only use what GPU work must leave anyway. */
+/* How many tasks may come here, up to `most`, without taking room that a GPU task could have, now
+ * or once the arrays here have ended: together they may only use what GPU work must leave anyway.
+ */
 static uint32_t harmless(const struct bd_core *c, const struct bd_spec *s,
                          const struct bd_machine *m, uint32_t most)
 {
