--- a/src/place.c
+++ b/src/place.c
@@ -205,6 +205,9 @@
 {
     uint32_t zones[BD_MAX_ZONES], placed = 0, next = 0;
     enum bd_reach reach = bd_reach_of(r->c, j);
+    /* only what is rented waits for spot: a machine that is there costs the same idle */
+    if (reach == BD_REACH_SPOT)
+        reach = BD_REACH_CHEAP;
     zone_counts(r->c, j, zones);
     while (placed < most) {
         struct bd_machine *m = best(r, j, zones, reach, may_harm);
