Gangs try each zone, have room held while they wait, and room made for all members at once

Cause (read in the code, then shown by scenarios): a gang that must be together was tried in one zone only; a gang of several never made room by force and never kept a place while waiting, so smaller work overtook it for ever; plans that came to nothing were remembered as images on the machines.

--- a/src/core_in.h
+++ b/src/core_in.h
@@ -70,6 +70,7 @@
 void bd_find_mute(struct bd_core *c);
 void bd_orders_send(struct bd_core *c, struct bd_machine *m);
 bool bd_has_image(const struct bd_machine *m, int image);
+void bd_remember_image(struct bd_machine *m, int image);
 
 void bd_core_step_aside(struct bd_core *c);
 double bd_grace_s(const struct bd_settings *s);
--- a/src/place.c
+++ b/src/place.c
@@ -9,6 +9,7 @@
 #define COST_STOPPING 10.0   /* the whole room of a task made by stopping others */
 #define WORTH_MOVING_S 12.0  /* a fetch longer than this is worth stopping borrowed work */
 #define PREEMPT_MOST 32u     /* places made for one job in one round */
+#define HOLD_AFTER_S 10.0    /* a gang waits so long before room is held and made for it */
 #define EPS 1e-6
 
 struct room {
@@ -23,6 +24,7 @@
     size_t bytes, most_bytes;
     uint32_t conds, most_conds;
     struct room *claimed; /* by machine: room that waits for tasks being stopped */
+    int only_zone;        /* -1: any */
 };
 
 static struct room free_room(const struct bd_core *c, const struct bd_machine *m)
@@ -142,6 +144,11 @@
     return v;
 }
 
+static bool zone_open(const struct round *r, const struct bd_machine *m)
+{
+    return r->only_zone < 0 || r->only_zone == m->zone;
+}
+
 static struct bd_machine *best(struct round *r, const struct bd_job *j, const uint32_t *zones,
                                enum bd_reach reach, bool may_harm)
 {
@@ -150,7 +157,7 @@
     double low = INFINITY;
     for (uint32_t i = 0; i < c->nmachines; i++) {
         struct bd_machine *m = c->by_index[i];
-        if (!bd_machine_usable(c, m) || m->drain ||
+        if (!bd_machine_usable(c, m) || m->drain || !zone_open(r, m) ||
             !bd_allowed(&j->spec, m->type, m->zone, m->spot))
             continue;
         struct room room = unclaimed_room(r, m);
@@ -309,7 +316,8 @@
 {
     struct bd_core *c = r->c;
     struct room soon, most;
-    if (!bd_machine_usable(c, m) || m->drain || !bd_allowed(&j->spec, m->type, m->zone, m->spot) ||
+    if (!bd_machine_usable(c, m) || m->drain || !zone_open(r, m) ||
+        !bd_allowed(&j->spec, m->type, m->zone, m->spot) ||
         (only_cheap && bd_dear(c, &j->spec, m->type, m->spot)) ||
         !zone_left(c, j, zones, m->zone, 1))
         return INFINITY;
@@ -359,6 +367,17 @@
     return made;
 }
 
+/* Stops nothing unless all that the gang lacks can be had. */
+static void preempt_gang(struct round *r, struct bd_job *j, uint32_t lacking)
+{
+    uint32_t zones[BD_MAX_ZONES], can = 0;
+    zone_counts(r->c, j, zones);
+    for (uint32_t i = 0; i < r->c->nmachines && can < lacking; i++)
+        can += stop_cost(r, j, r->c->by_index[i], zones, false) < INFINITY;
+    if (can >= lacking)
+        (void)preempt(r, j, lacking, false);
+}
+
 /* A job within its guarantee need not wait for a long fetch while its image lies on a machine that
  * another team uses beyond its own guarantee: true if such a machine is being vacated for it. */
 static bool waits_for_image(struct round *r, struct bd_job *j)
@@ -375,17 +394,53 @@
     return vacate(r, j, zones, false, true);
 }
 
-static uint32_t place_gang(struct round *r, struct bd_job *j, uint64_t attempt)
+/* Keeps what a gang that waits could have already, so that smaller work that comes later does not
+ * overtake it for ever. */
+static void hold(struct round *r, const struct bd_job *j, uint32_t from)
+{
+    for (uint32_t i = from; i < r->k->nplan; i++)
+        add(&r->claimed[r->k->plan[i].machine], &j->spec, 1);
+}
+
+/* All of the gang, or nothing; *got says how many could be placed where most could. */
+static bool whole_gang(struct round *r, struct bd_job *j, uint64_t attempt, bool keep,
+                       uint32_t *got)
 {
     uint32_t from = r->k->nplan;
     size_t bytes = r->bytes;
-    uint32_t got = fill(r, j, j->ntasks, attempt, true);
-    if (got < j->ntasks) {
-        unplan(r, from);
-        r->bytes = bytes;
-        return 0;
+    *got = fill(r, j, j->ntasks, attempt, true);
+    if (*got == j->ntasks)
+        return true;
+    if (keep)
+        hold(r, j, from);
+    unplan(r, from);
+    r->bytes = bytes;
+    return false;
+}
+
+/* A gang that must be together is tried in each zone; room is then made in the one that has most.
+ */
+static bool place_gang(struct round *r, struct bd_job *j, uint64_t attempt)
+{
+    uint32_t got = 0, most = 0;
+    int zone = -1, zones = j->spec.together && j->ntasks > 1 ? r->c->nzones : 0;
+    bool waits = r->c->wall - j->at > HOLD_AFTER_S;
+    bool placed = whole_gang(r, j, attempt, waits && zones == 0, &got);
+    for (int z = 0; z < zones && !placed; z++) {
+        r->only_zone = z;
+        placed = whole_gang(r, j, attempt, false, &got);
+        if (zone < 0 || got > most) {
+            most = got;
+            zone = z;
+        }
     }
-    return got;
+    r->only_zone = zones ? zone : -1;
+    if (!placed && zones && waits)
+        (void)whole_gang(r, j, attempt, true, &got);
+    if (!placed && (waits || j->ntasks == 1) && j->spec.rank > BD_IDLE)
+        preempt_gang(r, j, j->ntasks - got);
+    r->only_zone = -1;
+    return placed;
 }
 
 static void place_job(struct round *r, struct bd_job *j)
@@ -398,8 +453,8 @@
     if (gang && waits_for_image(r, j))
         return;
     if (gang) {
-        got = place_gang(r, j, attempt);
-        want = j->ntasks == 1 ? want : got; /* only a single task's room is made by force */
+        got = place_gang(r, j, attempt) ? j->ntasks : 0;
+        want = got;
     } else {
         got = fill(r, j, want, attempt, false);
         /* a short task that is stopped costs less than a GPU machine taken for a long service */
@@ -493,7 +548,7 @@
 
 void bd_round_place(struct bd_core *c)
 {
-    struct round r = {.c = c, .k = c->commit};
+    struct round r = {.c = c, .k = c->commit, .only_zone = -1};
     r.njobs = bd_jobs_in_order(c, &r.jobs);
     gpu_demand(c, r.jobs, r.njobs);
     r.claimed = calloc(c->nmachines + 1, sizeof *r.claimed);
--- a/src/tasks.c
+++ b/src/tasks.c
@@ -117,7 +117,7 @@
     return false;
 }
 
-static void remember_image(struct bd_machine *m, int image)
+void bd_remember_image(struct bd_machine *m, int image)
 {
     int k = 0;
     while (k < m->nimages && m->images[k] != image)
@@ -145,7 +145,8 @@
     j->last_placed = c->now;
     add_ref(m, j, i);
     machine_use(m, &j->spec, 1);
-    remember_image(m, j->spec.image);
+    if (st != BD_T_PLAN) /* a plan that comes to nothing fetches nothing */
+        bd_remember_image(m, j->spec.image);
     team_use(c, &j->spec, 1);
 }
 
