Reports are relayed by a controller that hears the leader; closed zones get no direct commands

In a cut between two zones a third one is often in touch with both: reports of the cut zone's workers go to the leader through it, so that their ends are seen and new work starts there. Direct commands into a zone that does not answer hung the senders 1.5 s each: after four in a row one is let through every 4 s.

--- a/include/brambledoor/core.h
+++ b/include/brambledoor/core.h
@@ -300,6 +300,10 @@
     int nrentals;
     bool gpu_waiting;                           /* some live job's GPU tasks have no place */
     struct bd_spec gpu_wanted[BD_MAX_TYPES][2]; /* by type and spot: a live job's GPU task */
+    struct { /* by zone: direct commands without an answer, in a row */
+        uint32_t fails;
+        struct timespec until;
+    } direct[BD_MAX_ZONES];
     struct bd_market markets[BD_MAX_TYPES][BD_MAX_ZONES][2];
 
     struct bd_effect *first, *last;
@@ -362,7 +366,8 @@
 void bd_core_checkin(struct bd_core *c, void *request, const struct bd_report *r, const char *body,
                      size_t len);
 /* a report that another controller passed on to us, and the answer to one that we passed on */
-void bd_core_forwarded(struct bd_core *c, const char *peer, uint64_t id, const struct bd_report *r);
+void bd_core_forwarded(struct bd_core *c, const char *peer, uint64_t id, const struct bd_report *r,
+                       const char *body, size_t len);
 void bd_core_answered(struct bd_core *c, uint64_t id, int status, const char *body, size_t len);
 void bd_core_did(struct bd_core *c, uint32_t machine, uint64_t seal, bool launch, long status,
                  const struct bd_report *r);
--- a/src/core.c
+++ b/src/core.c
@@ -748,6 +748,7 @@
     memset(c->team_cpus, 0, sizeof c->team_cpus);
     memset(c->team_gpus, 0, sizeof c->team_gpus);
     memset(c->markets, 0, sizeof c->markets);
+    memset(c->direct, 0, sizeof c->direct);
     c->ndeputies = 0;
     (void)bd_emit(c, BD_E_LOST);
 }
--- a/src/core_in.h
+++ b/src/core_in.h
@@ -93,6 +93,8 @@
 void bd_report_free(struct bd_report *r);
 bool bd_forward_checkin(struct bd_core *c, void *request, const struct bd_report *r,
                         const char *body, size_t len);
+bool bd_forward_relay(struct bd_core *c, struct bd_remote *q, const struct bd_report *r,
+                      const char *body, size_t len);
 void bd_forward_away(struct bd_core *c, void *request, const struct bd_report *r);
 int bd_forward_steer(struct bd_core *c, struct bd_machine *m, const struct bd_report *r);
 void bd_forward_listen(struct bd_core *c);
--- a/src/deputy.c
+++ b/src/deputy.c
@@ -272,44 +272,25 @@
     return true;
 }
 
-/* The other controllers of our zone tell whether the zone is cut off or we alone are. One that
- * hears the leader can pass reports on: its number. -1: none, and *cut says whether one is in our
- * case. */
-static int mate(const struct bd_core *c, bool *cut)
+/* Whether another controller of our zone does not hear the leader either: then the zone is cut off
+ * from him, not we alone. */
+static bool zone_cut(const struct bd_core *c)
 {
-    *cut = false;
-    for (int i = 0; i < c->set->npeers; i++) {
-        if (strcmp(c->set->peers[i].zone, c->set->zone) != 0 || i == bd_leader_index(c) ||
-            !(c->peers[i].flags & BD_PEER_STATE) ||
-            bd_between(c->peers[i].heard, c->now) > LEADER_SILENT_S)
-            continue;
-        if (c->peers[i].flags & BD_PEER_HEARS)
-            return i;
-        *cut = true;
-    }
-    return -1;
-}
-
-/* Long enough that the others have noticed it too, if they could. */
-static bool long_silent(const struct bd_core *c)
-{
-    int i = bd_leader_index(c);
-    return i >= 0 && bd_between(c->peers[i].heard, c->now) > 2 * LEADER_SILENT_S;
+    for (int i = 0; i < c->set->npeers; i++)
+        if (strcmp(c->set->peers[i].zone, c->set->zone) == 0 && i != bd_leader_index(c) &&
+            c->peers[i].flags & BD_PEER_STATE && !(c->peers[i].flags & BD_PEER_HEARS) &&
+            bd_between(c->peers[i].heard, c->now) < LEADER_SILENT_S)
+            return true;
+    return false;
 }
 
 /* True if the report was answered, or will be once the record is confirmed. */
 bool bd_deputy_checkin(struct bd_core *c, void *request, const struct bd_report *r)
 {
     struct bd_deputy *d = &c->deputy;
-    bool cut;
     if (!called_for(c))
         return false;
-    int hears = mate(c, &cut);
-    if (hears >= 0 && long_silent(c)) {
-        bd_reply(c, request, 421, bd_wire_steer(c->set->peers[hears].name), 0);
-        return true;
-    }
-    if (!cut && try_leader(c, r))
+    if (!zone_cut(c) && try_leader(c, r))
         return false;
     struct bd_charge *k = charge_of(c, r->machine, true);
     if (!k)
--- a/src/forward.c
+++ b/src/forward.c
@@ -103,12 +103,26 @@
     return n;
 }
 
-/* True if the report is on its way to the leader; it is answered, or its time runs out. */
-bool bd_forward_checkin(struct bd_core *c, void *request, const struct bd_report *r,
-                        const char *body, size_t len)
+/* A controller that hears the leader whom we do not hear, one of our own zone first; or -1. */
+static int relay(const struct bd_core *c)
 {
-    int peer = leader_peer(c);
-    if (peer < 0 || !passed_on(c, r, peer) || waiting(c) >= FORWARDS_MOST)
+    int found = -1;
+    for (int i = 0; i < c->set->npeers; i++) {
+        if (i == bd_leader_index(c) || !(c->peers[i].flags & BD_PEER_STATE) ||
+            !(c->peers[i].flags & BD_PEER_HEARS) ||
+            bd_between(c->peers[i].heard, c->now) > LEADER_SILENT_S)
+            continue;
+        if (strcmp(c->set->peers[i].zone, c->set->zone) == 0)
+            return i;
+        found = found < 0 ? i : found;
+    }
+    return found;
+}
+
+static bool send_on(struct bd_core *c, void *request, const struct bd_report *r, const char *body,
+                    size_t len, int peer)
+{
+    if (peer < 0 || waiting(c) >= FORWARDS_MOST)
         return false;
     struct bd_forward *f = calloc(1, sizeof *f);
     if (!f)
@@ -126,6 +140,28 @@
     return true;
 }
 
+/* True if the report is on its way to the leader; it is answered, or its time runs out. Where two
+ * zones are apart, a third one may still be in touch with both. */
+bool bd_forward_checkin(struct bd_core *c, void *request, const struct bd_report *r,
+                        const char *body, size_t len)
+{
+    int peer = leader_peer(c);
+    if (peer >= 0 && !passed_on(c, r, peer))
+        return false;
+    if (peer < 0 && *c->leader_name && strcmp(c->leader_name, c->set->node) != 0)
+        peer = relay(c);
+    return send_on(c, request, r, body, len, peer);
+}
+
+/* A report that another controller, which does not hear the leader, passes on to him through us.
+ * Only to him, so that none goes round. */
+bool bd_forward_relay(struct bd_core *c, struct bd_remote *q, const struct bd_report *r,
+                      const char *body, size_t len)
+{
+    int peer = leader_peer(c);
+    return peer != q->peer && send_on(c, q, r, body, len, peer);
+}
+
 void bd_report_free(struct bd_report *r)
 {
     bd_wire_report_drop(r);
@@ -140,6 +176,11 @@
 
 static void fall_back(struct bd_core *c, struct bd_forward *f)
 {
+    const struct bd_remote *q = f->request;
+    if (q && q->remote) { /* its own controller decides what becomes of it */
+        bd_reply(c, f->request, 421, bd_wire_steer(""), 0);
+        return;
+    }
     if (c->role == BD_FOLLOWER && bd_deputy_checkin(c, f->request, f->report))
         return;
     bd_forward_away(c, f->request, f->report);
--- a/src/owner.c
+++ b/src/owner.c
@@ -116,7 +116,7 @@
     struct bd_report r;
     if (!read_report(text, len, &r))
         return;
-    bd_core_forwarded(c, f->name, f->id, &r);
+    bd_core_forwarded(c, f->name, f->id, &r, text, len);
     bd_wire_report_drop(&r);
 }
 
--- a/src/reports.c
+++ b/src/reports.c
@@ -12,8 +12,10 @@
 #define SLOW_EXTRA_TENTHS 50u
 #define SLOW_RUNS 4u        /* of at least so many */
 #define DIRECT_DOUBLINGS 4u /* longest pause: 16 report intervals */
-#define STRAYS 2u           /* then a machine is taken not to hear */
-#define MUTE_SHARE 0.34     /* of the machines: more than that do not go deaf together */
+#define ZONE_FAILS 4u       /* direct commands without an answer, in a row, of one zone */
+#define ZONE_PROBE_S 4.0
+#define STRAYS 2u       /* then a machine is taken not to hear */
+#define MUTE_SHARE 0.34 /* of the machines: more than that do not go deaf together */
 
 struct orders {
     struct bd_order *o;
@@ -71,12 +73,24 @@
     return launch;
 }
 
+/* Whether the zone's machines do not answer directly, as when it is cut off from us: each try would
+ * hang a sender. One is let through now and then. */
+static bool zone_closed(struct bd_core *c, const struct bd_machine *m)
+{
+    if (m->zone < 0 || c->direct[m->zone].fails < ZONE_FAILS)
+        return false;
+    if (bd_before(c->now, c->direct[m->zone].until))
+        return true;
+    c->direct[m->zone].until = bd_add(c->now, bd_secs(ZONE_PROBE_S));
+    return false;
+}
+
 /* Sends what is owed directly, where the machine can be expected to answer. */
 void bd_orders_send(struct bd_core *c, struct bd_machine *m)
 {
     struct orders l = {0};
     if (m->do_busy || bd_before(c->now, m->do_after) || !m->fenced || m->gone || !*m->addr ||
-        !bd_core_valid(c))
+        !bd_core_valid(c) || zone_closed(c, m))
         return;
     bool launch = owed(c, m, &l, true);
     if (l.n == 0)
@@ -416,7 +430,8 @@
     bd_forward_away(c, request, r);
 }
 
-void bd_core_forwarded(struct bd_core *c, const char *peer, uint64_t id, const struct bd_report *r)
+void bd_core_forwarded(struct bd_core *c, const char *peer, uint64_t id, const struct bd_report *r,
+                       const char *body, size_t len)
 {
     for (int i = 0; i < c->set->npeers; i++) {
         if (strcmp(c->set->peers[i].name, peer) != 0)
@@ -429,7 +444,7 @@
         q->id = id;
         if (bd_core_may_answer(c))
             lead_checkin(c, q, r, i);
-        else
+        else if (!bd_forward_relay(c, q, r, body, len))
             bd_reply(c, q, 421, bd_wire_steer(""), 0);
     }
 }
@@ -441,6 +456,8 @@
     for (uint32_t k = 0; k < m->do_fails && k < DIRECT_DOUBLINGS; k++)
         pause *= 2;
     m->do_fails++;
+    if (m->zone >= 0)
+        c->direct[m->zone].fails++;
     m->mute = true; /* nothing new for it until it shows that it hears */
     m->do_after = bd_add(c->now, bd_secs(pause));
 }
@@ -475,6 +492,8 @@
     }
     m->do_fails = 0;
     m->mute = false;
+    if (m->zone >= 0)
+        c->direct[m->zone].fails = 0;
     if (strcmp(r->machine, m->id) != 0) {
         direct_failed(c, m); /* the address serves another machine now */
         return;
--- a/tests/scenario.c
+++ b/tests/scenario.c
@@ -303,7 +303,7 @@
     fill_report(p, &r, tasks);
     snprintf(r.type, sizeof r.type, "%s", p->w[2]);
     snprintf(r.zone, sizeof r.zone, "%s", p->w[3]);
-    bd_core_forwarded(p->c, peer, id, &r);
+    bd_core_forwarded(p->c, peer, id, &r, "{}", 2);
 }
 
 static void cmd_answered(struct play *p)
