Machines are not called slow by held-back reports or by the few tasks that finish first

Reports held back by a cut showed tasks running that had ended, results that wait for a seal counted as running, and large arrays were compared with their first four ends. Now: three report intervals without a gap, and half of the job ended.

--- a/include/brambledoor/core.h
+++ b/include/brambledoor/core.h
@@ -96,6 +96,7 @@
     bool mute;          /* seems not to hear what it is told */
     struct timespec age_known, return_after;
     struct timespec lapse_at; /* from here on nothing of the last session runs */
+    struct timespec steady; /* since then it has been heard without a gap */
     struct timespec heard, known_at, idle_since, refuse_until;
     double age_at_known;
     double notice_left; /* < 0: none */
--- a/src/reports.c
+++ b/src/reports.c
@@ -8,6 +8,7 @@
 #define RETRY_FIRST_S 1.0   /* pause of a job whose tasks fail, doubled each time */
 #define RETRY_MOST_S 30.0
 #define SLOW_TASKS 2u   /* of a machine, */
+#define SLOW_STEADY 3.0 /* report intervals heard without a gap before a machine is judged */
 #define SLOW_FACTOR 1.6 /* this many times as long as the longest run */
 #define SLOW_EXTRA_TENTHS 50u
 #define SLOW_RUNS 4u        /* of at least so many */
@@ -137,17 +138,23 @@
 void bd_find_slow(struct bd_core *c, struct bd_machine *m)
 {
     uint32_t late = 0;
-    if (m->gone || m->bad || !m->fenced)
+    /* what was held back shows tasks running that have ended long since */
+    if (m->gone || m->bad || !m->fenced ||
+        bd_between(m->steady, m->heard) < SLOW_STEADY * bd_to_secs(c->set->report))
         return;
     for (uint32_t k = 0; k < m->nrefs; k++) {
         const struct bd_job *j = m->refs[k].job;
         const struct bd_task *t = &j->tasks[m->refs[k].task];
-        if (t->state != BD_T_LIVE || t->sub != BD_RUNNING || !t->begun ||
-            j->spec.shape != BD_ARRAY || j->runs < SLOW_RUNS)
-            continue;
+        if (t->state != BD_T_LIVE || t->sub != BD_RUNNING || !t->begun || t->flags & BD_F_EXITED ||
+            j->spec.shape != BD_ARRAY || j->runs < SLOW_RUNS || 2 * j->runs < j->ntasks)
+            continue; /* the first that finish are the short ones */
         /* as its last report showed it: a machine that we do not hear may be done long since */
         uint32_t run = bd_tenths(bd_max(m->heard, bd_secs(t->begun / 10.0))) - t->begun;
-        late += run > SLOW_FACTOR * j->longest_run + SLOW_EXTRA_TENTHS;
+        if (run <= SLOW_FACTOR * j->longest_run + SLOW_EXTRA_TENTHS)
+            continue;
+        late++;
+        bd_say(c->log, BD_DEBUG, "%s on %s runs for %.1f s, of %u others none over %.1f s", j->id,
+               m->id, run / 10.0, j->runs, j->longest_run / 10.0);
     }
     if (late < SLOW_TASKS)
         return;
@@ -336,6 +343,8 @@
     identify(c, m, r);
     m->session = r->session;
     m->seq = r->seq;
+    if (bd_between(m->heard, c->now) > 2 * bd_to_secs(c->set->report))
+        m->steady = c->now;
     m->heard = c->now;
     if (r->seal < c->base_term)
         return true; /* an earlier term may still command it: no evidence yet */
