Rounds cost less: prices once a job, a pause between tries to stop work, rarer rounds when many wait

Cause (callgrind of a new profile program, 480 machines, 240 jobs): a round with the fleet's look cost 24 million instructions, most of it in looking whether anything could be stopped and in comparing prices for each machine. Work that uses nothing of what a team is guaranteed (arrays without GPUs) is no longer within the guarantee: it stopped other teams' GPU work and went before it.

--- a/include/brambledoor/core.h
+++ b/include/brambledoor/core.h
@@ -60,6 +60,7 @@
     uint64_t receipt_chunks; /* bits of chunks committed */
     uint32_t dirty_chunks;
     double at;
+    struct timespec next_force; /* when something may be stopped for it again */
     struct timespec hold_until, last_placed, last_begun;
     uint32_t restarts; /* tasks that lost a place they had */
     uint32_t errors;
@@ -96,7 +97,7 @@
     bool mute;          /* seems not to hear what it is told */
     struct timespec age_known, return_after;
     struct timespec lapse_at; /* from here on nothing of the last session runs */
-    struct timespec steady; /* since then it has been heard without a gap */
+    struct timespec steady;   /* since then it has been heard without a gap */
     struct timespec heard, known_at, idle_since, refuse_until;
     double age_at_known;
     double notice_left; /* < 0: none */
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -313,11 +313,14 @@
                             enum bd_reach reach)
 {
     int type = 0, zone = 0;
-    bool spot = false;
+    bool spot = false, in[BD_MAX_TYPES][2];
+    for (int t = 0; t < d->c->ntypes; t++)
+        for (int sp = 0; sp < 2; sp++)
+            in[t][sp] = bd_in_reach(d->c, s, reach, t, sp);
     for (int i = 0; i < d->n && n > 0; i++) {
         struct bin *b = &d->bins[i];
-        while (n > 0 && bd_allowed(s, b->type, b->zone, b->spot) &&
-               bd_in_reach(d->c, s, reach, b->type, b->spot) && bin_fits(b, s)) {
+        while (n > 0 && in[b->type][b->spot] && bin_fits(b, s) &&
+               bd_allowed(s, b->type, b->zone, b->spot)) {
             bin_take(b, s);
             n--;
             if (b->machine)
--- a/src/place.c
+++ b/src/place.c
@@ -9,6 +9,7 @@
 #define COST_STOPPING 10.0   /* the whole room of a task made by stopping others */
 #define WORTH_MOVING_S 12.0  /* a fetch longer than this is worth stopping borrowed work */
 #define PREEMPT_MOST 32u     /* places made for one job in one round */
+#define FORCE_AGAIN_S 0.5    /* a job that nothing can be stopped for asks again after this */
 #define HOLD_AFTER_S 10.0    /* a gang waits so long before room is held and made for it */
 #define EPS 1e-6
 
@@ -23,8 +24,10 @@
     uint32_t njobs;
     size_t bytes, most_bytes;
     uint32_t conds, most_conds;
-    struct room *claimed; /* by machine: room that waits for tasks being stopped */
-    int only_zone;        /* -1: any */
+    struct room *claimed;       /* by machine: room that waits for tasks being stopped */
+    int only_zone;              /* -1: any */
+    bool *open;                 /* by machine: new work may come to it */
+    bool dear[BD_MAX_TYPES][2]; /* for the job that is being placed */
 };
 
 static struct room free_room(const struct bd_core *c, const struct bd_machine *m)
@@ -157,8 +160,7 @@
     double low = INFINITY;
     for (uint32_t i = 0; i < c->nmachines; i++) {
         struct bd_machine *m = c->by_index[i];
-        if (!bd_machine_usable(c, m) || m->drain || !zone_open(r, m) ||
-            !bd_allowed(&j->spec, m->type, m->zone, m->spot))
+        if (!r->open[i] || !zone_open(r, m) || !bd_allowed(&j->spec, m->type, m->zone, m->spot))
             continue;
         struct room room = unclaimed_room(r, m);
         if (!fit(room, &j->spec, 1) || !zone_left(c, j, zones, m->zone, 1))
@@ -167,8 +169,8 @@
         if (harm && !may_harm)
             continue;
         /* a dear machine that GPU work cannot use anyway is as good as a cheap one */
-        if (!bd_in_reach(c, &j->spec, reach, m->type, m->spot) &&
-            (harm || !known_use(c, m) || !bd_dear(c, &j->spec, m->type, m->spot)))
+        bool dear = r->dear[m->type][m->spot];
+        if (reach != BD_REACH_ANY && dear && (harm || !known_use(c, m)))
             continue;
         double v = cost(c, &j->spec, m, room, harm);
         if (v < low) {
@@ -316,10 +318,9 @@
 {
     struct bd_core *c = r->c;
     struct room soon, most;
-    if (!bd_machine_usable(c, m) || m->drain || !zone_open(r, m) ||
+    if (!r->open[m->index] || !zone_open(r, m) ||
         !bd_allowed(&j->spec, m->type, m->zone, m->spot) ||
-        (only_cheap && bd_dear(c, &j->spec, m->type, m->spot)) ||
-        !zone_left(c, j, zones, m->zone, 1))
+        (only_cheap && r->dear[m->type][m->spot]) || !zone_left(c, j, zones, m->zone, 1))
         return INFINITY;
     later_room(r, j, m, &soon, &most);
     if (!fit(most, &j->spec, 1))
@@ -443,6 +444,13 @@
     return placed;
 }
 
+static void know_prices(struct round *r, const struct bd_spec *s)
+{
+    for (int t = 0; t < r->c->ntypes; t++)
+        for (int spot = 0; spot < 2; spot++)
+            r->dear[t][spot] = bd_dear(r->c, s, t, spot);
+}
+
 static void place_job(struct round *r, struct bd_job *j)
 {
     uint32_t want = quota_left(r->c, &j->spec, j->nwait), got = 0;
@@ -450,6 +458,7 @@
     if (r->conds >= r->most_conds || want == 0 || (gang && want < j->ntasks))
         return;
     uint64_t attempt = (r->c->base_term << 20) + r->c->counter + 1;
+    know_prices(r, &j->spec);
     if (gang && waits_for_image(r, j))
         return;
     if (gang) {
@@ -464,8 +473,11 @@
     }
     r->c->counter += got > 0;
     r->conds += got > 0;
-    if (got < want && above)
-        (void)preempt(r, j, want - got, false);
+    if (got >= want || !above || bd_before(r->c->now, j->next_force))
+        return;
+    /* looking at every task of every machine is dear, and seldom finds what was not there before */
+    if (preempt(r, j, want - got, false) == 0)
+        j->next_force = bd_add(r->c->now, bd_secs(FORCE_AGAIN_S));
 }
 
 static int order_jobs(const void *x, const void *y)
@@ -499,9 +511,11 @@
         double left = j->ntasks - j->ndone;
         cpus[j->spec.team] += left * j->spec.cpus;
         gpus[j->spec.team] += left * j->spec.gpus;
-        j->in_guarantee = (t->cpus > 0 || t->gpus > 0) &&
-                          (t->cpus <= 0 || cpus[j->spec.team] <= t->cpus + EPS) &&
-                          (t->gpus <= 0 || gpus[j->spec.team] <= t->gpus + EPS);
+        /* work that uses nothing of what is guaranteed is not owed anything */
+        j->in_guarantee =
+            ((t->cpus > 0 && j->spec.cpus > 0) || (t->gpus > 0 && j->spec.gpus > 0)) &&
+            (t->cpus <= 0 || cpus[j->spec.team] <= t->cpus + EPS) &&
+            (t->gpus <= 0 || gpus[j->spec.team] <= t->gpus + EPS);
     }
 }
 
@@ -552,10 +566,13 @@
     r.njobs = bd_jobs_in_order(c, &r.jobs);
     gpu_demand(c, r.jobs, r.njobs);
     r.claimed = calloc(c->nmachines + 1, sizeof *r.claimed);
+    r.open = calloc(c->nmachines + 1, sizeof *r.open);
     r.most_bytes = c->set->value_bytes * 9 / 10;
     r.most_conds = (uint32_t)(2 * c->set->txn_ops);
-    if (!r.claimed)
+    if (!r.claimed || !r.open)
         abort();
+    for (uint32_t i = 0; i < c->nmachines; i++)
+        r.open[i] = bd_machine_usable(c, c->by_index[i]) && !c->by_index[i]->drain;
     for (uint32_t i = 0; i < r.njobs; i++) {
         struct bd_job *j = r.jobs[i];
         if (j->nwait > 0 && !j->stale && bd_before(j->hold_until, c->now))
@@ -563,4 +580,5 @@
     }
     free(r.jobs);
     free(r.claimed);
+    free(r.open);
 }
--- a/src/rounds.c
+++ b/src/rounds.c
@@ -5,6 +5,9 @@
 
 /* named defaults */
 #define ROUND_S 0.05
+#define ROUND_MOST_S 0.5
+#define ROUND_SHARE 0.3 /* of the processor that rounds may take */
+#define LOOK_S 1e-7     /* for one job at one machine, on a whole core (callgrind, about) */
 #define GC_S 2.0
 #define EVICT_S 10.0
 #define WRITE_SHARE 0.6 /* of the state service's changes; the rest is the users' */
@@ -599,6 +602,17 @@
     c->token_at = c->now;
 }
 
+/* A round looks at each machine for each waiting job: with many of both, rounds are rarer, so that
+ * they leave most of the processor to everything else. */
+static double round_s(const struct bd_core *c)
+{
+    double jobs = 0;
+    for (const struct bd_job *j = c->jobs; j; j = j->hh.next)
+        jobs += j->mood == BD_LIVE && j->nwait > 0;
+    double s = c->set->cpu > 0 ? jobs * c->nmachines * LOOK_S / c->set->cpu / ROUND_SHARE : 0;
+    return s < ROUND_S ? ROUND_S : s > ROUND_MOST_S ? ROUND_MOST_S : s;
+}
+
 static void round_now(struct bd_core *c)
 {
     if (c->commit || bd_before(c->now, c->next_round) || c->write_tokens < 2)
@@ -606,7 +620,7 @@
     if (!c->round_wanted && !c->want_bump && bd_before(c->now, c->next_gc))
         return;
     c->round_wanted = false;
-    c->next_round = bd_add(c->now, bd_secs(ROUND_S));
+    c->next_round = bd_add(c->now, bd_secs(round_s(c)));
     c->commit = calloc(1, sizeof *c->commit);
     if (!c->commit)
         abort();
--- /dev/null
+++ b/tests/profile.c
@@ -0,0 +1,203 @@
+/* A leader at the size of a large deployment, for callgrind: instructions a round, a check-in, a
+ * poll and a submission cost. Not a test; `profile WHAT MACHINES` does WHAT many times over. */
+#include "brambledoor/core.h"
+#include "brambledoor/frame.h"
+#include "brambledoor/log.h"
+#include "brambledoor/timeutil.h"
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define TIMES 200
+#define ZONES 2
+
+struct world {
+    struct bd_settings set;
+    struct bd_log log;
+    struct bd_core *c;
+    uint64_t mark, seq;
+    double now;
+    uint32_t machines;
+};
+
+static void drop_effects(struct world *w)
+{
+    struct bd_effect *e = bd_core_effects(w->c);
+    while (e) {
+        struct bd_effect *next = e->next;
+        bd_effect_free(e);
+        e = next;
+    }
+}
+
+static void settings(struct bd_settings *s)
+{
+    snprintf(s->node, sizeof s->node, "node-0");
+    snprintf(s->zone, sizeof s->zone, "a");
+    s->report = bd_secs(2);
+    s->lease = bd_secs(10);
+    s->cancel = bd_secs(35);
+    s->gang_wait = bd_secs(30);
+    s->gang_peer = bd_secs(4);
+    s->list_lag = bd_secs(8);
+    s->leader_ttl = bd_secs(2);
+    s->state_write_rps = 100;
+    s->state_rps = 250;
+    s->cloud_rps = 3;
+    s->value_bytes = 8192;
+    s->txn_ops = 24;
+    s->ram_mb = 72;
+    s->spare_share = 1.4;
+    s->idle_boots = 0.7;
+    s->nteams = 2;
+    for (int i = 0; i < 2; i++)
+        snprintf(s->teams[i].name, BD_NAME, "team-%d", i);
+    s->teams[0].gpus = 200;
+    s->teams[0].gpus_max = 1500;
+}
+
+static void type(struct world *w, const char *name, double cpus, double gpus, double mem,
+                 double price)
+{
+    struct bd_type_text t = {.cpus = cpus,
+                             .gpus = gpus,
+                             .mem = mem,
+                             .price = price,
+                             .spot_price = price / 3,
+                             .boot = 45,
+                             .fetch = 0.2,
+                             .cache_gb = 50,
+                             .nzones = ZONES};
+    snprintf(t.label, sizeof t.label, "%s", name);
+    snprintf(t.zones[0], BD_LABEL, "a");
+    snprintf(t.zones[1], BD_LABEL, "b");
+    bd_core_types(w->c, &t, 1);
+}
+
+static void at(struct world *w, double now)
+{
+    w->now = now;
+    bd_core_time(w->c, bd_secs(100 + now), 1000 + now);
+}
+
+static void job(struct world *w, int n, enum bd_shape shape, uint32_t tasks, double cpus,
+                double gpus, double mem)
+{
+    struct bd_record r = {.mood = BD_LIVE, .at = 1000 + w->now, .has_spec = true, .tasks = tasks};
+    char key[BD_LABEL];
+    snprintf(key, sizeof key, "j/job-%06d", n);
+    snprintf(r.spec.klass, sizeof r.spec.klass, "class-%d", (int)shape);
+    snprintf(r.spec.team, sizeof r.spec.team, "team-%d", n % 2);
+    snprintf(r.spec.image, sizeof r.spec.image, "img-%d-%d", (int)shape, n % 8);
+    r.spec.ntypes = -1;
+    r.spec.shape = shape;
+    r.spec.rank = shape == BD_SERVICE ? BD_PRODUCTION : BD_STANDARD;
+    r.spec.tasks = tasks;
+    r.spec.cpus = cpus;
+    r.spec.gpus = gpus;
+    r.spec.mem = mem;
+    r.spec.image_gb = 2;
+    r.spec.estimate = 60;
+    r.spec.due = -1;
+    r.spec.scatter = shape == BD_SERVICE;
+    r.spec.spot = shape == BD_ARRAY;
+    json_t *v = bd_wire_record(&r);
+    struct bd_change ch = {key, v, ++w->mark};
+    bd_core_change(w->c, &ch);
+    json_decref(v);
+}
+
+/* One machine reports; the tasks that it holds are all running. */
+static void report(struct world *w, uint32_t i)
+{
+    struct bd_report r = {.session = 1, .seq = ++w->seq, .seal = w->c->term, .notice = -1};
+    struct bd_seen_task tasks[128];
+    struct bd_machine *m = NULL;
+    snprintf(r.machine, sizeof r.machine, "vm-%06u", i);
+    snprintf(r.addr, sizeof r.addr, "10.1.0.1:%u", i);
+    snprintf(r.type, sizeof r.type, "%s", i % 5 ? "gpu" : "small");
+    snprintf(r.zone, sizeof r.zone, "%s", i % 2 ? "a" : "b");
+    memset(tasks, 0, sizeof tasks);
+    r.tasks = tasks;
+    HASH_FIND_STR(w->c->machines, r.machine, m);
+    for (uint32_t k = 0; m && k < m->nrefs && r.n < 128; k++) {
+        const struct bd_job *j = m->refs[k].job;
+        struct bd_seen_task *t = &tasks[r.n++];
+        snprintf(t->job, sizeof t->job, "%s", j->id);
+        t->task = m->refs[k].task;
+        t->attempt = j->tasks[t->task].attempt;
+        t->sub = BD_RUNNING;
+    }
+    bd_core_checkin(w->c, NULL, &r, "{}", 2);
+    drop_effects(w);
+}
+
+static void round_once(struct world *w)
+{
+    at(w, w->now + 1.1);
+    bd_core_renewed(w->c, 7, w->c->now);
+    bd_core_tick(w->c);
+    if (w->c->commit)
+        bd_core_committed(w->c, 1, ++w->mark, NULL);
+    drop_effects(w);
+}
+
+static void build(struct world *w)
+{
+    settings(&w->set);
+    w->c = bd_core_new(&w->set, &w->log);
+    if (!w->c)
+        abort();
+    at(w, 0);
+    type(w, "small", 16, 0, 64, 1);
+    type(w, "gpu", 48, 4, 288, 15);
+    bd_core_relisted(w->c, 1, w->c->now);
+    struct bd_gain g = {.term = 1, .grant = 7, .nonce = "n", .renewed = w->c->now};
+    g.receipts = json_array();
+    g.intents = json_array();
+    bd_core_gained(w->c, &g);
+    json_decref(g.receipts);
+    json_decref(g.intents);
+    bd_core_machines(w->c, NULL, 0, w->c->now);
+    w->mark = 10;
+    for (uint32_t i = 0; i < w->machines; i++)
+        report(w, i);
+    for (int i = 0; i < 120; i++)
+        job(w, i, BD_SERVICE, 5, 4, 0, 9);
+    for (int i = 0; i < 60; i++)
+        job(w, 1000 + i, BD_ARRAY, 200, 2, 0, 6);
+    for (int i = 0; i < 60; i++)
+        job(w, 2000 + i, BD_GANG, 4, 43, 4, 230);
+    for (int k = 0; k < 40; k++) {
+        round_once(w);
+        for (uint32_t i = 0; i < w->machines; i++)
+            report(w, i);
+    }
+}
+
+int main(int argc, char **argv)
+{
+    struct world w = {.log = {BD_ERROR, "profile"}};
+    const char *what = argc > 1 ? argv[1] : "none";
+    w.machines = argc > 2 ? (uint32_t)atoi(argv[2]) : 100;
+    build(&w);
+    uint32_t waits = 0;
+    for (struct bd_job *j = w.c->jobs; j; j = j->hh.next)
+        waits += j->nwait;
+    for (int i = 0; i < TIMES; i++) {
+        if (strcmp(what, "round") == 0) {
+            round_once(&w);
+        } else if (strcmp(what, "checkin") == 0) {
+            report(&w, (uint32_t)i % w.machines);
+        } else if (strcmp(what, "poll") == 0) {
+            bd_core_get(w.c, NULL, "job-000001");
+            drop_effects(&w);
+        } else if (strcmp(what, "tick") == 0) {
+            bd_core_tick(w.c);
+            drop_effects(&w);
+        }
+    }
+    fprintf(stderr, "%s %d times, %u machines, %u tasks waiting\n", what, TIMES, w.machines, waits);
+    bd_core_free(w.c);
+    return 0;
+}
