Workers stay answered between two leaders, and off a leader whose neighbour zone is cut off

Deputies now go on between two leaders, on the leader's key being absent, and the leader leaves its own zone's workers to the other controllers there while a zone is silent.

--- a/include/brambledoor/core.h
+++ b/include/brambledoor/core.h
@@ -228,7 +228,8 @@
 
     /* a follower that answers for a leader its workers cannot reach */
     struct bd_deputy {
-        uint64_t term, mark;
+        uint64_t term, mark; /* the token of the answers; our record's mark */
+        uint64_t leader;     /* the mark of the leader's key that the record is conditional on */
         bool mark_known, busy, wanted;
         struct timespec confirmed_until, next_beat;
         struct bd_charge {
@@ -243,7 +244,7 @@
         uint32_t ncanaries, batch;
         struct timespec canaries_at, since;
     } deputy;
-    uint64_t leader_term;
+    uint64_t leader_term, last_term; /* 0 while nobody leads; the last that was not 0 */
     struct timespec leader_seen;
     /* reports of our zone's workers on their way to the leader */
     struct bd_forward {
--- a/src/core.c
+++ b/src/core.c
@@ -645,6 +645,7 @@
 {
     snprintf(c->leader_name, sizeof c->leader_name, "%s", name);
     c->leader_term = mark;
+    c->last_term = mark ? mark : c->last_term;
     c->leader_seen = sent;
 }
 
--- a/src/deputy.c
+++ b/src/deputy.c
@@ -6,7 +6,11 @@
  * DEPUTY_FRESH_S after the last confirmation was sent. A machine stays in the record for keep_s
  * after its last answer. The leader looks at all records; it never counts a lease as over while
  * a look shows the machine, nor before a look begun after the lease's end. It drops the record of
- * a deputy that no longer confirms. A deputy gives no command but halts of withdrawn jobs. */
+ * a deputy that no longer confirms. A deputy gives no command but halts of withdrawn jobs.
+ *
+ * While nobody leads, the record is conditional on the leader's key being absent, and answers go on
+ * with the last term's token: a new leader counts with answers until DEPUTY_FRESH_S after its gain,
+ * and no such record is written once it has its key. */
 #include "brambledoor/frame.h"
 #include "core_in.h"
 #include <stdio.h>
@@ -51,11 +55,19 @@
     return i >= 0 && bd_between(c->peers[i].heard, c->now) > LEADER_SILENT_S;
 }
 
-/* Somebody else leads, by a fresh view, and we do not hear of him. */
+/* Nobody leads: the last one has died, the next is not chosen yet. */
+static bool leaderless(const struct bd_core *c)
+{
+    return !*c->leader_name && !c->leader_term && c->last_term;
+}
+
+/* By a fresh view somebody else leads, and we do not hear of him; or nobody does. Workers sent
+ * round then would find nobody either, and in a cut zone half of the nodes would let them hang. */
 static bool called_for(const struct bd_core *c)
 {
-    return c->role == BD_FOLLOWER && *c->leader_name && c->leader_term &&
-           bd_between(c->leader_seen, c->now) < DEPUTY_FRESH_S && leader_silent(c);
+    bool other = *c->leader_name && c->leader_term && leader_silent(c);
+    return c->role == BD_FOLLOWER && (other || leaderless(c)) &&
+           bd_between(c->leader_seen, c->now) < DEPUTY_FRESH_S;
 }
 
 static struct bd_charge *charge_of(struct bd_core *c, const char *id, bool add)
@@ -100,10 +112,11 @@
         json_array_append_new(names, json_string(d->charges[i].id));
         d->charges[i].sent = true;
     }
-    d->term = c->leader_term;
+    d->term = c->leader_term ? c->leader_term : c->last_term;
+    d->leader = c->leader_term;
     if (!bd_txn_start(&t))
         abort();
-    bd_txn_if(&t, "leader", d->term);
+    bd_txn_if(&t, "leader", d->leader);
     bd_txn_if(&t, key, d->mark);
     bd_txn_set(&t, key, json_pack("{s:I,s:o}", "t", (json_int_t)d->term, "m", names), 0);
     e->body = bd_txn_end(&t);
@@ -200,7 +213,7 @@
     if (!had || d->busy || (d->ncharges > 0 && bd_before(c->now, d->next_beat)))
         return;
     /* with the leader in view again nobody is answered, but the record stands for keep_s */
-    if (c->leader_term && bd_between(c->leader_seen, c->now) < DEPUTY_FRESH_S)
+    if ((c->leader_term || leaderless(c)) && bd_between(c->leader_seen, c->now) < DEPUTY_FRESH_S)
         write_record(c);
     else if (d->asking)
         answer_asking(c, true);
@@ -290,13 +303,13 @@
     struct bd_deputy *d = &c->deputy;
     if (!called_for(c))
         return false;
-    if (!zone_cut(c) && try_leader(c, r))
+    if (!leaderless(c) && !zone_cut(c) && try_leader(c, r))
         return false;
     struct bd_charge *k = charge_of(c, r->machine, true);
     if (!k)
         return false;
     k->heard = c->now;
-    if (k->confirmed && d->term == c->leader_term && bd_before(c->now, d->confirmed_until)) {
+    if (k->confirmed && d->leader == c->leader_term && bd_before(c->now, d->confirmed_until)) {
         bd_reply(c, request, 200, orders(c, r), 0);
         return true;
     }
--- a/src/forward.c
+++ b/src/forward.c
@@ -63,6 +63,20 @@
     bd_reply(c, request, 421, bd_wire_steer(other ? c->leader_name : ""), 0);
 }
 
+/* Whether no controller of some other zone is heard: that zone is likely cut off from ours. */
+static bool zone_silent(const struct bd_core *c)
+{
+    for (int i = 0; i < c->set->npeers; i++) {
+        bool any = strcmp(c->set->peers[i].zone, c->set->zone) == 0;
+        for (int k = 0; k < c->set->npeers && !any; k++)
+            any = strcmp(c->set->peers[k].zone, c->set->peers[i].zone) == 0 &&
+                  bd_between(c->peers[k].heard, c->now) < LEADER_SILENT_S;
+        if (!any)
+            return true;
+    }
+    return false;
+}
+
 /* Whether the worker's report is better passed on than the worker sent to the leader: it is of our
  * zone, or he cannot be reached by it, or he says that he does not hear his workers. */
 static bool passed_on(struct bd_core *c, const struct bd_report *r, int peer)
@@ -74,7 +88,7 @@
     if (bd_before(c->now, c->deaf_until))
         return true;
     return strcmp(r->zone, c->set->zone) == 0 &&
-           strcmp(c->set->peers[peer].zone, c->set->zone) != 0;
+           (strcmp(c->set->peers[peer].zone, c->set->zone) != 0 || zone_silent(c));
 }
 
 bool bd_core_hears_leader(const struct bd_core *c)
@@ -217,11 +231,13 @@
     }
 }
 
-/* As leader: the controller of the machine's own zone that it should report to, or -1. */
+/* As leader: the controller of the machine's own zone that it should report to, or -1. In our own
+ * zone the others are for while another zone is cut off: if we end then, workers that were with us
+ * all try the next nodes in turn, where those beyond the cut let them hang. */
 int bd_forward_steer(struct bd_core *c, struct bd_machine *m, const struct bd_report *r)
 {
     int found = -1, n = 0;
-    if (strcmp(r->zone, c->set->zone) == 0 || !bd_core_valid(c) ||
+    if ((strcmp(r->zone, c->set->zone) == 0 && !zone_silent(c)) || !bd_core_valid(c) ||
         (!bd_is_zero(m->steered) && bd_between(m->steered, c->now) < STEER_S))
         return -1;
     for (int i = 0; i < c->set->npeers; i++) {
