--- a/src/place.c
+++ b/src/place.c
@@ -9,6 +9,7 @@
 #define COST_STOPPING 10.0   /* the whole room of a task made by stopping others */
 #define WORTH_MOVING_S 12.0  /* a fetch longer than this is worth stopping borrowed work */
 #define PREEMPT_MOST 32u     /* places made for one job in one round */
+#define QUICK_S 0.5          /* a fetch that nobody minds */
 #define FORCE_AGAIN_S 0.5    /* a job that nothing can be stopped for asks again after this */
 #define HOLD_AFTER_S 10.0    /* a gang waits so long before room is held and made for it */
 #define EPS 1e-6
@@ -26,6 +27,7 @@
     uint32_t conds, most_conds;
     struct room *claimed;       /* by machine: room that waits for tasks being stopped */
     int only_zone;              /* -1: any */
+    bool quick;                 /* only where no long fetch comes first */
     bool *open;                 /* by machine: new work may come to it */
     bool dear[BD_MAX_TYPES][2]; /* for the job that is being placed */
 };
@@ -152,6 +154,13 @@
     return r->only_zone < 0 || r->only_zone == m->zone;
 }
 
+/* Whether the task could begin there at once, as far as its image goes. */
+static bool quick_there(const struct bd_core *c, const struct bd_spec *s,
+                        const struct bd_machine *m)
+{
+    return bd_has_image(m, s->image) || s->image_gb / c->types[m->type].fetch < QUICK_S;
+}
+
 static struct bd_machine *best(struct round *r, const struct bd_job *j, const uint32_t *zones,
                                enum bd_reach reach, bool may_harm)
 {
@@ -162,6 +171,8 @@
         struct bd_machine *m = c->by_index[i];
         if (!r->open[i] || !zone_open(r, m) || !bd_allowed(&j->spec, m->type, m->zone, m->spot))
             continue;
+        if (r->quick && !quick_there(c, &j->spec, m))
+            continue;
         struct room room = unclaimed_room(r, m);
         if (!fit(room, &j->spec, 1) || !zone_left(c, j, zones, m->zone, 1))
             continue;
@@ -339,7 +350,8 @@
     double low = INFINITY;
     for (uint32_t i = 0; i < r->c->nmachines; i++) {
         struct bd_machine *m = r->c->by_index[i];
-        if (with_image && !bd_has_image(m, j->spec.image))
+        if ((with_image && !bd_has_image(m, j->spec.image)) ||
+            (r->quick && !quick_there(r->c, &j->spec, m)))
             continue;
         double v = stop_cost(r, j, m, zones, only_cheap);
         if (v < low) {
@@ -444,6 +456,19 @@
     return placed;
 }
 
+/* A service begins where its image lies: in free room, or in room that is made there, which is
+ * sooner than a fetch. Returns how many were placed; those that room is made for are no longer
+ * wanted. */
+static uint32_t place_quickly(struct round *r, struct bd_job *j, uint32_t *want, uint64_t attempt)
+{
+    r->quick = true;
+    uint32_t got = fill(r, j, *want, attempt, false);
+    if (got < *want)
+        *want -= preempt(r, j, *want - got, true);
+    r->quick = false;
+    return got;
+}
+
 static void know_prices(struct round *r, const struct bd_spec *s)
 {
     for (int t = 0; t < r->c->ntypes; t++)
@@ -465,7 +490,9 @@
         got = place_gang(r, j, attempt) ? j->ntasks : 0;
         want = got;
     } else {
-        got = fill(r, j, want, attempt, false);
+        if (j->spec.shape == BD_SERVICE && above)
+            got = place_quickly(r, j, &want, attempt);
+        got += got < want ? fill(r, j, want - got, attempt, false) : 0;
         /* a short task that is stopped costs less than a GPU machine taken for a long service */
         if (got < want && j->spec.shape == BD_SERVICE && above)
             want -= preempt(r, j, want - got, true);
