--- a/include/brambledoor/core.h
+++ b/include/brambledoor/core.h
@@ -11,7 +11,7 @@
 #define BD_NO_MACHINE UINT32_MAX
 #define BD_IMAGES 24
 #define BD_CANARIES 64
-#define BD_SENT_AWAY 128
+#define BD_SENT_AWAY 512
 
 enum bd_task_state {
     BD_T_WAIT,    /* on no machine; may be placed */
--- a/src/deputy.c
+++ b/src/deputy.c
@@ -19,8 +19,9 @@
 #define BEAT_S 0.5
 #define KEEP_LEAST_S 3.0
 #define STALE_S 5.0
-#define GAP_S 2.5 /* between looks: shorter than keep_s, so that none can slip through */
-#define CHARGES 512
+#define GAP_S 2.5          /* between looks: shorter than keep_s, so that none can slip through */
+#define RECORD_SHARE 0.9   /* of the largest value that the state service takes */
+#define RECORD_HEAD 64u    /* bytes of the record beside the machines' names */
 #define ASK_S 2.0          /* a worker waits so long for the record; it gives up after 4 s */
 #define AGAIN_S 0.15       /* after a refused write: the leader's key is looked at about as often */
 #define CANARY_S 6.0       /* before a canary is sent, and after one came back */
@@ -70,13 +71,25 @@
            bd_between(c->leader_seen, c->now) < DEPUTY_FRESH_S;
 }
 
+/* Whether the record has room for one more name; else the worker is sent on. */
+static bool record_takes(const struct bd_core *c, const char *id)
+{
+    size_t bytes = RECORD_HEAD + strlen(id) + 3;
+    for (uint32_t i = 0; i < c->deputy.ncharges; i++)
+        bytes += strlen(c->deputy.charges[i].id) + 3;
+    if ((double)bytes <= RECORD_SHARE * (double)c->set->value_bytes)
+        return true;
+    bd_say(c->log, BD_ERROR, "a deputy's record is full with %u machines", c->deputy.ncharges);
+    return false;
+}
+
 static struct bd_charge *charge_of(struct bd_core *c, const char *id, bool add)
 {
     struct bd_deputy *d = &c->deputy;
     for (uint32_t i = 0; i < d->ncharges; i++)
         if (strcmp(d->charges[i].id, id) == 0)
             return &d->charges[i];
-    if (!add || d->ncharges == CHARGES)
+    if (!add || !record_takes(c, id))
         return NULL;
     if (d->ncharges == d->cap_charges) {
         uint32_t cap = d->cap_charges ? d->cap_charges * 2 : 16;
--- a/src/forward.c
+++ b/src/forward.c
@@ -10,7 +10,7 @@
 #define STEER_S 8.0       /* a worker is not sent to its zone's controller more often */
 #define BACK_S 12.0       /* it hung at the leader, and perhaps at another node */
 #define BACK_HOLDS_S 40.0 /* then he is tried again */
-#define FORWARDS_MOST 256
+#define FORWARDS_MOST 512
 #define DEAF_S 60.0
 #define DEAF_SHARE 0.6 /* of the machines heard before */
 #define DEAF_LEAST 3u
--- a/src/mesh.c
+++ b/src/mesh.c
@@ -16,8 +16,8 @@
 #define BEAT_S 0.4
 #define SEND_S 0.5
 #define LIFE_S 4.0
-#define SILENT_S 20.0 /* an incoming connection that says nothing is closed */
-#define INCOMING 24
+#define SILENT_S 20.0                   /* an incoming connection that says nothing is closed */
+#define INCOMING (2 * BD_MAX_PEERS + 8) /* a new connection overlaps the old one */
 
 struct line { /* one connection that came in */
     int fd;
--- a/tests/scenario.c
+++ b/tests/scenario.c
@@ -1,26 +1,24 @@
 /* Plays a scenario, a small text file, against the core. One line, one step:
  *
- *   set lease=10 cancel=35 report=2 ttl=3 team=a:0:0:8:16      settings, before anything else
- *   type small cpus=8 gpus=0 mem=32 boot=10 zones=a,b
- *   at 12.5                                            the time, in seconds
- *   job job-1 mark=5 tasks=2 cpus=2 ... [mood=cancelled]   a record change seen by the replica
- *   gain 1 [receipt=job-1/0:03] [intent=job-1:@1.1:vm-1:0,1]
- *   renew | lose | looked [fail] | tick
- *   set zone=a peer=node-1:b; peer node-1 term=0 state=1 deaf=0 hears=1 age=0      a status frame
- * of another controller leader node-1 7 (or - 0)                                    who holds the
- * lease, by a fresh look deputies [p/node-1:mark:vm-1,vm-2]                 the leader's look at
- * the deputies' records watch 28                                           as `at`, with such a
- * look every 2 s deputycommitted STATUS [unknown]                   the fate of our own deputy's
- * record listed vm-1:small:a[:running|booting|failed] ...   a list of the cloud report vm-1 small a
- * session=1 seq=1 seal=1 [notice=5] [job-1/0:@1.1:running ...] forwarded node-1 5 vm-1 small a
- * session=1 ...      a report that another controller passes on answered 1 200 {text} the answer to
- * a report that we passed on did vm-1 seal=1 status=200 ...                     answer to a direct
- * command, as report committed ok|lost|failed KEY... submit {json} | get job-1 | withdraw job-1 |
- * usercommitted STATUS seed N | up 0|1                                    where numbers begin;
- * whether /up says yes rented N vm-1 vm-2 (status 200), rented refused, returned vm-1 expect KIND
- * TEXT...   an effect of the kind that holds all the texts; it is taken off none KIND [TEXT...] no
- * such effect is waiting clear                 forget the effects that wait task job-1/0 STATE
- * [vm-1]     wait plan launch live unknown done team a cpus=2 gpus=0
+ *   set lease=10 cancel=35 report=2 ttl=3 team=a:0:0:8:16 aim=k:150:0.9      settings, before
+ * anything else type small cpus=8 gpus=0 mem=32 boot=10 zones=a,b at 12.5 the time, in seconds job
+ * job-1 mark=5 tasks=2 cpus=2 ... [mood=cancelled]   a record change seen by the replica gain 1
+ * [receipt=job-1/0:03] [intent=job-1:@1.1:vm-1:0,1] renew | lose | looked [fail] | tick set zone=a
+ * peer=node-1:b; peer node-1 term=0 state=1 deaf=0 hears=1 age=0      a status frame of another
+ * controller leader node-1 7 (or - 0)                                    who holds the lease, by a
+ * fresh look deputies [p/node-1:mark:vm-1,vm-2]                 the leader's look at the deputies'
+ * records watch 28                                           as `at`, with such a look every 2 s
+ * deputycommitted STATUS [unknown]                   the fate of our own deputy's record listed
+ * vm-1:small:a[:running|booting|failed] ...   a list of the cloud report vm-1 small a session=1
+ * seq=1 seal=1 [notice=5] [job-1/0:@1.1:running ...] forwarded node-1 5 vm-1 small a session=1 ...
+ * a report that another controller passes on answered 1 200 {text} the answer to a report that we
+ * passed on did vm-1 seal=1 status=200 ...                     answer to a direct command, as
+ * report committed ok|lost|failed KEY... submit {json} | get job-1 | withdraw job-1 | usercommitted
+ * STATUS seed N | up 0|1                                    where numbers begin; whether /up says
+ * yes rented N vm-1 vm-2 (status 200), rented refused, returned vm-1 expect KIND TEXT...   an
+ * effect of the kind that holds all the texts; it is taken off none KIND [TEXT...] no such effect
+ * is waiting clear                 forget the effects that wait task job-1/0 STATE [vm-1]     wait
+ * plan launch live unknown done team a cpus=2 gpus=0
  *
  * @T.N is the N-th attempt of term T. */
 #include "brambledoor/core.h"
@@ -123,6 +121,13 @@
         struct bd_peer *b = &p->set.peers[p->set.npeers++];
         (void)sscanf(peer, "%63[^:]:%63s", b->name, b->zone);
     }
+    const char *aim = arg(p, "aim");
+    if (aim) {
+        struct bd_aim *a = &p->set.aims[p->set.naims++];
+        if (sscanf(aim, "%63[^:]:%lf:%lf", a->klass, &a->within_s, &a->share) != 3)
+            fail(p, "aim");
+        a->kind = BD_AIM_WAIT;
+    }
     if (arg(p, "zone"))
         snprintf(p->set.zone, sizeof p->set.zone, "%s", arg(p, "zone"));
     if (t) {
