A deputy whose workers reach the leader is told so by the leader's key

Now the leader, on hearing a worker out of a deputy's record himself, names the deputy in his key, which all controllers look at; where not even the controllers of its own zone are heard, canaries go at once.

--- a/include/brambledoor/core.h
+++ b/include/brambledoor/core.h
@@ -114,7 +114,8 @@
     int nimages;
     uint32_t errors; /* failed tasks in a row, of different jobs */
     struct bd_job *error_job;
-    bool deputised;          /* in a deputy's record at the last look */
+    bool deputised;          /* in a deputy's record at the last look, */
+    int deputy;              /* whose: an index into the core's deputies */
     struct timespec steered; /* when it was last sent to its own zone's controller */
     bool direct;             /* its last report came from itself, not by another controller */
     bool drain;              /* being emptied, so that a dear machine is free again */
@@ -230,7 +231,7 @@
     struct bd_deputy {
         uint64_t term, mark; /* the token of the answers; our record's mark */
         uint64_t leader;     /* the mark of the leader's key that the record is conditional on */
-        bool mark_known, busy, wanted;
+        bool mark_known, busy, wanted, dismissed;
         struct timespec confirmed_until, next_beat;
         struct bd_charge {
             char id[BD_LABEL];
@@ -271,6 +272,7 @@
         char node[BD_LABEL];
         uint64_t mark;
         struct timespec changed;
+        struct timespec dismissed; /* when one of his workers was heard here */
     } deputies[BD_MAX_PEERS + 1];
     int ndeputies;
 
@@ -348,7 +350,9 @@
     json_t *receipts;        /* arrays of pairs */
     json_t *intents;
 };
-void bd_core_leader_is(struct bd_core *c, const char *name, uint64_t mark, struct timespec sent);
+/* dismissed: the leader's key says that he hears the workers that we answer for him */
+void bd_core_leader_is(struct bd_core *c, const char *name, uint64_t mark, struct timespec sent,
+                       bool dismissed);
 void bd_core_gained(struct bd_core *c, const struct bd_gain *g);
 void bd_core_renewed(struct bd_core *c, uint64_t grant, struct timespec sent);
 void bd_core_lost(struct bd_core *c);
--- a/src/core.c
+++ b/src/core.c
@@ -641,8 +641,10 @@
     return bd_before(c->now, bd_add(seen, bd_secs(grace)));
 }
 
-void bd_core_leader_is(struct bd_core *c, const char *name, uint64_t mark, struct timespec sent)
+void bd_core_leader_is(struct bd_core *c, const char *name, uint64_t mark, struct timespec sent,
+                       bool dismissed)
 {
+    c->deputy.dismissed = dismissed;
     snprintf(c->leader_name, sizeof c->leader_name, "%s", name);
     c->leader_term = mark;
     c->last_term = mark ? mark : c->last_term;
--- a/src/core_in.h
+++ b/src/core_in.h
@@ -101,6 +101,8 @@
 void bd_forward_tick(struct bd_core *c);
 bool bd_deputy_checkin(struct bd_core *c, void *request, const struct bd_report *r);
 void bd_deputy_tick(struct bd_core *c);
+void bd_deputy_needless(struct bd_core *c, const struct bd_machine *m);
+json_t *bd_dismissed(const struct bd_core *c);
 void bd_deputy_end(struct bd_core *c);
 
 /* rounds */
--- a/src/deputy.c
+++ b/src/deputy.c
@@ -18,6 +18,7 @@
 /* named defaults */
 #define BEAT_S 0.5
 #define KEEP_LEAST_S 3.0
+#define AWAY_S 30.0 /* a dismissed deputy is named so long in the leader's key */
 #define STALE_S 5.0
 #define GAP_S 2.5          /* between looks: shorter than keep_s, so that none can slip through */
 #define RECORD_SHARE 0.9   /* of the largest value that the state service takes */
@@ -25,6 +26,7 @@
 #define ASK_S 2.0          /* a worker waits so long for the record; it gives up after 4 s */
 #define AGAIN_S 0.15       /* after a refused write: the leader's key is looked at about as often */
 #define CANARY_S 6.0       /* before a canary is sent, and after one came back */
+#define SOON_S 1.5         /* ... when no other controller is heard at all */
 #define GATHER_S 2.5       /* in which the workers of one batch are sent */
 #define PATIENT_S 40.0     /* then one with tasks may be sent too */
 #define WORKER_WAITS_S 4.0 /* the platform's: a worker waits so long for an answer, */
@@ -67,7 +69,7 @@
 static bool called_for(const struct bd_core *c)
 {
     bool other = *c->leader_name && c->leader_term && leader_silent(c);
-    return c->role == BD_FOLLOWER && (other || leaderless(c)) &&
+    return c->role == BD_FOLLOWER && !c->deputy.dismissed && (other || leaderless(c)) &&
            bd_between(c->leader_seen, c->now) < DEPUTY_FRESH_S;
 }
 
@@ -238,11 +240,24 @@
     return c->set->npeers * (WORKER_WAITS_S + WORKER_PAUSE_S) + 2.0;
 }
 
+/* Not even the others of our own zone are heard: it is not the zone that is cut off. Connections
+ * between the controllers may be refused while the workers reach them all. */
+static bool nobody_heard(const struct bd_core *c)
+{
+    bool mates = false;
+    for (int i = 0; i < c->set->npeers; i++) {
+        mates |= strcmp(c->set->peers[i].zone, c->set->zone) == 0;
+        if (bd_between(c->peers[i].heard, c->now) < LEADER_SILENT_S)
+            return false;
+    }
+    return mates;
+}
+
 static bool may_go(const struct bd_core *c, const struct bd_report *r)
 {
     const struct bd_deputy *d = &c->deputy;
     return r->n == 0 || bd_to_secs(c->set->lease) > way_back_s(c) || d->batch > 1 ||
-           bd_between(d->since, c->now) > PATIENT_S;
+           bd_between(d->since, c->now) > (nobody_heard(c) ? SOON_S : PATIENT_S);
 }
 
 static bool send_canary(struct bd_core *c, const struct bd_report *r)
@@ -289,7 +304,7 @@
                c->leader_name);
         d->batch = d->batch * 2 < BD_CANARIES ? d->batch * 2 : BD_CANARIES;
         d->ncanaries = 0;
-    } else if (ago < CANARY_S) {
+    } else if (ago < (nobody_heard(c) ? SOON_S : CANARY_S)) {
         return false;
     }
     if (!send_canary(c, r))
@@ -375,9 +390,37 @@
             HASH_FIND_STR(c->machines, id, m);
         if (m)
             m->deputised = true;
+        if (m && s)
+            m->deputy = (int)(s - c->deputies);
     }
 }
 
+/* A worker out of a deputy's record reports to the leader himself: the two controllers do not hear
+ * each other, but the workers are not cut off. The deputy is told so by the leader's key, which he
+ * looks at; his workers then come. */
+void bd_deputy_needless(struct bd_core *c, const struct bd_machine *m)
+{
+    struct bd_deputy_seen *s = &c->deputies[m->deputy];
+    if (m->deputy >= c->ndeputies)
+        return;
+    if (bd_is_zero(s->dismissed) || bd_between(s->dismissed, c->now) > AWAY_S) {
+        bd_say(c->log, BD_INFO, "%s answers for us needlessly: %s came here", s->node, m->id);
+        c->want_bump = true;
+    }
+    s->dismissed = c->now;
+}
+
+/* For the leader's key; the caller owns the list. */
+json_t *bd_dismissed(const struct bd_core *c)
+{
+    json_t *list = json_array();
+    for (int i = 0; i < c->ndeputies; i++)
+        if (!bd_is_zero(c->deputies[i].dismissed) &&
+            bd_between(c->deputies[i].dismissed, c->now) < AWAY_S)
+            (void)json_array_append_new(list, json_string(c->deputies[i].node));
+    return list;
+}
+
 void bd_core_deputies(struct bd_core *c, json_t *pairs, struct timespec sent)
 {
     struct bd_change ch;
--- a/src/leader.c
+++ b/src/leader.c
@@ -43,12 +43,28 @@
 
 enum view { VIEW_UNKNOWN, VIEW_FREE, VIEW_OURS, VIEW_BEFORE_US, VIEW_OTHER };
 
-static void tell_leader(struct seat *s, const char *name, uint64_t mark, struct timespec sent)
+/* Whether the leader's key names us among the deputies that he needs no more. */
+static bool sent_away(const struct seat *s, json_t *value)
+{
+    json_t *v;
+    size_t i;
+    json_array_foreach(json_object_get(value, "away"), i, v)
+    {
+        const char *name = json_string_value(v);
+        if (name && strcmp(name, s->n->set.node) == 0)
+            return true;
+    }
+    return false;
+}
+
+static void tell_leader(struct seat *s, const char *name, uint64_t mark, struct timespec sent,
+                        bool away)
 {
     struct bd_cmd *cmd = bd_cmd_new(BD_C_LEADER_IS);
     snprintf(cmd->name, sizeof cmd->name, "%s", name);
     cmd->number = mark;
     cmd->sent = sent;
+    cmd->flag = away;
     bd_tell(s->n, cmd);
 }
 
@@ -71,10 +87,10 @@
         if (node && strcmp(node, s->n->set.node) == 0)
             v = nonce && strcmp(nonce, s->nonce) == 0 ? VIEW_OURS : VIEW_BEFORE_US;
         if (node)
-            tell_leader(s, node, ch.mark, sent);
+            tell_leader(s, node, ch.mark, sent, sent_away(s, ch.value));
     }
     if (v == VIEW_FREE)
-        tell_leader(s, "", 0, sent);
+        tell_leader(s, "", 0, sent, false);
     json_decref(o);
     return v;
 }
--- a/src/owner.c
+++ b/src/owner.c
@@ -207,7 +207,7 @@
         break;
     case BD_C_LEADER_IS:
         if (c->role == BD_FOLLOWER && !n->pending_gain)
-            bd_core_leader_is(c, cmd->name, cmd->number, cmd->sent);
+            bd_core_leader_is(c, cmd->name, cmd->number, cmd->sent, cmd->flag);
         break;
     case BD_C_RENEWED:
         bd_core_renewed(c, cmd->number, cmd->sent);
--- a/src/reports.c
+++ b/src/reports.c
@@ -414,6 +414,8 @@
         bd_reply(c, request, 421, bd_wire_steer(c->set->peers[peer].name), 0);
         return;
     }
+    if (direct && m->deputised)
+        bd_deputy_needless(c, m);
     struct orders l = {0};
     hears_us(m, r, via);
     if (take_report(c, m, r, &l))
--- a/src/rounds.c
+++ b/src/rounds.c
@@ -224,7 +224,9 @@
         return;
     c->want_bump = false;
     c->commit->bump = true;
-    bd_txn_set(&b->t, "leader", json_pack("{s:s,s:s}", "node", c->set->node, "nonce", c->nonce),
+    json_t *away = bd_dismissed(c);
+    bd_txn_set(&b->t, "leader",
+               json_pack("{s:s,s:s,s:o}", "node", c->set->node, "nonce", c->nonce, "away", away),
                c->grant);
     spend(b, 1, 0, 200);
 }
@@ -526,7 +528,7 @@
     c->witness_n = g->witness_n;
     c->listed_once = false;
     snprintf(c->nonce, sizeof c->nonce, "%s", g->nonce);
-    bd_core_leader_is(c, c->set->node, g->term, g->renewed);
+    bd_core_leader_is(c, c->set->node, g->term, g->renewed, false);
     bd_deputy_end(c);
     c->deputies_looked = c->now;
     /* an earlier leader in its grace, or a deputy of one, may have answered until then */
--- a/tests/scenario.c
+++ b/tests/scenario.c
@@ -5,20 +5,20 @@
  * job-1 mark=5 tasks=2 cpus=2 ... [mood=cancelled]   a record change seen by the replica gain 1
  * [receipt=job-1/0:03] [intent=job-1:@1.1:vm-1:0,1] renew | lose | looked [fail] | tick set zone=a
  * peer=node-1:b; peer node-1 term=0 state=1 deaf=0 hears=1 age=0      a status frame of another
- * controller leader node-1 7 (or - 0)                                    who holds the lease, by a
- * fresh look deputies [p/node-1:mark:vm-1,vm-2]                 the leader's look at the deputies'
- * records watch 28                                           as `at`, with such a look every 2 s
- * deputycommitted STATUS [unknown]                   the fate of our own deputy's record listed
- * vm-1:small:a[:running|booting|failed] ...   a list of the cloud report vm-1 small a session=1
- * seq=1 seal=1 [notice=5] [job-1/0:@1.1:running ...] forwarded node-1 5 vm-1 small a session=1 ...
- * a report that another controller passes on answered 1 200 {text} the answer to a report that we
- * passed on did vm-1 seal=1 status=200 ...                     answer to a direct command, as
- * report committed ok|lost|failed KEY... submit {json} | get job-1 | withdraw job-1 | usercommitted
- * STATUS seed N | up 0|1                                    where numbers begin; whether /up says
- * yes rented N vm-1 vm-2 (status 200), rented refused, returned vm-1 expect KIND TEXT...   an
- * effect of the kind that holds all the texts; it is taken off none KIND [TEXT...] no such effect
- * is waiting clear                 forget the effects that wait task job-1/0 STATE [vm-1]     wait
- * plan launch live unknown done team a cpus=2 gpus=0
+ * controller leader node-1 7 (or - 0) [away=1]                                    who holds the
+ * lease, by a fresh look deputies [p/node-1:mark:vm-1,vm-2]                 the leader's look at
+ * the deputies' records watch 28                                           as `at`, with such a
+ * look every 2 s deputycommitted STATUS [unknown]                   the fate of our own deputy's
+ * record listed vm-1:small:a[:running|booting|failed] ...   a list of the cloud report vm-1 small a
+ * session=1 seq=1 seal=1 [notice=5] [job-1/0:@1.1:running ...] forwarded node-1 5 vm-1 small a
+ * session=1 ... a report that another controller passes on answered 1 200 {text} the answer to a
+ * report that we passed on did vm-1 seal=1 status=200 ...                     answer to a direct
+ * command, as report committed ok|lost|failed KEY... submit {json} | get job-1 | withdraw job-1 |
+ * usercommitted STATUS seed N | up 0|1                                    where numbers begin;
+ * whether /up says yes rented N vm-1 vm-2 (status 200), rented refused, returned vm-1 expect KIND
+ * TEXT...   an effect of the kind that holds all the texts; it is taken off none KIND [TEXT...] no
+ * such effect is waiting clear                 forget the effects that wait task job-1/0 STATE
+ * [vm-1]     wait plan launch live unknown done team a cpus=2 gpus=0
  *
  * @T.N is the N-th attempt of term T. */
 #include "brambledoor/core.h"
@@ -358,7 +358,7 @@
 static void cmd_leader(struct play *p)
 {
     const char *name = strcmp(p->w[1], "-") == 0 ? "" : p->w[1];
-    bd_core_leader_is(p->c, name, strtoull(p->w[2], NULL, 10), p->c->now);
+    bd_core_leader_is(p->c, name, strtoull(p->w[2], NULL, 10), p->c->now, yes(p, "away"));
 }
 
 static void cmd_deputies(struct play *p)
