--- a/src/place.c
+++ b/src/place.c
@@ -118,8 +118,8 @@
         return most;
     struct room r = {t->cpus - m->pinned_cpus, t->gpus - m->pinned_gpus, t->mem - m->pinned_mem};
     uint32_t gpu_tasks = fit(r, g, 64);
-    if (gpu_tasks == 0)
-        return most;
+    if (gpu_tasks == 0) /* services alone keep GPU work away: they are to move together here */
+        return m->gpus > 0 || s->shape == BD_SERVICE ? most : 0;
     struct room left = {t->cpus - m->cpus - gpu_tasks * g->cpus, 0,
                         t->mem - m->mem - gpu_tasks * g->mem};
     return left.cpus < 0 || left.mem < 0 ? 0 : fit(left, s, most);
