Read once more: one test for a heard controller, one rule for a fetch, one set of test settings

Behaviour as before: nine loops spelled out when a controller counts as heard, and two the conditions under which one can pass reports on; five places worked out how long a fetch takes; placement carried a reach of which it only asks whether any price will do; the profile program repeated the scenarios' settings. A field that nothing read and a wrong name in a comment are gone.

--- a/include/brambledoor/core.h
+++ b/include/brambledoor/core.h
@@ -231,7 +231,7 @@
     struct bd_deputy {
         uint64_t term, mark; /* the token of the answers; our record's mark */
         uint64_t leader;     /* the mark of the leader's key that the record is conditional on */
-        bool mark_known, busy, wanted, dismissed;
+        bool mark_known, busy, dismissed;
         struct timespec confirmed_until, next_beat;
         struct bd_charge {
             char id[BD_LABEL];
--- a/src/core.c
+++ b/src/core.c
@@ -680,7 +680,7 @@
 {
     const double behind = 1.5;
     for (int i = 0; i < c->set->npeers; i++)
-        if (bd_between(c->peers[i].heard, c->now) < HEARD_S && c->peers[i].flags & BD_PEER_STATE &&
+        if (bd_peer_heard(c, i, HEARD_S) && c->peers[i].flags & BD_PEER_STATE &&
             bd_between(c->fresh, c->peers[i].state_seen) > behind)
             return true;
     return false;
@@ -690,7 +690,7 @@
 static int newer_leader(const struct bd_core *c)
 {
     for (int i = 0; i < c->set->npeers; i++)
-        if (c->peers[i].term > c->term && bd_between(c->peers[i].heard, c->now) < HEARD_S)
+        if (c->peers[i].term > c->term && bd_peer_heard(c, i, HEARD_S))
             return i;
     return -1;
 }
@@ -711,7 +711,7 @@
     if (c->set->npeers == 0 || bd_between(c->fresh, c->now) < ALONE_S)
         return false;
     for (int i = 0; i < c->set->npeers; i++)
-        if (bd_between(c->peers[i].heard, c->now) < ALONE_S)
+        if (bd_peer_heard(c, i, ALONE_S))
             return false;
     return true;
 }
--- a/src/core_in.h
+++ b/src/core_in.h
@@ -36,6 +36,16 @@
     bool bump;
 };
 
+static inline bool bd_peer_heard(const struct bd_core *c, int peer, double within_s)
+{
+    return bd_between(c->peers[peer].heard, c->now) < within_s;
+}
+
+static inline bool bd_peer_near(const struct bd_core *c, int peer) /* of our own zone */
+{
+    return strcmp(c->set->peers[peer].zone, c->set->zone) == 0;
+}
+
 static inline bool bd_type_allowed(const struct bd_spec *s, int type)
 {
     return s->any_type || (s->types >> type & 1);
@@ -70,6 +80,7 @@
 void bd_find_mute(struct bd_core *c);
 void bd_orders_send(struct bd_core *c, struct bd_machine *m);
 bool bd_has_image(const struct bd_machine *m, int image);
+double bd_fetch_s(const struct bd_core *c, const struct bd_machine *m, const struct bd_spec *s);
 void bd_remember_image(struct bd_machine *m, int image);
 
 void bd_core_step_aside(struct bd_core *c);
--- a/src/deputy.c
+++ b/src/deputy.c
@@ -246,8 +246,8 @@
 {
     bool mates = false;
     for (int i = 0; i < c->set->npeers; i++) {
-        mates |= strcmp(c->set->peers[i].zone, c->set->zone) == 0;
-        if (bd_between(c->peers[i].heard, c->now) < LEADER_SILENT_S)
+        mates |= bd_peer_near(c, i);
+        if (bd_peer_heard(c, i, LEADER_SILENT_S))
             return false;
     }
     return mates;
@@ -318,9 +318,8 @@
 static bool zone_cut(const struct bd_core *c)
 {
     for (int i = 0; i < c->set->npeers; i++)
-        if (strcmp(c->set->peers[i].zone, c->set->zone) == 0 && i != bd_leader_index(c) &&
-            c->peers[i].flags & BD_PEER_STATE && !(c->peers[i].flags & BD_PEER_HEARS) &&
-            bd_between(c->peers[i].heard, c->now) < LEADER_SILENT_S)
+        if (bd_peer_near(c, i) && i != bd_leader_index(c) && c->peers[i].flags & BD_PEER_STATE &&
+            !(c->peers[i].flags & BD_PEER_HEARS) && bd_peer_heard(c, i, LEADER_SILENT_S))
             return true;
     return false;
 }
@@ -400,9 +399,9 @@
  * looks at; his workers then come. */
 void bd_deputy_needless(struct bd_core *c, const struct bd_machine *m)
 {
-    struct bd_deputy_seen *s = &c->deputies[m->deputy];
     if (m->deputy >= c->ndeputies)
         return;
+    struct bd_deputy_seen *s = &c->deputies[m->deputy];
     if (bd_is_zero(s->dismissed) || bd_between(s->dismissed, c->now) > AWAY_S) {
         bd_say(c->log, BD_INFO, "%s answers for us needlessly: %s came here", s->node, m->id);
         c->want_bump = true;
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -484,7 +484,7 @@
 static bool quick_start(const struct bd_core *c, const struct bd_machine *m,
                         const struct bd_spec *s)
 {
-    return bd_has_image(m, s->image) || s->image_gb / c->types[m->type].fetch < MOVE_FETCH_S;
+    return bd_fetch_s(c, m, s) < MOVE_FETCH_S;
 }
 
 /* Whether a place for the task is free where no GPU work is harmed: on a cheap machine, beside GPU
--- a/src/forward.c
+++ b/src/forward.c
@@ -27,7 +27,7 @@
 static int leader_peer(const struct bd_core *c)
 {
     int i = bd_leader_index(c);
-    return i >= 0 && bd_between(c->peers[i].heard, c->now) < LEADER_SILENT_S ? i : -1;
+    return i >= 0 && bd_peer_heard(c, i, LEADER_SILENT_S) ? i : -1;
 }
 
 /* A worker that comes back soon after it was sent to the leader cannot reach him. It would go round
@@ -50,10 +50,15 @@
     return false;
 }
 
+static bool other_leads(const struct bd_core *c)
+{
+    return *c->leader_name && strcmp(c->leader_name, c->set->node) != 0;
+}
+
 /* Not ours to answer: to the leader, where one is known. */
 void bd_forward_away(struct bd_core *c, void *request, const struct bd_report *r)
 {
-    bool other = *c->leader_name && strcmp(c->leader_name, c->set->node) != 0;
+    bool other = other_leads(c);
     if (other) {
         uint32_t i = c->nsent_away++ % BD_SENT_AWAY;
         snprintf(c->sent_away[i].id, sizeof c->sent_away[i].id, "%s", r->machine);
@@ -67,10 +72,10 @@
 static bool zone_silent(const struct bd_core *c)
 {
     for (int i = 0; i < c->set->npeers; i++) {
-        bool any = strcmp(c->set->peers[i].zone, c->set->zone) == 0;
+        bool any = bd_peer_near(c, i);
         for (int k = 0; k < c->set->npeers && !any; k++)
             any = strcmp(c->set->peers[k].zone, c->set->peers[i].zone) == 0 &&
-                  bd_between(c->peers[k].heard, c->now) < LEADER_SILENT_S;
+                  bd_peer_heard(c, k, LEADER_SILENT_S);
         if (!any)
             return true;
     }
@@ -87,8 +92,7 @@
         c->deaf_until = bd_add(c->now, bd_secs(DEAF_S));
     if (bd_before(c->now, c->deaf_until))
         return true;
-    return strcmp(r->zone, c->set->zone) == 0 &&
-           (strcmp(c->set->peers[peer].zone, c->set->zone) != 0 || zone_silent(c));
+    return strcmp(r->zone, c->set->zone) == 0 && (!bd_peer_near(c, peer) || zone_silent(c));
 }
 
 bool bd_core_hears_leader(const struct bd_core *c)
@@ -117,16 +121,21 @@
     return n;
 }
 
+/* Whether the controller is in touch with the state service, the leader and us. */
+static bool can_pass_on(const struct bd_core *c, int i)
+{
+    return c->peers[i].flags & BD_PEER_STATE && c->peers[i].flags & BD_PEER_HEARS &&
+           !(bd_between(c->peers[i].heard, c->now) > LEADER_SILENT_S);
+}
+
 /* A controller that hears the leader whom we do not hear, one of our own zone first; or -1. */
 static int relay(const struct bd_core *c)
 {
     int found = -1;
     for (int i = 0; i < c->set->npeers; i++) {
-        if (i == bd_leader_index(c) || !(c->peers[i].flags & BD_PEER_STATE) ||
-            !(c->peers[i].flags & BD_PEER_HEARS) ||
-            bd_between(c->peers[i].heard, c->now) > LEADER_SILENT_S)
+        if (i == bd_leader_index(c) || !can_pass_on(c, i))
             continue;
-        if (strcmp(c->set->peers[i].zone, c->set->zone) == 0)
+        if (bd_peer_near(c, i))
             return i;
         found = found < 0 ? i : found;
     }
@@ -162,7 +171,7 @@
     int peer = leader_peer(c);
     if (peer >= 0 && !passed_on(c, r, peer))
         return false;
-    if (peer < 0 && *c->leader_name && strcmp(c->leader_name, c->set->node) != 0)
+    if (peer < 0 && other_leads(c))
         peer = relay(c);
     return send_on(c, request, r, body, len, peer);
 }
@@ -241,9 +250,7 @@
         (!bd_is_zero(m->steered) && bd_between(m->steered, c->now) < STEER_S))
         return -1;
     for (int i = 0; i < c->set->npeers; i++) {
-        if (strcmp(c->set->peers[i].zone, r->zone) != 0 ||
-            bd_between(c->peers[i].heard, c->now) > LEADER_SILENT_S ||
-            !(c->peers[i].flags & BD_PEER_STATE) || !(c->peers[i].flags & BD_PEER_HEARS))
+        if (strcmp(c->set->peers[i].zone, r->zone) != 0 || !can_pass_on(c, i))
             continue;
         n++;
         if (found < 0 || m->index % (uint32_t)n == 0)
--- a/src/place.c
+++ b/src/place.c
@@ -142,8 +142,7 @@
     double v = left * COST_LEFTOVER;
     if (harm)
         v += COST_GPU_WASTE;
-    if (!bd_has_image(m, s->image))
-        v += s->image_gb / t->fetch;
+    v += bd_fetch_s(c, m, s);
     if (s->spot && !m->spot)
         v += COST_NOT_SPOT;
     return v;
@@ -158,11 +157,11 @@
 static bool quick_there(const struct bd_core *c, const struct bd_spec *s,
                         const struct bd_machine *m)
 {
-    return bd_has_image(m, s->image) || s->image_gb / c->types[m->type].fetch < QUICK_S;
+    return bd_fetch_s(c, m, s) < QUICK_S;
 }
 
 static struct bd_machine *best(struct round *r, const struct bd_job *j, const uint32_t *zones,
-                               enum bd_reach reach, bool may_harm)
+                               bool any_price, bool may_harm)
 {
     struct bd_core *c = r->c;
     struct bd_machine *found = NULL;
@@ -180,8 +179,7 @@
         if (harm && !may_harm)
             continue;
         /* a dear machine that GPU work cannot use anyway is as good as a cheap one */
-        bool dear = r->dear[m->type][m->spot];
-        if (reach != BD_REACH_ANY && dear && (harm || !known_use(c, m)))
+        if (!any_price && r->dear[m->type][m->spot] && (harm || !known_use(c, m)))
             continue;
         double v = cost(c, &j->spec, m, room, harm);
         if (v < low) {
@@ -224,13 +222,11 @@
                      bool may_harm)
 {
     uint32_t zones[BD_MAX_ZONES], placed = 0, next = 0;
-    enum bd_reach reach = bd_reach_of(r->c, j);
     /* only what is rented waits for spot: a machine that is there costs the same idle */
-    if (reach == BD_REACH_SPOT)
-        reach = BD_REACH_CHEAP;
+    bool any_price = bd_reach_of(r->c, j) == BD_REACH_ANY;
     zone_counts(r->c, j, zones);
     while (placed < most) {
-        struct bd_machine *m = best(r, j, zones, reach, may_harm);
+        struct bd_machine *m = best(r, j, zones, any_price, may_harm);
         if (!m)
             break;
         struct room room = unclaimed_room(r, m);
@@ -336,7 +332,7 @@
     later_room(r, j, m, &soon, &most);
     if (!fit(most, &j->spec, 1))
         return INFINITY;
-    double v = bd_has_image(m, j->spec.image) ? 0 : j->spec.image_gb / c->types[m->type].fetch;
+    double v = bd_fetch_s(c, m, &j->spec);
     double lacking = fmax(0, fmax(j->spec.cpus - soon.cpus, 0) / fmax(j->spec.cpus, 1) +
                                  fmax(j->spec.gpus - soon.gpus, 0) / fmax(j->spec.gpus, 1));
     return v + lacking * COST_STOPPING;
@@ -400,9 +396,8 @@
     if (!j->in_guarantee || j->ntasks != 1)
         return false;
     zone_counts(c, j, zones);
-    struct bd_machine *now = best(r, j, zones, BD_REACH_ANY, true);
-    if (!now || bd_has_image(now, j->spec.image) ||
-        j->spec.image_gb / c->types[now->type].fetch < WORTH_MOVING_S)
+    struct bd_machine *now = best(r, j, zones, true, true);
+    if (!now || bd_fetch_s(c, now, &j->spec) < WORTH_MOVING_S)
         return false;
     return vacate(r, j, zones, false, true);
 }
--- a/src/reports.c
+++ b/src/reports.c
@@ -50,7 +50,7 @@
 }
 
 /* Halts and launches that the machine owes us, from the states of the tasks on it. An attempt that
- * an earlier seal's direct launch may have carried is launched in answers only: see may_forget. */
+ * an earlier seal's direct launch may have carried is launched in answers only: see forget. */
 static bool owed(struct bd_core *c, struct bd_machine *m, struct orders *l, bool direct)
 {
     bool launch = false;
--- a/src/tasks.c
+++ b/src/tasks.c
@@ -117,6 +117,12 @@
     return false;
 }
 
+/* How long the task's image takes to get there: nothing where it lies already. */
+double bd_fetch_s(const struct bd_core *c, const struct bd_machine *m, const struct bd_spec *s)
+{
+    return bd_has_image(m, s->image) ? 0 : s->image_gb / c->types[m->type].fetch;
+}
+
 void bd_remember_image(struct bd_machine *m, int image)
 {
     int k = 0;
--- a/tests/profile.c
+++ b/tests/profile.c
@@ -4,6 +4,7 @@
 #include "brambledoor/frame.h"
 #include "brambledoor/log.h"
 #include "brambledoor/timeutil.h"
+#include "small.h"
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -32,20 +33,11 @@
 
 static void settings(struct bd_settings *s)
 {
-    snprintf(s->node, sizeof s->node, "node-0");
+    small_settings(s);
     snprintf(s->zone, sizeof s->zone, "a");
-    s->report = bd_secs(2);
-    s->lease = bd_secs(10);
-    s->cancel = bd_secs(35);
-    s->gang_wait = bd_secs(30);
-    s->gang_peer = bd_secs(4);
     s->list_lag = bd_secs(8);
     s->leader_ttl = bd_secs(2);
-    s->state_write_rps = 100;
     s->state_rps = 250;
-    s->cloud_rps = 3;
-    s->value_bytes = 8192;
-    s->txn_ops = 24;
     s->ram_mb = 72;
     s->spare_share = 1.4;
     s->idle_boots = 0.7;
--- a/tests/scenario.c
+++ b/tests/scenario.c
@@ -25,6 +25,7 @@
 #include "brambledoor/frame.h"
 #include "brambledoor/log.h"
 #include "brambledoor/timeutil.h"
+#include "small.h"
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -677,25 +678,6 @@
     collect(p);
 }
 
-static void defaults(struct bd_settings *s)
-{
-    snprintf(s->node, sizeof s->node, "node-0");
-    s->report = bd_secs(2);
-    s->lease = bd_secs(10);
-    s->cancel = bd_secs(35);
-    s->gang_wait = bd_secs(30);
-    s->gang_peer = bd_secs(4);
-    s->list_lag = bd_secs(5);
-    s->state_write_rps = 100;
-    s->state_rps = 200;
-    s->cloud_rps = 3;
-    s->value_bytes = 8192;
-    s->txn_ops = 24;
-    s->ram_mb = 1;
-    s->spare_share = 0;
-    s->idle_boots = 1;
-}
-
 int main(int argc, char **argv)
 {
     struct play p = {.log = {BD_ERROR, "scenario"}};
@@ -708,7 +690,7 @@
         perror(argv[1]);
         return 2;
     }
-    defaults(&p.set);
+    small_settings(&p.set);
     int steps = 0;
     while (fgets(line, sizeof line, f)) {
         p.line++;
--- /dev/null
+++ b/tests/small.h
@@ -0,0 +1,26 @@
+/* The settings that the scenarios begin with, and the profile program too. */
+#ifndef BD_TESTS_SMALL_H
+#define BD_TESTS_SMALL_H
+#include "brambledoor/settings.h"
+#include "brambledoor/timeutil.h"
+#include <stdio.h>
+
+static inline void small_settings(struct bd_settings *s)
+{
+    snprintf(s->node, sizeof s->node, "node-0");
+    s->report = bd_secs(2);
+    s->lease = bd_secs(10);
+    s->cancel = bd_secs(35);
+    s->gang_wait = bd_secs(30);
+    s->gang_peer = bd_secs(4);
+    s->list_lag = bd_secs(5);
+    s->state_write_rps = 100;
+    s->state_rps = 200;
+    s->cloud_rps = 3;
+    s->value_bytes = 8192;
+    s->txn_ops = 24;
+    s->ram_mb = 1;
+    s->spare_share = 0;
+    s->idle_boots = 1;
+}
+#endif
