--- a/include/brambledoor/core.h
+++ b/include/brambledoor/core.h
@@ -12,6 +12,7 @@
 #define BD_IMAGES 24
 #define BD_CANARIES 64
 #define BD_SENT_AWAY 512
+#define BD_DEPUTY_PARTS 6 /* of a deputy's record, a value each */
 
 enum bd_task_state {
     BD_T_WAIT,    /* on no machine; may be placed */
@@ -225,7 +226,11 @@
         struct timespec heard, state_seen;
         uint64_t term;
         uint8_t flags;
+        double said_at;                /* when it said so, by its time of day */
+        double contact;                /* as leader: its newest record, by its time of day */
+        struct timespec suspect_until; /* as leader: it may be standing by */
     } peers[BD_MAX_PEERS];
+    struct timespec confirmed; /* when our own last such record that was written was sent */
 
     /* a follower that answers for a leader its workers cannot reach */
     struct bd_deputy {
@@ -238,7 +243,7 @@
             struct timespec heard;
             bool confirmed, sent;
         } * charges;
-        uint32_t ncharges, cap_charges;
+        uint32_t ncharges, cap_charges, parts; /* parts of the record that were ever written */
         struct bd_wait_checkin *asking;
         /* workers sent to the leader, to see whether he can be reached */
         char canaries[BD_CANARIES][BD_LABEL];
@@ -269,11 +274,11 @@
     struct timespec deputies_looked;
     char stale_deputy[BD_LABEL];
     struct bd_deputy_seen {
-        char node[BD_LABEL];
+        char key[BD_LABEL]; /* the record's, without its prefix: the node, a slash and the part */
         uint64_t mark;
         struct timespec changed;
         struct timespec dismissed; /* when one of his workers was heard here */
-    } deputies[BD_MAX_PEERS + 1];
+    } deputies[(BD_MAX_PEERS + 1) * BD_DEPUTY_PARTS];
     int ndeputies;
 
     /* leadership */
@@ -360,7 +365,11 @@
 void bd_core_committed(struct bd_core *c, int outcome, uint64_t ring, json_t *failed);
 /* the other controllers */
 void bd_core_peer(struct bd_core *c, const char *name, uint64_t term, uint8_t flags,
-                  double state_age);
+                  double state_age, double said_at);
+/* our own record of being in touch was written */
+void bd_core_confirmed(struct bd_core *c, struct timespec sent);
+/* we have not been in touch for so long that we may stand by */
+bool bd_core_cut(const struct bd_core *c);
 void bd_core_progress(struct bd_core *c, const char *job, uint32_t done, uint32_t running);
 /* a leader's look at the deputies' records; a follower's own record was written */
 void bd_core_deputies(struct bd_core *c, json_t *pairs, struct timespec sent);
--- a/include/brambledoor/frame.h
+++ b/include/brambledoor/frame.h
@@ -2,7 +2,7 @@
  *
  *   magic u32 "BDM1", version u8, type u8, zero u16, length u32 of what follows
  *   status (1):   name (u8 length, bytes), term u64, flags u8, age u32 (ms since the state
- *                 service last answered)
+ *                 service last answered), at u64 (its time of day in ms)
  *   progress (2): count u16, then per job: id (u8 length, bytes), done u32, running u32
  *   report (3):   id u64, sender's name (u8 length, bytes), a worker's report (u32 length, bytes)
  *   answer (4):   id u64, status u16, the answer to it (u32 length, bytes) */
@@ -26,7 +26,8 @@
     BD_PEER_LEADS = 1,
     BD_PEER_STATE = 2, /* the state service answers it */
     BD_PEER_DEAF = 4,  /* as leader: most workers are silent to it */
-    BD_PEER_HEARS = 8  /* it hears the leader */
+    BD_PEER_HEARS = 8, /* it hears the leader */
+    BD_PEER_CUT = 16   /* it has not been in touch with the state service for a while */
 };
 
 struct bd_progress {
@@ -40,6 +41,7 @@
     uint64_t term;
     uint8_t flags;
     uint32_t age_ms;
+    uint64_t at_ms;
     uint16_t count;
     struct bd_progress jobs[BD_FRAME_JOBS];
     uint64_t id;
--- a/include/brambledoor/node.h
+++ b/include/brambledoor/node.h
@@ -21,6 +21,7 @@
     BD_C_LEADER_IS,
     BD_C_GAINED,
     BD_C_RENEWED,
+    BD_C_CONFIRMED,
     BD_C_LOST,
     BD_C_COMMITTED,
     BD_C_DID,
@@ -87,6 +88,8 @@
 int bd_leader_start(struct bd_node *n);
 int bd_cloud_start(struct bd_node *n);
 int bd_dispatch_start(struct bd_node *n);
+#define BD_DISPATCH_KEEP 4 /* connections that a sender of direct commands keeps */
+int bd_dispatch_threads(const struct bd_settings *s);
 int bd_mesh_start(struct bd_node *n);
 /* false: not sent, nothing will come back */
 bool bd_mesh_send(struct bd_node *n, int peer, const struct bd_frame *f);
--- a/src/core.c
+++ b/src/core.c
@@ -83,6 +83,7 @@
     free_waits(&c->asked);
     free_rounds(c);
     bd_commit_free(c->commit);
+    c->last_term = 0; /* nobody waits for a better answer any more */
     bd_deputy_end(c);
     while (c->forwards) {
         struct bd_forward *f = c->forwards;
@@ -654,7 +655,7 @@
 /* ---- the other controllers ---- */
 
 void bd_core_peer(struct bd_core *c, const char *name, uint64_t term, uint8_t flags,
-                  double state_age)
+                  double state_age, double said_at)
 {
     for (int i = 0; i < c->set->npeers; i++) {
         if (strcmp(c->set->peers[i].name, name) != 0)
@@ -662,6 +663,7 @@
         c->peers[i].heard = c->now;
         c->peers[i].term = term;
         c->peers[i].flags = flags;
+        c->peers[i].said_at = said_at;
         c->peers[i].state_seen = bd_sub(c->now, bd_secs(state_age));
     }
 }
--- a/src/core_in.h
+++ b/src/core_in.h
@@ -19,6 +19,16 @@
     struct bd_wait *next;
 };
 
+#define BD_ROUND_PARTS 6   /* intent records in one transaction, at most */
+#define BD_VALUE_SHARE 0.9 /* of a value, as reckoned */
+
+/* bytes of a job's tasks on one machine in an intent record, without the tasks' numbers */
+static inline size_t bd_group_bytes(const struct bd_job *j, const struct bd_machine *m)
+{
+    return strlen(j->id) + strlen(m->id) + 36;
+}
+#define BD_TASK_BYTES 7u /* of a task's number in it */
+
 struct bd_commit { /* the one leader transaction in flight */
     struct bd_intent *plan;
     uint32_t nplan, cap;
@@ -30,7 +40,11 @@
     uint32_t nreceipts;
     struct bd_job *done[64];
     uint32_t ndone;
-    char round_key[BD_LABEL];
+    struct bd_part { /* an intent record: a value takes only so many */
+        char key[BD_LABEL];
+        uint32_t from, n;
+    } parts[BD_ROUND_PARTS];
+    uint32_t nparts;
     char dropped[64][BD_LABEL];
     uint32_t ndropped;
     bool bump;
@@ -73,6 +87,7 @@
 void bd_job_unlead(struct bd_job *j);
 void bd_machine_lapse(struct bd_core *c, struct bd_machine *m);
 void bd_machine_gone(struct bd_core *c, struct bd_machine *m);
+bool bd_overdue(const struct bd_core *c, const struct bd_machine *m);
 bool bd_machine_usable(const struct bd_core *c, const struct bd_machine *m);
 struct timespec bd_lease_end(const struct bd_core *c, struct timespec answered);
 uint32_t bd_tenths(struct timespec t);
@@ -96,6 +111,15 @@
 bool bd_in_reach(const struct bd_core *c, const struct bd_spec *s, enum bd_reach reach, int type,
                  bool spot);
 
+/* standing by in a zone that is cut off */
+#define STANDBY_AFTER_S 3.0 /* without a word from the state service */
+bool bd_standby_answers(const struct bd_core *c, const struct bd_report *r);
+bool bd_standby_near(const struct bd_core *c, const struct bd_report *r);
+void bd_standby_record(struct bd_core *c, const char *node, double at);
+void bd_standby_zones(struct bd_core *c, struct timespec *until);
+struct timespec bd_standby_until(const struct bd_core *c, const struct bd_machine *m,
+                                 const struct timespec *until);
+
 /* deputies */
 #define LEADER_SILENT_S 1.3 /* not heard on the mesh for so long: he may be cut off */
 #define DEPUTY_FRESH_S 1.5  /* a deputy answers so long after its record was last confirmed */
@@ -117,7 +141,8 @@
 void bd_deputy_end(struct bd_core *c);
 
 /* rounds */
-void bd_round_place(struct bd_core *c);  /* fills c->commit's plan */
+void bd_round_place(struct bd_core *c); /* fills c->commit's plan */
+uint32_t bd_round_parts(const struct bd_settings *s);
 void bd_round_commit(struct bd_core *c); /* builds and sends the transaction */
 void bd_commit_free(struct bd_commit *k);
 uint32_t bd_jobs_in_order(struct bd_core *c, struct bd_job ***out);
--- a/src/deputy.c
+++ b/src/deputy.c
@@ -23,7 +23,7 @@
 #define GAP_S 2.5          /* between looks: shorter than keep_s, so that none can slip through */
 #define RECORD_SHARE 0.9   /* of the largest value that the state service takes */
 #define RECORD_HEAD 64u    /* bytes of the record beside the machines' names */
-#define ASK_S 2.0          /* a worker waits so long for the record; it gives up after 4 s */
+#define ASK_S 2.4          /* a worker waits so long for the record; it gives up after 4 s */
 #define AGAIN_S 0.15       /* after a refused write: the leader's key is looked at about as often */
 #define CANARY_S 6.0       /* before a canary is sent, and after one came back */
 #define SOON_S 1.5         /* ... when no other controller is heard at all */
@@ -73,13 +73,23 @@
            bd_between(c->leader_seen, c->now) < DEPUTY_FRESH_S;
 }
 
+/* Machines that one part of the record can name, by the longest name there is room for so far. */
+static uint32_t part_holds(const struct bd_core *c)
+{
+    size_t longest = 1;
+    for (uint32_t i = 0; i < c->deputy.ncharges; i++) {
+        size_t len = strlen(c->deputy.charges[i].id);
+        longest = len > longest ? len : longest;
+    }
+    double n = (RECORD_SHARE * (double)c->set->value_bytes - RECORD_HEAD) / (double)(longest + 3);
+    return n < 1 ? 1 : (uint32_t)n;
+}
+
 /* Whether the record has room for one more name; else the worker is sent on. */
 static bool record_takes(const struct bd_core *c, const char *id)
 {
-    size_t bytes = RECORD_HEAD + strlen(id) + 3;
-    for (uint32_t i = 0; i < c->deputy.ncharges; i++)
-        bytes += strlen(c->deputy.charges[i].id) + 3;
-    if ((double)bytes <= RECORD_SHARE * (double)c->set->value_bytes)
+    uint32_t most = part_holds(c) * BD_DEPUTY_PARTS;
+    if (c->deputy.ncharges < most && strlen(id) + RECORD_HEAD < c->set->value_bytes)
         return true;
     bd_say(c->log, BD_ERROR, "a deputy's record is full with %u machines", c->deputy.ncharges);
     return false;
@@ -110,6 +120,22 @@
 
 /* ---- our own record ---- */
 
+/* Several hundred machines do not fit one value: the parts are written together. */
+static void set_part(struct bd_core *c, struct bd_txn *t, uint32_t part, uint32_t each)
+{
+    struct bd_deputy *d = &c->deputy;
+    char key[BD_LABEL + 16];
+    json_t *names = json_array();
+    key_of(c, key, BD_LABEL);
+    if (part > 0)
+        snprintf(key + strlen(key), 16, "/%u", part);
+    for (uint32_t i = part * each; i < (part + 1) * each && i < d->ncharges; i++) {
+        json_array_append_new(names, json_string(d->charges[i].id));
+        d->charges[i].sent = true;
+    }
+    bd_txn_set(t, key, json_pack("{s:I,s:o}", "t", (json_int_t)d->term, "m", names), 0);
+}
+
 static void write_record(struct bd_core *c)
 {
     struct bd_deputy *d = &c->deputy;
@@ -122,23 +148,22 @@
     d->next_beat = bd_add(c->now, bd_secs(BEAT_S));
     if (!d->mark_known)
         return; /* an earlier process's record may stand: its mark first */
-    json_t *names = json_array();
-    for (uint32_t i = 0; i < d->ncharges; i++) {
-        json_array_append_new(names, json_string(d->charges[i].id));
-        d->charges[i].sent = true;
-    }
     d->term = c->leader_term ? c->leader_term : c->last_term;
     d->leader = c->leader_term;
     if (!bd_txn_start(&t))
         abort();
     bd_txn_if(&t, "leader", d->leader);
     bd_txn_if(&t, key, d->mark);
-    bd_txn_set(&t, key, json_pack("{s:I,s:o}", "t", (json_int_t)d->term, "m", names), 0);
+    uint32_t each = part_holds(c), parts = (d->ncharges + each - 1) / each;
+    /* a part that is needed no more is written empty, so that it names nobody */
+    d->parts = parts > d->parts ? parts : d->parts ? d->parts : 1;
+    for (uint32_t part = 0; part < d->parts; part++)
+        set_part(c, &t, part, each);
     e->body = bd_txn_end(&t);
 }
 
 /* Halts of what users have withdrawn: nobody's leave is needed for these. */
-static char *orders(struct bd_core *c, const struct bd_report *r)
+static char *orders(struct bd_core *c, const struct bd_report *r, uint64_t term)
 {
     struct bd_order *o = calloc(r->n + 1, sizeof *o);
     size_t n = 0;
@@ -154,7 +179,7 @@
         o[n].task = s->task;
         o[n++].attempt = s->attempt;
     }
-    char *text = bd_wire_orders(c->deputy.term, 0, o, n);
+    char *text = bd_wire_orders(term, 0, o, n);
     free(o);
     return text;
 }
@@ -168,14 +193,18 @@
         struct bd_wait_checkin *next = w->next;
         struct bd_charge *k = charge_of(c, w->report->machine, false);
         bool ready = k && k->confirmed && bd_before(c->now, c->deputy.confirmed_until);
-        if (k && !ready && !all && bd_between(w->asked, c->now) < ASK_S) {
+        bool stands_by = !ready && bd_standby_answers(c, w->report);
+        bool waits = (k && !all) || bd_standby_near(c, w->report);
+        if (!ready && !stands_by && waits && bd_between(w->asked, c->now) < ASK_S) {
             w->next = c->deputy.asking;
             c->deputy.asking = w;
             w = next;
             continue;
         }
-        bd_reply(c, w->request, ready ? 200 : 421, ready ? orders(c, w->report) : bd_wire_steer(""),
-                 0);
+        uint64_t term = ready ? c->deputy.term : c->last_term;
+        bool good = ready || stands_by;
+        bd_reply(c, w->request, good ? 200 : 421,
+                 good ? orders(c, w->report, term) : bd_wire_steer(""), 0);
         bd_report_free(w->report);
         free(w);
         w = next;
@@ -217,6 +246,8 @@
 void bd_deputy_tick(struct bd_core *c)
 {
     struct bd_deputy *d = &c->deputy;
+    if (d->asking)
+        answer_asking(c, false);
     bool had = d->ncharges > 0;
     for (uint32_t i = 0; i < d->ncharges;) {
         if (!d->busy && bd_between(d->charges[i].heard, c->now) > keep_s(c))
@@ -324,12 +355,32 @@
     return false;
 }
 
-/* True if the report was answered, or will be once the record is confirmed. */
+static void let_wait(struct bd_core *c, void *request, const struct bd_report *r)
+{
+    struct bd_wait_checkin *w = calloc(1, sizeof *w);
+    if (!w)
+        abort();
+    w->request = request;
+    w->report = bd_report_copy(r);
+    w->asked = c->now;
+    w->next = c->deputy.asking;
+    c->deputy.asking = w;
+}
+
+/* True if the report was answered, or will be once the record is confirmed or we stand by. */
 bool bd_deputy_checkin(struct bd_core *c, void *request, const struct bd_report *r)
 {
     struct bd_deputy *d = &c->deputy;
-    if (!called_for(c))
-        return false;
+    if (bd_standby_answers(c, r)) {
+        bd_reply(c, request, 200, orders(c, r, c->last_term), 0);
+        return true;
+    }
+    if (!called_for(c)) {
+        bool near = bd_standby_near(c, r);
+        if (near)
+            let_wait(c, request, r);
+        return near;
+    }
     if (!leaderless(c) && !zone_cut(c) && try_leader(c, r))
         return false;
     struct bd_charge *k = charge_of(c, r->machine, true);
@@ -337,36 +388,29 @@
         return false;
     k->heard = c->now;
     if (k->confirmed && d->leader == c->leader_term && bd_before(c->now, d->confirmed_until)) {
-        bd_reply(c, request, 200, orders(c, r), 0);
+        bd_reply(c, request, 200, orders(c, r, d->term), 0);
         return true;
     }
-    struct bd_wait_checkin *w = calloc(1, sizeof *w);
-    if (!w)
-        abort();
-    w->request = request;
-    w->report = bd_report_copy(r);
-    w->asked = c->now;
+    let_wait(c, request, r);
     if (d->ncharges == 1)
         bd_say(c->log, BD_INFO, "%s is not heard: answers its workers, first %s", c->leader_name,
                r->machine);
-    w->next = d->asking;
-    d->asking = w;
     d->next_beat = c->now;
     return true;
 }
 
 /* ---- the leader's view ---- */
 
-static struct bd_deputy_seen *seen_of(struct bd_core *c, const char *node)
+static struct bd_deputy_seen *seen_of(struct bd_core *c, const char *key)
 {
     for (int i = 0; i < c->ndeputies; i++)
-        if (strcmp(c->deputies[i].node, node) == 0)
+        if (strcmp(c->deputies[i].key, key) == 0)
             return &c->deputies[i];
-    if (c->ndeputies == BD_MAX_PEERS + 1)
+    if (c->ndeputies == (int)(sizeof c->deputies / sizeof *c->deputies))
         return NULL;
     struct bd_deputy_seen *s = &c->deputies[c->ndeputies++];
     memset(s, 0, sizeof *s);
-    snprintf(s->node, sizeof s->node, "%s", node);
+    snprintf(s->key, sizeof s->key, "%s", key);
     return s;
 }
 
@@ -374,6 +418,13 @@
 {
     json_t *v;
     size_t i;
+    const char *tail = strchr(ch->key + 2, '/');
+    if (tail && strcmp(tail, "/at") == 0) {
+        char node[BD_LABEL];
+        snprintf(node, sizeof node, "%.*s", (int)(tail - ch->key - 2), ch->key + 2);
+        bd_standby_record(c, node, json_number_value(json_object_get(ch->value, "at")));
+        return;
+    }
     struct bd_deputy_seen *s = seen_of(c, ch->key + 2);
     if (s && ch->mark != s->mark) {
         s->mark = ch->mark;
@@ -403,7 +454,7 @@
         return;
     struct bd_deputy_seen *s = &c->deputies[m->deputy];
     if (bd_is_zero(s->dismissed) || bd_between(s->dismissed, c->now) > AWAY_S) {
-        bd_say(c->log, BD_INFO, "%s answers for us needlessly: %s came here", s->node, m->id);
+        bd_say(c->log, BD_INFO, "%s answers for us needlessly: %s came here", s->key, m->id);
         c->want_bump = true;
     }
     s->dismissed = c->now;
@@ -416,7 +467,8 @@
     for (int i = 0; i < c->ndeputies; i++)
         if (!bd_is_zero(c->deputies[i].dismissed) &&
             bd_between(c->deputies[i].dismissed, c->now) < AWAY_S)
-            (void)json_array_append_new(list, json_string(c->deputies[i].node));
+            (void)json_array_append_new(
+                list, json_stringn(c->deputies[i].key, strcspn(c->deputies[i].key, "/")));
     return list;
 }
 
--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -6,14 +6,15 @@
 #include <stdlib.h>
 
 /* named defaults */
-#define THREADS 6
-#define KEEP 8L /* connections a thread keeps */
 #define ANSWER_S 1.5
+#define THREADS_LEAST 6
+#define THREADS_MOST 64
+#define SOCKETS_A_THREAD 80 /* of all: a hundred machines that hang at once hold up few others */
 
 static void *run(void *arg)
 {
     struct bd_node *n = arg;
-    struct bd_http *h = bd_http_new(KEEP);
+    struct bd_http *h = bd_http_new(BD_DISPATCH_KEEP);
     while (h) {
         void *item;
         char url[128];
@@ -36,10 +37,16 @@
     return NULL;
 }
 
+int bd_dispatch_threads(const struct bd_settings *s)
+{
+    int n = s->max_sockets / SOCKETS_A_THREAD;
+    return n < THREADS_LEAST ? THREADS_LEAST : n > THREADS_MOST ? THREADS_MOST : n;
+}
+
 int bd_dispatch_start(struct bd_node *n)
 {
     int rc = 0;
-    for (int i = 0; i < THREADS; i++)
+    for (int i = 0; i < bd_dispatch_threads(&n->set); i++)
         rc |= bd_thread(run, n, 131072);
     return rc;
 }
--- a/src/frame.c
+++ b/src/frame.c
@@ -2,7 +2,7 @@
 #include <string.h>
 
 #define MAGIC 0x42444d31u
-#define VERSION 1u
+#define VERSION 2u
 
 struct out {
     unsigned char *p;
@@ -52,6 +52,7 @@
         put(o, f->term, 8);
         put(o, f->flags, 1);
         put(o, f->age_ms, 4);
+        put(o, f->at_ms, 8);
         break;
     case BD_FRAME_PROGRESS:
         put(o, f->count, 2);
@@ -154,6 +155,7 @@
         f->term = get(i, 8);
         f->flags = (uint8_t)get(i, 1);
         f->age_ms = (uint32_t)get(i, 4);
+        f->at_ms = get(i, 8);
         break;
     case BD_FRAME_PROGRESS:
         read_progress(i, f);
--- a/src/front.c
+++ b/src/front.c
@@ -11,7 +11,7 @@
 #define BODY_MAX 65536u
 #define POOL_BYTES 6144u /* memory a connection keeps */
 #define IDLE_S 120u
-#define SOCKETS_KEPT 96  /* for our own outgoing connections */
+#define SOCKETS_KEPT 64  /* for our own connections, beside those for direct commands */
 #define BODY_SHARE 0.15  /* of the memory: bodies that are being received or decided */
 #define PENDING_MOST 512 /* requests that wait for the owner */
 
@@ -229,7 +229,8 @@
     if (!n->front)
         return -1;
     n->front->most_held = (size_t)(n->set.ram_mb * BODY_SHARE * 1048576.0);
-    int most = n->set.max_sockets - SOCKETS_KEPT;
+    int own = SOCKETS_KEPT + bd_dispatch_threads(&n->set) * BD_DISPATCH_KEEP;
+    int most = n->set.max_sockets - own;
     n->front->daemon = MHD_start_daemon(
         MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL, handle, n,
         MHD_OPTION_SOCK_ADDR, (struct sockaddr *)&addr, MHD_OPTION_CONNECTION_LIMIT,
--- a/src/leader.c
+++ b/src/leader.c
@@ -12,6 +12,8 @@
 /* named defaults */
 #define LOOK_S 0.3
 #define RENEWS 6.0 /* renewals in a grant's life */
+#define SAME_MOMENT_S 0.05
+#define TOUCH_S 0.8 /* between a follower's records of being in touch: see standby.c */
 
 struct seat {
     struct bd_node *n;
@@ -19,7 +21,7 @@
     gsl_rng *rng;
     char nonce[BD_LABEL];
     uint64_t grant;
-    struct timespec granted;
+    struct timespec granted, touched;
     bool leading;
     double ttl;
 };
@@ -214,10 +216,39 @@
     (void)bd_queue_put(&s->n->reader_wake, s);
 }
 
+/* Says in the state service that we are in touch with it, under the leader whose key we saw. */
+static void touch(struct seat *s, uint64_t mark)
+{
+    struct bd_txn t;
+    char key[BD_LABEL + 8];
+    json_t *o = NULL;
+    struct timespec wall = {0, 0}, sent = bd_now();
+    if (bd_between(s->touched, sent) < TOUCH_S || clock_gettime(CLOCK_REALTIME, &wall) != 0)
+        return;
+    /* both clocks must name the same moment: a process may stand still in between */
+    if (bd_between(sent, bd_now()) > SAME_MOMENT_S || !bd_txn_start(&t))
+        return;
+    s->touched = sent;
+    snprintf(key, sizeof key, "p/%.60s/at", s->n->set.node);
+    bd_txn_if(&t, "leader", mark);
+    bd_txn_set(&t, key, json_pack("{s:f}", "at", bd_to_secs(wall)), 0);
+    char *body = bd_txn_end(&t);
+    long status = bd_store_call(s->n, s->h, "POST", "/commit", body, call_s(s), &o);
+    free(body);
+    json_decref(o);
+    if (status != 200)
+        return;
+    struct bd_cmd *cmd = bd_cmd_new(BD_C_CONFIRMED);
+    cmd->sent = sent;
+    bd_tell(s->n, cmd);
+}
+
 static void follow_once(struct seat *s)
 {
     uint64_t mark = 0;
     enum view v = see(s, &mark);
+    if (v == VIEW_OTHER)
+        touch(s, mark);
     if (v == VIEW_FREE)
         take_seat(s, 0);
     else if (v == VIEW_BEFORE_US || v == VIEW_OURS)
--- a/src/owner.c
+++ b/src/owner.c
@@ -123,7 +123,7 @@
 static void peer(struct bd_core *c, const struct bd_frame *f, const char *text, size_t len)
 {
     if (f->type == BD_FRAME_STATUS)
-        bd_core_peer(c, f->name, f->term, f->flags, f->age_ms / 1000.0);
+        bd_core_peer(c, f->name, f->term, f->flags, f->age_ms / 1000.0, (double)f->at_ms / 1000.0);
     if (f->type == BD_FRAME_REPORT)
         forwarded(c, f, text, len);
     if (f->type == BD_FRAME_ANSWER)
@@ -209,6 +209,9 @@
         if (c->role == BD_FOLLOWER && !n->pending_gain)
             bd_core_leader_is(c, cmd->name, cmd->number, cmd->sent, cmd->flag);
         break;
+    case BD_C_CONFIRMED:
+        bd_core_confirmed(c, cmd->sent);
+        break;
     case BD_C_RENEWED:
         bd_core_renewed(c, cmd->number, cmd->sent);
         break;
@@ -339,6 +342,9 @@
         n->status.flags |= BD_PEER_DEAF;
     if (age < 1.0 && c->replica_ready)
         n->status.flags |= BD_PEER_STATE;
+    if (bd_core_cut(c))
+        n->status.flags |= BD_PEER_CUT;
+    n->status.at_ms = (uint64_t)(c->wall * 1000);
     n->status.age_ms = age > 1e6 ? 1000000000u : (uint32_t)(age * 1000);
     n->nprogress = 0;
     if (c->role == BD_LEADER) {
--- a/src/place.c
+++ b/src/place.c
@@ -18,6 +18,15 @@
     double cpus, gpus, mem;
 };
 
+/* What could be stopped on a machine, in sum: most machines have nothing of the kind, and to look
+ * at every task of every machine for every job that waits takes most of a round at a thousand
+ * machines. */
+struct stops {
+    uint32_t stamp; /* of the round's count of stops when this was summed up */
+    enum bd_rank least;
+    bool any, stopping, borrowed;
+};
+
 struct round {
     struct bd_core *c;
     struct bd_commit *k;
@@ -25,6 +34,9 @@
     uint32_t njobs;
     size_t bytes, most_bytes;
     uint32_t conds, most_conds;
+    struct stops *stops;        /* by machine */
+    double *cost;               /* by machine: of making room for the job that is being placed */
+    uint32_t nstops;            /* tasks stopped in this round, and one more */
     struct room *claimed;       /* by machine: room that waits for tasks being stopped */
     int only_zone;              /* -1: any */
     bool quick;                 /* only where no long fetch comes first */
@@ -206,14 +218,15 @@
     k->plan[k->nplan++] = (struct bd_intent){j, i, m->index, attempt};
 }
 
-#define GROUP_BYTES 100u /* job, attempt and machine in an intent record */
-#define TASK_BYTES 7u
-
-static uint32_t record_room(const struct round *r, uint32_t most)
+/* How many tasks of the job on the machine the round's records still take. A record's end may leave
+ * a group's worth unused: that much is kept back for each. */
+static uint32_t record_room(const struct round *r, const struct bd_job *j,
+                            const struct bd_machine *m, uint32_t most)
 {
-    if (r->bytes + GROUP_BYTES + TASK_BYTES > r->most_bytes)
+    size_t head = bd_group_bytes(j, m);
+    if (r->bytes + head + BD_TASK_BYTES > r->most_bytes)
         return 0;
-    size_t n = (r->most_bytes - r->bytes - GROUP_BYTES) / TASK_BYTES;
+    size_t n = (r->most_bytes - r->bytes - head) / BD_TASK_BYTES;
     return n < most ? (uint32_t)n : most;
 }
 
@@ -233,10 +246,10 @@
         uint32_t n = fit(room, &j->spec, most - placed), kind = harmless(r->c, &j->spec, m, n);
         if (kind > 0) /* the next ones may do better elsewhere */
             n = kind;
-        n = record_room(r, zone_left(r->c, j, zones, m->zone, n));
+        n = record_room(r, j, m, zone_left(r->c, j, zones, m->zone, n));
         if (n == 0)
             break;
-        r->bytes += GROUP_BYTES + n * TASK_BYTES;
+        r->bytes += bd_group_bytes(j, m) + n * BD_TASK_BYTES;
         for (; n > 0 && next < j->ntasks; next++) {
             if (j->tasks[next].state != BD_T_WAIT)
                 continue;
@@ -256,13 +269,18 @@
     r->k->nplan = from;
 }
 
+static bool stoppable(const struct bd_job *j, const struct bd_task *t)
+{
+    return !(t->flags & BD_F_STOP) && (t->state == BD_T_LIVE || t->state == BD_T_LAUNCH) &&
+           j->spec.shape != BD_SERVICE;
+}
+
 static bool may_stop(const struct bd_job *want, const struct bd_job *j, const struct bd_task *t)
 {
     /* a team's guarantee may take what another team runs beyond its own */
     bool owed = want->in_guarantee && !j->in_guarantee && want->spec.team != j->spec.team &&
                 t->state == BD_T_LIVE && t->sub == BD_RUNNING;
-    return (j->spec.rank < want->spec.rank || owed) && !(t->flags & BD_F_STOP) &&
-           (t->state == BD_T_LIVE || t->state == BD_T_LAUNCH) && j->spec.shape != BD_SERVICE;
+    return (j->spec.rank < want->spec.rank || owed) && stoppable(j, t);
 }
 
 static void add(struct room *r, const struct bd_spec *s, double sign)
@@ -272,12 +290,35 @@
     r->mem += sign * s->mem;
 }
 
+static const struct stops *sum_up(struct round *r, const struct bd_machine *m)
+{
+    struct stops *s = &r->stops[m->index];
+    if (s->stamp == r->nstops)
+        return s;
+    *s = (struct stops){.stamp = r->nstops, .least = BD_PRODUCTION};
+    for (uint32_t k = 0; k < m->nrefs; k++) {
+        const struct bd_job *j = m->refs[k].job;
+        const struct bd_task *t = &j->tasks[m->refs[k].task];
+        s->stopping |= (t->flags & BD_F_STOP) != 0;
+        if (!stoppable(j, t))
+            continue;
+        s->any = true;
+        s->least = j->spec.rank < s->least ? j->spec.rank : s->least;
+        s->borrowed |= !j->in_guarantee;
+    }
+    return s;
+}
+
 /* Room on the machine once what is stopping has gone, and what else could be stopped. */
 static void later_room(struct round *r, const struct bd_job *want, struct bd_machine *m,
                        struct room *soon, struct room *most)
 {
+    const struct stops *s = sum_up(r, m);
     *soon = unclaimed_room(r, m);
     *most = *soon;
+    bool lower = s->any && s->least < want->spec.rank;
+    if (!s->stopping && !lower && !(want->in_guarantee && s->borrowed))
+        return;
     for (uint32_t k = 0; k < m->nrefs; k++) {
         struct bd_job *j = m->refs[k].job;
         struct bd_task *t = &j->tasks[m->refs[k].task];
@@ -315,6 +356,7 @@
         if (!pick.job)
             return;
         add(&soon, &pick.job->spec, 1);
+        r->nstops++;
         bd_task_stop(r->c, pick.job, pick.task, false);
     }
 }
@@ -338,31 +380,44 @@
     return v + lacking * COST_STOPPING;
 }
 
-/* Makes room for one task where that costs least, and keeps it for the task. False: nowhere. */
-static bool vacate(struct round *r, struct bd_job *j, uint32_t *zones, bool only_cheap,
-                   bool with_image)
+/* What room for one task would cost on each machine. */
+static void cost_all(struct round *r, const struct bd_job *j, const uint32_t *zones,
+                     bool only_cheap, bool with_image)
 {
-    struct bd_machine *pick = NULL;
-    double low = INFINITY;
     for (uint32_t i = 0; i < r->c->nmachines; i++) {
         struct bd_machine *m = r->c->by_index[i];
-        if ((with_image && !bd_has_image(m, j->spec.image)) ||
-            (r->quick && !quick_there(r->c, &j->spec, m)))
-            continue;
+        bool out = (with_image && !bd_has_image(m, j->spec.image)) ||
+                   (r->quick && !quick_there(r->c, &j->spec, m));
+        r->cost[i] = out ? INFINITY : stop_cost(r, j, m, zones, only_cheap);
+    }
+}
+
+/* Makes room for one task where that costs least, and keeps it for the task. False: nowhere. The
+ * costs are reckoned once for all tasks of the job, and again only for the machine that is picked.
+ */
+static bool vacate(struct round *r, struct bd_job *j, uint32_t *zones, bool only_cheap)
+{
+    for (;;) {
+        struct room soon, most;
+        uint32_t pick = 0;
+        for (uint32_t i = 1; i < r->c->nmachines; i++)
+            if (r->cost[i] < r->cost[pick])
+                pick = i;
+        if (r->c->nmachines == 0 || !(r->cost[pick] < INFINITY))
+            return false;
+        struct bd_machine *m = r->c->by_index[pick];
         double v = stop_cost(r, j, m, zones, only_cheap);
-        if (v < low) {
-            low = v;
-            pick = m;
+        if (v > r->cost[pick]) { /* what was taken before has changed it */
+            r->cost[pick] = v;
+            continue;
         }
+        later_room(r, j, m, &soon, &most);
+        stop_for(r, j, m, soon);
+        add(&r->claimed[pick], &j->spec, 1);
+        zones[m->zone]++;
+        r->cost[pick] = stop_cost(r, j, m, zones, only_cheap);
+        return true;
     }
-    if (!pick)
-        return false;
-    struct room soon, most;
-    later_room(r, j, pick, &soon, &most);
-    stop_for(r, j, pick, soon);
-    add(&r->claimed[pick->index], &j->spec, 1);
-    zones[pick->zone]++;
-    return true;
 }
 
 /* Makes room for up to n tasks; returns for how many room is made or on its way. */
@@ -370,21 +425,21 @@
 {
     uint32_t zones[BD_MAX_ZONES], made = 0;
     zone_counts(r->c, j, zones);
+    cost_all(r, j, zones, only_cheap, false);
     n = n < PREEMPT_MOST ? n : PREEMPT_MOST;
-    while (made < n && vacate(r, j, zones, only_cheap, false))
+    while (made < n && vacate(r, j, zones, only_cheap))
         made++;
     return made;
 }
 
-/* Stops nothing unless all that the gang lacks can be had. */
-static void preempt_gang(struct round *r, struct bd_job *j, uint32_t lacking)
+/* Stops nothing unless all that the gang lacks can be had; false: it cannot. */
+static bool preempt_gang(struct round *r, struct bd_job *j, uint32_t lacking)
 {
     uint32_t zones[BD_MAX_ZONES], can = 0;
     zone_counts(r->c, j, zones);
     for (uint32_t i = 0; i < r->c->nmachines && can < lacking; i++)
         can += stop_cost(r, j, r->c->by_index[i], zones, false) < INFINITY;
-    if (can >= lacking)
-        (void)preempt(r, j, lacking, false);
+    return can >= lacking && preempt(r, j, lacking, false) > 0;
 }
 
 /* A job within its guarantee need not wait for a long fetch while its image lies on a machine that
@@ -399,7 +454,8 @@
     struct bd_machine *now = best(r, j, zones, true, true);
     if (!now || bd_fetch_s(c, now, &j->spec) < WORTH_MOVING_S)
         return false;
-    return vacate(r, j, zones, false, true);
+    cost_all(r, j, zones, false, true);
+    return vacate(r, j, zones, false);
 }
 
 /* Keeps what a gang that waits could have already, so that smaller work that comes later does not
@@ -445,8 +501,9 @@
     r->only_zone = zones ? zone : -1;
     if (!placed && zones && waits)
         (void)whole_gang(r, j, attempt, true, &got);
-    if (!placed && (waits || j->ntasks == 1) && j->spec.rank > BD_IDLE)
-        preempt_gang(r, j, j->ntasks - got);
+    if (!placed && (waits || j->ntasks == 1) && j->spec.rank > BD_IDLE &&
+        !bd_before(r->c->now, j->next_force) && !preempt_gang(r, j, j->ntasks - got))
+        j->next_force = bd_add(r->c->now, bd_secs(FORCE_AGAIN_S));
     r->only_zone = -1;
     return placed;
 }
@@ -584,14 +641,19 @@
 
 void bd_round_place(struct bd_core *c)
 {
-    struct round r = {.c = c, .k = c->commit, .only_zone = -1};
+    struct round r = {.c = c, .k = c->commit, .only_zone = -1, .nstops = 1};
     r.njobs = bd_jobs_in_order(c, &r.jobs);
     gpu_demand(c, r.jobs, r.njobs);
     r.claimed = calloc(c->nmachines + 1, sizeof *r.claimed);
+    r.stops = calloc(c->nmachines + 1, sizeof *r.stops);
+    r.cost = calloc(c->nmachines + 1, sizeof *r.cost);
     r.open = calloc(c->nmachines + 1, sizeof *r.open);
-    r.most_bytes = c->set->value_bytes * 9 / 10;
-    r.most_conds = (uint32_t)(2 * c->set->txn_ops);
-    if (!r.claimed || !r.open)
+    /* each record but the last may end a group's worth early */
+    uint32_t parts = bd_round_parts(c->set);
+    r.most_bytes =
+        (size_t)(BD_VALUE_SHARE * (double)c->set->value_bytes * parts) - (parts - 1) * 2 * BD_LABEL;
+    r.most_conds = (uint32_t)(3 * c->set->txn_ops);
+    if (!r.claimed || !r.open || !r.stops || !r.cost)
         abort();
     for (uint32_t i = 0; i < c->nmachines; i++)
         r.open[i] = bd_machine_usable(c, c->by_index[i]) && !c->by_index[i]->drain;
@@ -602,5 +664,7 @@
     }
     free(r.jobs);
     free(r.claimed);
+    free(r.stops);
+    free(r.cost);
     free(r.open);
 }
--- a/src/reports.c
+++ b/src/reports.c
@@ -91,7 +91,7 @@
 {
     struct orders l = {0};
     if (m->do_busy || bd_before(c->now, m->do_after) || !m->fenced || m->gone || !*m->addr ||
-        !bd_core_valid(c) || zone_closed(c, m))
+        !bd_core_valid(c) || bd_overdue(c, m) || zone_closed(c, m))
         return;
     bool launch = owed(c, m, &l, true);
     if (l.n == 0)
--- a/src/rounds.c
+++ b/src/rounds.c
@@ -12,6 +12,7 @@
 #define EVICT_S 10.0
 #define WRITE_SHARE 0.6 /* of the state service's changes; the rest is the users' */
 #define TXN_BYTES 56000u
+#define INTENT_BYTES 42000u /* of them for intent records */
 #define BUMP_AFTER_S 1.5
 #define BUMP_EVERY_S 5.0
 #define FORGET_BUMP_S 25.0  /* so long results stay on the machines before the seal rises */
@@ -47,21 +48,44 @@
     spend(b, 0, 1, 80);
 }
 
-static json_t *intent_value(struct bd_core *c, const struct bd_intent *e, uint32_t n)
+/* How many intent records a transaction may hold beside receipts. */
+uint32_t bd_round_parts(const struct bd_settings *s)
+{
+    size_t n = INTENT_BYTES / s->value_bytes, ops = s->txn_ops / 4;
+    n = n < ops ? n : ops;
+    return n < 1 ? 1 : n > BD_ROUND_PARTS ? BD_ROUND_PARTS : (uint32_t)n;
+}
+
+static bool same_group(const struct bd_intent *a, const struct bd_intent *b)
+{
+    return a->job == b->job && a->machine == b->machine && a->attempt == b->attempt;
+}
+
+/* The value of one record, from the entries that fit it; *n says how many they were. */
+static json_t *intent_value(struct bd_core *c, const struct bd_intent *e, uint32_t *n)
 {
     json_t *list = json_array();
-    for (uint32_t i = 0; i < n;) {
-        json_t *tasks = json_array();
+    double room = BD_VALUE_SHARE * (double)c->set->value_bytes;
+    uint32_t i = 0;
+    while (i < *n) {
+        struct bd_machine *m = bd_machine_of(c, e[i].machine);
+        size_t head = m ? bd_group_bytes(e[i].job, m) : BD_LABEL;
         uint32_t k = i;
-        for (; k < n && e[k].job == e[i].job && e[k].machine == e[i].machine &&
-               e[k].attempt == e[i].attempt;
-             k++)
+        json_t *tasks = json_array();
+        room -= (double)head;
+        for (; k < *n && same_group(&e[k], &e[i]) && room >= BD_TASK_BYTES; k++) {
             json_array_append_new(tasks, json_integer(e[k].task));
-        struct bd_machine *m = bd_machine_of(c, e[i].machine);
+            room -= BD_TASK_BYTES;
+        }
+        if (k == i) {
+            json_decref(tasks);
+            break;
+        }
         json_array_append_new(list, json_pack("[s,I,s,o]", e[i].job->id, (json_int_t)e[i].attempt,
                                               m ? m->id : "?", tasks));
         i = k;
     }
+    *n = i;
     return json_pack("{s:o}", "e", list);
 }
 
@@ -69,17 +93,33 @@
 {
     struct bd_commit *k = c->commit;
     struct bd_job *prev = NULL;
-    if (k->nplan == 0)
-        return;
     for (uint32_t i = 0; i < k->nplan; i++) {
         if (k->plan[i].job != prev)
             if_job(b, k->plan[i].job);
         prev = k->plan[i].job;
     }
-    snprintf(k->round_key, sizeof k->round_key, "i/%020llu-%08llu",
-             (unsigned long long)c->base_term, (unsigned long long)++c->round_n);
-    bd_txn_set(&b->t, k->round_key, intent_value(c, k->plan, k->nplan), 0);
-    spend(b, 1, 0, c->set->value_bytes);
+    for (uint32_t i = 0; i < k->nplan && k->nparts < BD_ROUND_PARTS;) {
+        struct bd_part *p = &k->parts[k->nparts++];
+        p->from = i;
+        p->n = k->nplan - i;
+        snprintf(p->key, sizeof p->key, "i/%020llu-%08llu", (unsigned long long)c->base_term,
+                 (unsigned long long)++c->round_n);
+        bd_txn_set(&b->t, p->key, intent_value(c, k->plan + i, &p->n), 0);
+        spend(b, 1, 0, c->set->value_bytes);
+        i += p->n;
+    }
+}
+
+/* What no record had room for is not started: its time comes in the next round. */
+static void unplan_rest(struct bd_core *c)
+{
+    struct bd_commit *k = c->commit;
+    uint32_t named = k->nparts ? k->parts[k->nparts - 1].from + k->parts[k->nparts - 1].n : 0;
+    for (uint32_t i = named; i < k->nplan; i++)
+        bd_task_free(c, k->plan[i].job, k->plan[i].task);
+    if (named < k->nplan)
+        bd_say(c->log, BD_ERROR, "%u starts did not fit the intent records", k->nplan - named);
+    k->nplan = named;
 }
 
 static bool add_done(struct bd_core *c, struct build *b, struct bd_job *j)
@@ -241,6 +281,7 @@
     bd_txn_if(&b.t, "w", c->witness_mark);
     add_bump(c, &b);
     add_intents(c, &b);
+    unplan_rest(c);
     add_receipts(c, &b);
     if (bd_before(c->next_gc, c->now)) {
         add_drops(c, &b);
@@ -302,9 +343,14 @@
         if (m)
             bd_orders_send(c, m);
     }
-    keep_round(c, k->round_key, k->plan, k->nplan);
-    k->plan = NULL;
-    k->nplan = 0;
+    for (uint32_t i = 0; i < k->nparts; i++) {
+        const struct bd_part *p = &k->parts[i];
+        struct bd_intent *e = malloc((p->n + 1) * sizeof *e);
+        if (!e)
+            abort();
+        memcpy(e, k->plan + p->from, p->n * sizeof *e);
+        keep_round(c, p->key, e, p->n);
+    }
 }
 
 static void receipt_kept(struct bd_receipt *r)
@@ -558,9 +604,16 @@
 
 static void lapses(struct bd_core *c)
 {
+    struct timespec until[BD_MAX_ZONES];
+    bd_standby_zones(c, until);
     for (uint32_t i = 0; i < c->nmachines; i++) {
         struct bd_machine *m = c->by_index[i];
-        if (m->gone || m->nrefs == 0 || bd_before(c->now, m->lapse_at))
+        if (m->gone || m->nrefs == 0)
+            continue;
+        struct timespec answered = bd_standby_until(c, m, until);
+        if (!bd_is_zero(answered)) /* a controller of its cut zone may have answered it */
+            m->lapse_at = bd_max(m->lapse_at, bd_lease_end(c, answered));
+        if (bd_before(c->now, m->lapse_at))
             continue;
         /* a deputy may have answered it: a look begun after the lease's end must not show it */
         if (m->deputised || bd_before(c->deputies_looked, m->lapse_at))
@@ -670,7 +723,7 @@
 
 struct timespec bd_core_next(const struct bd_core *c)
 {
-    double s = c->forwards || c->deputy.ncharges ? 0.2 : 1.0;
+    double s = c->forwards || c->deputy.ncharges || c->deputy.asking ? 0.2 : 1.0;
     if (c->role == BD_LEADER)
         s = c->round_wanted && !c->commit ? ROUND_S : 0.25;
     return bd_add(c->now, bd_secs(s));
--- /dev/null
+++ b/src/standby.c
@@ -0,0 +1,133 @@
+/* Standing by: a follower whose whole zone is cut off from everything, the state service too, goes
+ * on answering the workers of its zone, as a leader in his grace does. Without that all work there
+ * would end one lease after the cut, though nothing is wrong inside.
+ *
+ * What makes it safe: while it is in touch, each follower writes the time of day into its own
+ * record, conditional on the leader's key. It stands by from STANDBY_AFTER_S after the sending of
+ * the last write that succeeded, for at most the grace: a withdrawal that it cannot see still ends
+ * in time. The leader reads these records with the deputies'. A controller whose newest one is old
+ * may be standing by: while two of a zone may (or its only one), no lease there counts as over
+ * before the last moment at which they can have answered, and a whole lease. A record that is
+ * applied late carries its own time. A follower stands by only if another of its zone says, by a
+ * frame of this moment, that it is cut off too: so one that crashes, or is cut off alone, delays
+ * nothing. */
+#include "brambledoor/frame.h"
+#include "core_in.h"
+
+/* named defaults */
+#define STICKY_S 3.0      /* a controller may be heard as cut off so long after it is back */
+#define FRAME_FRESH_S 2.0 /* what another says of itself holds so long */
+#define CLOCKS_S 0.3      /* for the leader's reckoning, beside the clocks' error */
+
+static double clocks(const struct bd_core *c)
+{
+    return 2 * bd_to_secs(c->set->clock_error) + CLOCKS_S;
+}
+
+void bd_core_confirmed(struct bd_core *c, struct timespec sent)
+{
+    c->confirmed = bd_max(c->confirmed, sent);
+}
+
+bool bd_core_cut(const struct bd_core *c)
+{
+    return c->role == BD_FOLLOWER && bd_between(c->confirmed, c->now) > STANDBY_AFTER_S;
+}
+
+/* Whether a controller of our zone is cut off as we are; one that is alone in its zone asks nobody.
+ */
+static bool zone_agrees(const struct bd_core *c)
+{
+    bool alone = true;
+    double late = FRAME_FRESH_S + 2 * bd_to_secs(c->set->clock_error);
+    for (int i = 0; i < c->set->npeers; i++) {
+        if (!bd_peer_near(c, i))
+            continue;
+        alone = false;
+        if (c->peers[i].flags & BD_PEER_CUT && bd_peer_heard(c, i, FRAME_FRESH_S) &&
+            c->wall - c->peers[i].said_at < late)
+            return true;
+    }
+    return alone;
+}
+
+static bool zone_of_ours(const struct bd_core *c, const struct bd_report *r)
+{
+    return strcmp(r->zone, c->set->zone) == 0;
+}
+
+/* When the last answer may be given: the grace, from the last sign of the state service. */
+static bool in_time(const struct bd_core *c)
+{
+    struct timespec seen = bd_min(c->confirmed, c->fresh);
+    double grace = bd_grace_s(c->set) * (1 - DRIFT) - 0.1;
+    return !bd_is_zero(c->confirmed) && bd_before(c->now, bd_add(seen, bd_secs(grace)));
+}
+
+bool bd_standby_answers(const struct bd_core *c, const struct bd_report *r)
+{
+    return c->last_term && c->replica_ready && bd_core_cut(c) && !bd_core_hears_leader(c) &&
+           in_time(c) && zone_of_ours(c, r) && zone_agrees(c);
+}
+
+/* Whether it is worth while to let a worker wait: the cut may just have begun. */
+bool bd_standby_near(const struct bd_core *c, const struct bd_report *r)
+{
+    return c->role == BD_FOLLOWER && c->last_term && in_time(c) && zone_of_ours(c, r) &&
+           !bd_core_hears_leader(c) &&
+           bd_between(c->confirmed, c->now) < STANDBY_AFTER_S + FRAME_FRESH_S;
+}
+
+/* ---- the leader's view ---- */
+
+void bd_standby_record(struct bd_core *c, const char *node, double at)
+{
+    for (int i = 0; i < c->set->npeers; i++)
+        if (strcmp(c->set->peers[i].name, node) == 0 && at > c->peers[i].contact)
+            c->peers[i].contact = at;
+}
+
+/* Seconds from now until the controller can answer nobody any more, standing by; below 0: it does
+ * not stand by, or not any more. One without a record may have had one that we have not seen. */
+static double answers_for(struct bd_core *c, int peer)
+{
+    double age = c->wall - c->peers[peer].contact;
+    if (age > STANDBY_AFTER_S - clocks(c))
+        c->peers[peer].suspect_until = bd_add(c->now, bd_secs(STICKY_S));
+    if (!bd_before(c->now, c->peers[peer].suspect_until))
+        return -1;
+    return bd_grace_s(c->set) - age + clocks(c);
+}
+
+/* As leader, before leases are looked at: for each zone until when workers there may have been
+ * answered by controllers that stand by; zero: they are not. */
+void bd_standby_zones(struct bd_core *c, struct timespec *until)
+{
+    for (int z = 0; z < c->nzones; z++) {
+        int here = 0, suspects = 0;
+        double longest = -1;
+        for (int i = 0; i < c->set->npeers; i++) {
+            if (strcmp(c->set->peers[i].zone, c->zones[z]) != 0)
+                continue;
+            double s = answers_for(c, i);
+            here++;
+            suspects += bd_before(c->now, c->peers[i].suspect_until);
+            longest = s > longest ? s : longest;
+        }
+        here += strcmp(c->set->zone, c->zones[z]) == 0;
+        bool may = suspects >= 2 || (here == 1 && suspects == 1);
+        until[z] = may && longest > 0 ? c->now : (struct timespec){0, 0};
+    }
+}
+
+/* Until when the machine may have been answered; one whose zone is not known may be in any. */
+struct timespec bd_standby_until(const struct bd_core *c, const struct bd_machine *m,
+                                 const struct timespec *until)
+{
+    struct timespec last = {0, 0};
+    if (m->zone >= 0)
+        return until[m->zone];
+    for (int z = 0; z < c->nzones; z++)
+        last = bd_max(last, until[z]);
+    return last;
+}
--- a/src/tasks.c
+++ b/src/tasks.c
@@ -2,6 +2,11 @@
 #include "core_in.h"
 #include <stdio.h>
 
+/* named defaults */
+#define LATE_REPORTS 1.4 /* report intervals, which vary by a quarter, and what delays one */
+#define LATE_EXTRA_S 1.5
+#define LATE_LEAST_S 5.5 /* one controller that lets it hang */
+
 uint32_t bd_tenths(struct timespec t)
 {
     return (uint32_t)((uint64_t)t.tv_sec * 10 + (uint64_t)t.tv_nsec / 100000000u) | 1u;
@@ -320,11 +325,17 @@
     m->addr[0] = '\0';
 }
 
+/* Whether its report is late: it hangs, or goes round looking for a controller. Direct commands
+ * would hold up a sender each, and what is new is better placed elsewhere. */
+bool bd_overdue(const struct bd_core *c, const struct bd_machine *m)
+{
+    double late = LATE_REPORTS * bd_to_secs(c->set->report) + LATE_EXTRA_S;
+    return bd_between(m->heard, c->now) > (late > LATE_LEAST_S ? late : LATE_LEAST_S);
+}
+
 bool bd_machine_usable(const struct bd_core *c, const struct bd_machine *m)
 {
     return m->type >= 0 && m->zone >= 0 && c->types[m->type].known && m->fenced && !m->gone &&
            !m->returning && !m->failed && !m->bad && m->notice_left < 0 &&
-           (!m->mute || c->mute_many) &&
-           bd_between(m->heard, c->now) < 2.5 * bd_to_secs(c->set->report) + 0.5 &&
-           bd_before(m->refuse_until, c->now);
+           (!m->mute || c->mute_many) && !bd_overdue(c, m) && bd_before(m->refuse_until, c->now);
 }
--- a/tests/scenario.c
+++ b/tests/scenario.c
@@ -117,6 +117,7 @@
     p->set.report = bd_secs(num(p, "report", bd_to_secs(p->set.report)));
     p->set.leader_ttl = bd_secs(num(p, "ttl", bd_to_secs(p->set.leader_ttl)));
     p->set.txn_ops = (size_t)num(p, "ops", (double)p->set.txn_ops);
+    p->set.value_bytes = (size_t)num(p, "value", (double)p->set.value_bytes);
     const char *t = arg(p, "team"), *peer = arg(p, "peer");
     if (peer) {
         struct bd_peer *b = &p->set.peers[p->set.npeers++];
@@ -353,7 +354,9 @@
     uint8_t flags = num(p, "state", 1) != 0 ? BD_PEER_STATE : 0;
     flags |= num(p, "hears", 1) != 0 ? BD_PEER_HEARS : 0;
     flags |= num(p, "deaf", 0) != 0 ? BD_PEER_DEAF : 0;
-    bd_core_peer(p->c, p->w[1], (uint64_t)num(p, "term", 0), flags, num(p, "age", 0));
+    flags |= yes(p, "cut") ? BD_PEER_CUT : 0;
+    bd_core_peer(p->c, p->w[1], (uint64_t)num(p, "term", 0), flags, num(p, "age", 0),
+                 p->c->wall - num(p, "late", 0));
 }
 
 static void cmd_leader(struct play *p)
@@ -380,7 +383,6 @@
     json_decref(pairs);
 }
 
-/* time passes with a look every two seconds that shows no deputy */
 /* many finished jobs, job-1000000 and on, long ago */
 static void cmd_finals(struct play *p)
 {
@@ -409,6 +411,33 @@
     json_decref(v);
 }
 
+/* time passes until the first argument; the leader looks every two seconds and sees when the other
+ * controllers were last in touch */
+static void cmd_touched(struct play *p)
+{
+    double to = strtod(p->w[1], NULL), at = bd_to_secs(p->c->now) - 100;
+    json_t *pairs = json_array();
+    for (int i = 2; i < p->n; i++) {
+        char node[64], key[BD_LABEL + 8];
+        double seen = 0;
+        if (sscanf(p->w[i], "%63[^:]:%lf", node, &seen) != 2)
+            fail(p, "touched");
+        snprintf(key, sizeof key, "p/%s/at", node);
+        json_array_append_new(
+            pairs, json_pack("{s:s,s:{s:f},s:i}", "k", key, "value", "at", 1000 + seen, "mark", 1));
+    }
+    for (bool more = true; more;) {
+        at = at + 2 < to ? at + 2 : to;
+        more = at < to;
+        bd_core_time(p->c, bd_secs(100 + at), 1000 + at);
+        bd_core_renewed(p->c, 7, p->c->now);
+        bd_core_deputies(p->c, pairs, p->c->now);
+        bd_core_tick(p->c);
+    }
+    json_decref(pairs);
+}
+
+/* time passes with a look every two seconds that shows no deputy */
 static void cmd_watch(struct play *p)
 {
     double to = strtod(p->w[1], NULL), at = bd_to_secs(p->c->now) - 100;
@@ -607,6 +636,8 @@
     const char *v = p->w[0];
     if (strcmp(v, "tick") == 0)
         bd_core_tick(p->c);
+    else if (strcmp(v, "confirmed") == 0)
+        bd_core_confirmed(p->c, p->c->now);
     else if (strcmp(v, "renew") == 0)
         bd_core_renewed(p->c, 7, p->c->now);
     else if (strcmp(v, "lose") == 0)
@@ -654,6 +685,7 @@
                  {"peer", 2, cmd_peer},
                  {"leader", 3, cmd_leader},
                  {"deputies", 1, cmd_deputies},
+                 {"touched", 2, cmd_touched},
                  {"deputycommitted", 2, cmd_deputycommitted},
                  {"finals", 2, cmd_finals},
                  {"lookedup", 4, cmd_lookedup},
