Services gather whole machines at a time; one that cannot be emptied holds up no other

Now every machine that can be emptied whole is a candidate, fewest first, within 0.25% of the running replicas a second.

--- a/src/fleet.c
+++ b/src/fleet.c
@@ -20,10 +20,12 @@
 #define WINDOW_LEAST_S 12.0
 #define SETTLE_S 4.0
 #define SUMMARY_S 20.0
-#define SETTLED_S 40.0   /* a service younger than this stays where it is */
-#define GATHER_SHARE 0.6 /* of a machine: with more services than this it is left as it is */
-#define MOVES_A_TICK 2
-#define MOVE_FETCH_S 4.0 /* a longer fetch is not worth a move */
+#define SETTLED_S 40.0     /* a service younger than this stays where it is */
+#define GATHER_SHARE 0.6   /* of a machine: with more services than this it is left as it is */
+#define MOVES_LEAST 2.0    /* a second, */
+#define MOVES_SHARE 0.0025 /* of the services' running tasks */
+#define EMPTY_MOST 64      /* tasks of a machine that is emptied */
+#define MOVE_FETCH_S 4.0   /* a longer fetch is not worth a move */
 
 void bd_core_types(struct bd_core *c, const struct bd_type_text *t, int n)
 {
@@ -487,68 +489,181 @@
     return bd_fetch_s(c, m, s) < MOVE_FETCH_S;
 }
 
-/* Whether a place for the task is free where no GPU work is harmed: on a cheap machine, beside GPU
- * work, or on a machine that holds more services already. */
-static bool place_elsewhere(struct bd_core *c, const struct bd_job *j,
-                            const struct bd_machine *from, double services)
+/* A look at where services could gather: the machines with room for some, and what moves that are
+ * decided in this look take of it. */
+struct gathering {
+    struct bd_core *c;
+    struct source {
+        struct bd_machine *m;
+        double services;
+    } * sources;
+    uint32_t nsources;
+    struct target {
+        struct bd_machine *m;
+        double cpus, gpus, mem, services;
+        bool taken;
+    } * targets;
+    uint32_t ntargets;
+};
+
+static bool target_fits(const struct bd_core *c, const struct bd_job *j, const struct target *t,
+                        const struct bd_machine *from, double services)
+{
+    const struct bd_machine *m = t->m;
+    if (m == from || m->drain || m->zone != from->zone || t->cpus < j->spec.cpus ||
+        t->gpus < j->spec.gpus || t->mem < j->spec.mem ||
+        !bd_allowed(&j->spec, m->type, m->zone, m->spot) || !quick_start(c, m, &j->spec))
+        return false;
+    return !bd_dear(c, &j->spec, m->type, m->spot) || m->gpus > 0 || t->services > services;
+}
+
+/* A place for the task where no GPU work is harmed: on a cheap machine, on the one that holds most
+ * services already, or beside GPU work, which will end and leave the service alone there. */
+static struct target *place_elsewhere(struct gathering *g, const struct bd_job *j,
+                                      const struct bd_machine *from, double services)
+{
+    struct target *found = NULL;
+    double high = -1;
+    for (uint32_t i = 0; i < g->ntargets; i++) {
+        struct target *t = &g->targets[i];
+        if (!target_fits(g->c, j, t, from, services))
+            continue;
+        double v = t->m->gpus > 0 ? 0 : 1 + t->services;
+        v = bd_dear(g->c, &j->spec, t->m->type, t->m->spot) ? v : INFINITY;
+        if (v > high) {
+            high = v;
+            found = t;
+        }
+    }
+    return found;
+}
+
+static void target_take(struct target *t, const struct bd_spec *s, double sign)
+{
+    t->cpus -= sign * s->cpus;
+    t->gpus -= sign * s->gpus;
+    t->mem -= sign * s->mem;
+}
+
+static int fewer_services(const void *x, const void *y)
 {
+    const struct source *a = x, *b = y;
+    if (a->services != b->services)
+        return a->services < b->services ? -1 : 1;
+    return a->m->index < b->m->index ? -1 : 1;
+}
+
+static void look_round(struct gathering *g)
+{
+    struct bd_core *c = g->c;
+    g->sources = calloc(c->nmachines + 1, sizeof *g->sources);
+    g->targets = calloc(c->nmachines + 1, sizeof *g->targets);
+    if (!g->sources || !g->targets)
+        abort();
     for (uint32_t i = 0; i < c->nmachines; i++) {
         struct bd_machine *m = c->by_index[i];
         double held = 0;
-        if (m == from || m->drain || m->zone != from->zone || !bd_machine_usable(c, m) ||
-            !bd_allowed(&j->spec, m->type, m->zone, m->spot) || !quick_start(c, m, &j->spec))
+        m->drain = m->drain && m->nrefs > 0 && !m->gone;
+        if (m->gone || !bd_machine_usable(c, m))
             continue;
+        if (only_services(c, m, &held))
+            g->sources[g->nsources++] = (struct source){m, held};
         const struct bd_type *t = &c->types[m->type];
-        if (t->cpus - m->cpus < j->spec.cpus || t->gpus - m->gpus < j->spec.gpus ||
-            t->mem - m->mem < j->spec.mem)
-            continue;
-        if (!bd_dear(c, &j->spec, m->type, m->spot) || m->gpus > 0)
-            return true;
-        if (only_services(c, m, &held) && held > services)
-            return true;
+        if (t->cpus - m->cpus > 0 && m->nrefs > 0)
+            g->targets[g->ntargets++] = (struct target){
+                m, t->cpus - m->cpus, t->gpus - m->gpus, t->mem - m->mem, held, false};
     }
+    qsort(g->sources, g->nsources, sizeof *g->sources, fewer_services);
+}
+
+static bool is_target(const struct gathering *g, const struct bd_machine *m)
+{
+    for (uint32_t i = 0; i < g->ntargets; i++)
+        if (g->targets[i].m == m)
+            return g->targets[i].taken;
     return false;
 }
 
-/* The machine with the least services is emptied first. */
-static struct bd_machine *least_services(struct bd_core *c, double *least)
+/* Whether all that the machine holds could move now: to empty it in part frees nothing. */
+static bool can_empty(struct gathering *g, const struct source *s, double than)
 {
-    struct bd_machine *pick = NULL;
-    *least = INFINITY;
-    for (uint32_t i = 0; i < c->nmachines; i++) {
-        struct bd_machine *m = c->by_index[i];
-        double held;
-        m->drain = m->drain && m->nrefs > 0 && !m->gone;
-        if (m->gone || !bd_machine_usable(c, m) || !only_services(c, m, &held))
+    struct target *took[EMPTY_MOST];
+    const struct bd_spec *what[EMPTY_MOST];
+    uint32_t n = 0;
+    bool all = s->m->nrefs <= EMPTY_MOST;
+    for (uint32_t k = 0; all && k < s->m->nrefs; k++) {
+        struct bd_ref r = s->m->refs[k];
+        if (r.job->tasks[r.task].flags & BD_F_STOP)
             continue;
-        if (held < *least) {
-            *least = held;
-            pick = m;
-        }
+        struct target *t = settled(g->c, r.job, &r.job->tasks[r.task])
+                               ? place_elsewhere(g, r.job, s->m, than)
+                               : NULL;
+        all = t != NULL;
+        if (!t)
+            break;
+        target_take(t, &r.job->spec, 1);
+        took[n] = t;
+        what[n++] = &r.job->spec;
+    }
+    while (n > 0) {
+        n--;
+        target_take(took[n], what[n], -1);
     }
-    return pick;
+    return all;
 }
 
-static void gather(struct bd_core *c)
+/* All tasks leave the machine at once: a job that was moved is not settled for a while. Returns how
+ * many. */
+static uint32_t empty(struct gathering *g, const struct source *s, double than)
 {
-    double held;
-    struct bd_machine *m = least_services(c, &held);
-    if (!m)
-        return;
-    /* a machine full of services is worth emptying into cheap room only */
-    double than = held > GATHER_SHARE * c->types[m->type].cpus ? INFINITY : held;
-    int moved = 0;
-    for (uint32_t k = m->nrefs; k > 0 && moved < MOVES_A_TICK; k--) {
-        if (k > m->nrefs)
+    uint32_t moved = 0;
+    for (uint32_t k = s->m->nrefs; k > 0; k--) {
+        if (k > s->m->nrefs)
             continue;
-        struct bd_ref r = m->refs[k - 1];
-        if (!settled(c, r.job, &r.job->tasks[r.task]) || !place_elsewhere(c, r.job, m, than))
+        struct bd_ref r = s->m->refs[k - 1];
+        if (!settled(g->c, r.job, &r.job->tasks[r.task]))
             continue;
-        m->drain = true;
-        bd_say(c->log, BD_INFO, "%s/%u moves off %s", r.job->id, r.task, m->id);
-        bd_task_stop(c, r.job, r.task, false);
+        struct target *t = place_elsewhere(g, r.job, s->m, than);
+        if (!t)
+            continue;
+        target_take(t, &r.job->spec, 1);
+        t->taken = true;
+        s->m->drain = true;
+        bd_say(g->c->log, BD_INFO, "%s/%u moves off %s", r.job->id, r.task, s->m->id);
+        bd_task_stop(g->c, r.job, r.task, false);
         moved++;
     }
+    return moved;
+}
+
+static uint32_t moves_a_tick(const struct bd_core *c)
+{
+    double running = 0;
+    for (const struct bd_job *j = c->jobs; j; j = j->hh.next)
+        running += j->mood == BD_LIVE && j->has_spec && j->spec.shape == BD_SERVICE ? j->nrun : 0;
+    return (uint32_t)fmax(MOVES_LEAST, MOVES_SHARE * running);
+}
+
+/* Dear machines are emptied, those with the fewest services first; one that cannot be emptied now
+ * does not hold up the others. */
+static void gather(struct bd_core *c)
+{
+    struct gathering g = {.c = c};
+    look_round(&g);
+    uint32_t left = moves_a_tick(c);
+    for (uint32_t i = 0; i < g.nsources && left > 0; i++) {
+        struct source *s = &g.sources[i];
+        /* a machine full of services is worth emptying into cheap room only */
+        double than =
+            s->services > GATHER_SHARE * c->types[s->m->type].cpus ? INFINITY : s->services;
+        s->m->drain = false; /* new services may come if it is not to be emptied after all */
+        if (is_target(&g, s->m) || !can_empty(&g, s, than))
+            continue;
+        uint32_t moved = empty(&g, s, than);
+        left -= moved < left ? moved : left;
+    }
+    free(g.sources);
+    free(g.targets);
 }
 
 /* Cheap room for the services on dear machines: nothing waits for it, so that no demand shows. */
