Tables and limits sized by sockets; users refused before workers; work goes to its image

Found by reading for size: 512 pending requests, 512 passed-on reports and 512 workers sent away are less than a thousand machines of one zone need in the seconds after a cut; the listening backlog of 256 is less than all workers that come at once; dropped intents lagged behind new ones; classes beyond 32, machine types beyond 32 and aims beyond 64 went unsaid.

--- a/include/brambledoor/core.h
+++ b/include/brambledoor/core.h
@@ -11,7 +11,7 @@
 #define BD_NO_MACHINE UINT32_MAX
 #define BD_IMAGES 24
 #define BD_CANARIES 64
-#define BD_SENT_AWAY 512
+#define BD_SENT_AWAY 8192
 #define BD_DEPUTY_PARTS 6 /* of a deputy's record, a value each */
 
 enum bd_task_state {
@@ -261,12 +261,12 @@
         struct bd_forward *next;
     } * forwards;
     uint64_t forward_n;
-    struct { /* workers that we sent to the leader, the oldest overwritten */
+    struct bd_away { /* a worker that we sent to the leader; beyond BD_SENT_AWAY the oldest go */
+        UT_hash_handle hh;
         char id[BD_LABEL];
         struct timespec at;
         bool back; /* it came back: its reports are passed on */
-    } sent_away[BD_SENT_AWAY];
-    uint32_t nsent_away;
+    } * sent_away;
     struct timespec deaf_until; /* the leader's workers are better passed on than sent to him */
     bool deaf;                  /* as leader: most workers are silent */
     bool mute_many;             /* as leader: so many seem not to hear us that it is rather us */
@@ -300,6 +300,7 @@
     struct timespec next_round, next_fleet, next_gc, next_tick, last_bump, next_summary;
     bool want_bump, round_wanted;
     double write_tokens;
+    bool classes_said; /* that there are more than spare room is kept for */
     struct timespec token_at;
 
     /* teams */
--- a/src/core.c
+++ b/src/core.c
@@ -92,6 +92,7 @@
         free(f);
     }
     free(c->deputy.charges);
+    bd_forward_end(c);
     struct bd_effect *e = bd_core_effects(c);
     while (e) {
         struct bd_effect *next = e->next;
--- a/src/core_in.h
+++ b/src/core_in.h
@@ -134,6 +134,7 @@
 int bd_forward_steer(struct bd_core *c, struct bd_machine *m, const struct bd_report *r);
 void bd_forward_listen(struct bd_core *c);
 void bd_forward_tick(struct bd_core *c);
+void bd_forward_end(struct bd_core *c);
 bool bd_deputy_checkin(struct bd_core *c, void *request, const struct bd_report *r);
 void bd_deputy_tick(struct bd_core *c);
 void bd_deputy_needless(struct bd_core *c, const struct bd_machine *m);
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -31,8 +31,10 @@
 {
     for (int i = 0; i < n; i++) {
         int k = bd_type_index(c, t[i].label);
-        if (k < 0)
+        if (k < 0) {
+            bd_say(c->log, BD_ERROR, "machine type %s is one too many", t[i].label);
             continue;
+        }
         struct bd_type *d = &c->types[k];
         d->known = true;
         d->cpus = t[i].cpus;
@@ -403,6 +405,9 @@
         struct klass *f = klass_of(k, &n, j->klass);
         if (f)
             count_job(f, j, from);
+        else if (!c->classes_said)
+            bd_say(c->log, BD_ERROR, "more than %d classes: the rest gets no spare room", CLASSES);
+        c->classes_said |= !f;
     }
     return n;
 }
--- a/src/forward.c
+++ b/src/forward.c
@@ -6,11 +6,11 @@
 #include <stdio.h>
 
 /* named defaults */
-#define ANSWER_S 1.2      /* then the deputy's way is tried, or the worker sent to the leader */
-#define STEER_S 8.0       /* a worker is not sent to its zone's controller more often */
-#define BACK_S 12.0       /* it hung at the leader, and perhaps at another node */
-#define BACK_HOLDS_S 40.0 /* then he is tried again */
-#define FORWARDS_MOST 512
+#define ANSWER_S 1.2       /* then the deputy's way is tried, or the worker sent to the leader */
+#define STEER_S 8.0        /* a worker is not sent to its zone's controller more often */
+#define BACK_S 12.0        /* it hung at the leader, and perhaps at another node */
+#define BACK_HOLDS_S 40.0  /* then he is tried again */
+#define FORWARDS_LEAST 512 /* more where there are more sockets, of which each holds one */
 #define DEAF_S 60.0
 #define DEAF_SHARE 0.6 /* of the machines heard before */
 #define DEAF_LEAST 3u
@@ -34,20 +34,50 @@
  * between him and us until its lease ran out. */
 static bool came_back(struct bd_core *c, const char *id)
 {
-    for (uint32_t i = 0; i < BD_SENT_AWAY; i++) {
-        if (strcmp(c->sent_away[i].id, id) != 0)
-            continue;
-        double ago = bd_between(c->sent_away[i].at, c->now);
-        if (ago > (c->sent_away[i].back ? BACK_HOLDS_S : BACK_S)) {
-            c->sent_away[i].id[0] = '\0';
-            return false;
-        }
-        if (!c->sent_away[i].back)
-            c->sent_away[i].at = c->now;
-        c->sent_away[i].back = true;
-        return true;
+    struct bd_away *a = NULL;
+    HASH_FIND_STR(c->sent_away, id, a);
+    if (!a)
+        return false;
+    double ago = bd_between(a->at, c->now);
+    if (ago > (a->back ? BACK_HOLDS_S : BACK_S)) {
+        HASH_DEL(c->sent_away, a);
+        free(a);
+        return false;
+    }
+    if (!a->back)
+        a->at = c->now;
+    a->back = true;
+    return true;
+}
+
+static void remember_away(struct bd_core *c, const char *id)
+{
+    struct bd_away *a = NULL;
+    HASH_FIND_STR(c->sent_away, id, a);
+    if (a)
+        HASH_DEL(c->sent_away, a); /* the newest are at the end */
+    else if (HASH_COUNT(c->sent_away) >= BD_SENT_AWAY) {
+        a = c->sent_away;
+        HASH_DEL(c->sent_away, a);
+    } else {
+        a = calloc(1, sizeof *a);
+    }
+    if (!a)
+        abort();
+    memset(a, 0, sizeof *a);
+    snprintf(a->id, sizeof a->id, "%s", id);
+    a->at = c->now;
+    HASH_ADD_STR(c->sent_away, id, a);
+}
+
+void bd_forward_end(struct bd_core *c)
+{
+    struct bd_away *a, *next;
+    HASH_ITER(hh, c->sent_away, a, next)
+    {
+        HASH_DEL(c->sent_away, a);
+        free(a);
     }
-    return false;
 }
 
 static bool other_leads(const struct bd_core *c)
@@ -59,12 +89,8 @@
 void bd_forward_away(struct bd_core *c, void *request, const struct bd_report *r)
 {
     bool other = other_leads(c);
-    if (other) {
-        uint32_t i = c->nsent_away++ % BD_SENT_AWAY;
-        snprintf(c->sent_away[i].id, sizeof c->sent_away[i].id, "%s", r->machine);
-        c->sent_away[i].at = c->now;
-        c->sent_away[i].back = false;
-    }
+    if (other)
+        remember_away(c, r->machine);
     bd_reply(c, request, 421, bd_wire_steer(other ? c->leader_name : ""), 0);
 }
 
@@ -145,7 +171,8 @@
 static bool send_on(struct bd_core *c, void *request, const struct bd_report *r, const char *body,
                     size_t len, int peer)
 {
-    if (peer < 0 || waiting(c) >= FORWARDS_MOST)
+    int most = c->set->max_sockets > FORWARDS_LEAST ? c->set->max_sockets : FORWARDS_LEAST;
+    if (peer < 0 || waiting(c) >= (uint32_t)most)
         return false;
     struct bd_forward *f = calloc(1, sizeof *f);
     if (!f)
--- a/src/front.c
+++ b/src/front.c
@@ -11,9 +11,11 @@
 #define BODY_MAX 65536u
 #define POOL_BYTES 6144u /* memory a connection keeps */
 #define IDLE_S 120u
-#define SOCKETS_KEPT 64  /* for our own connections, beside those for direct commands */
-#define BODY_SHARE 0.15  /* of the memory: bodies that are being received or decided */
-#define PENDING_MOST 512 /* requests that wait for the owner */
+#define SOCKETS_KEPT 64   /* for our own connections, beside those for direct commands */
+#define BODY_SHARE 0.15   /* of the memory: bodies that are being received or decided */
+#define PENDING_LEAST 512 /* requests that wait for the owner, or half as many as sockets; */
+#define PENDING_USERS 0.6 /* ... beyond this share workers' reports only */
+#define BACKLOG 1024u     /* all workers come at once when all controllers are back together */
 
 struct request {
     bool remote; /* never: see struct bd_remote */
@@ -139,6 +141,16 @@
     return MHD_YES;
 }
 
+/* Users are refused before workers: a user asks again, a lease runs out. */
+static bool room_for(const struct bd_node *n, int kind)
+{
+    int most = n->set.max_sockets / 2;
+    most = most < PENDING_LEAST ? PENDING_LEAST : most;
+    if (kind != BD_C_CHECKIN)
+        most = (int)(PENDING_USERS * most);
+    return atomic_load(&n->front->pending) < most;
+}
+
 static enum MHD_Result decide(struct bd_node *n, struct request *r, const char *method,
                               const char *url)
 {
@@ -156,7 +168,7 @@
         return say(r->conn, 405, "wrong method", 0);
     if (r->too_large)
         return say(r->conn, 413, "body over 64 KiB", 0);
-    if (r->too_much || atomic_load(&n->front->pending) >= PENDING_MOST)
+    if (r->too_much || !room_for(n, kind))
         return say(r->conn, 503, "busy", 1);
     return ask_owner(n, r, kind, name);
 }
@@ -236,7 +248,7 @@
         MHD_OPTION_SOCK_ADDR, (struct sockaddr *)&addr, MHD_OPTION_CONNECTION_LIMIT,
         (unsigned)(most > 8 ? most : 8), MHD_OPTION_CONNECTION_TIMEOUT, IDLE_S,
         MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)POOL_BYTES, MHD_OPTION_NOTIFY_COMPLETED,
-        completed, n, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u, MHD_OPTION_LISTEN_BACKLOG_SIZE, 256u,
-        MHD_OPTION_THREAD_STACK_SIZE, (size_t)131072, MHD_OPTION_END);
+        completed, n, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u, MHD_OPTION_LISTEN_BACKLOG_SIZE,
+        BACKLOG, MHD_OPTION_THREAD_STACK_SIZE, (size_t)131072, MHD_OPTION_END);
     return n->front->daemon ? 0 : -1;
 }
--- a/src/place.c
+++ b/src/place.c
@@ -6,6 +6,7 @@
 #define COST_GPU_WASTE 200.0 /* work without GPUs on a machine that has some */
 #define COST_LEFTOVER 5.0    /* the whole machine left free after the placement */
 #define COST_NOT_SPOT 20.0   /* work that may use spot, on an ordinary machine */
+#define NOT_SPOT_SHARE 0.2   /* ... but no more than this of the time that its aims leave */
 #define COST_STOPPING 10.0   /* the whole room of a task made by stopping others */
 #define WORTH_MOVING_S 12.0  /* a fetch longer than this is worth stopping borrowed work */
 #define PREEMPT_MOST 32u     /* places made for one job in one round */
@@ -42,6 +43,7 @@
     bool quick;                 /* only where no long fetch comes first */
     bool *open;                 /* by machine: new work may come to it */
     bool dear[BD_MAX_TYPES][2]; /* for the job that is being placed */
+    double not_spot;            /* what an ordinary machine costs it that a spot one would not */
 };
 
 static struct room free_room(const struct bd_core *c, const struct bd_machine *m)
@@ -144,9 +146,10 @@
            m->pinned_cpus > 0;
 }
 
-static double cost(const struct bd_core *c, const struct bd_spec *s, const struct bd_machine *m,
+static double cost(const struct round *d, const struct bd_spec *s, const struct bd_machine *m,
                    struct room r, bool harm)
 {
+    const struct bd_core *c = d->c;
     const struct bd_type *t = &c->types[m->type];
     double left = t->cpus > 0 ? (r.cpus - s->cpus) / t->cpus : 0;
     if (s->gpus > 0 && t->gpus > 0)
@@ -156,7 +159,7 @@
         v += COST_GPU_WASTE;
     v += bd_fetch_s(c, m, s);
     if (s->spot && !m->spot)
-        v += COST_NOT_SPOT;
+        v += d->not_spot;
     return v;
 }
 
@@ -193,7 +196,7 @@
         /* a dear machine that GPU work cannot use anyway is as good as a cheap one */
         if (!any_price && r->dear[m->type][m->spot] && (harm || !known_use(c, m)))
             continue;
-        double v = cost(c, &j->spec, m, room, harm);
+        double v = cost(r, &j->spec, m, room, harm);
         if (v < low) {
             low = v;
             found = m;
@@ -523,6 +526,13 @@
 
 static void know_prices(struct round *r, const struct bd_spec *s)
 {
+    /* work with little time to spare goes where its image lies, on spot or not */
+    r->not_spot = COST_NOT_SPOT;
+    for (int i = 0; i < r->c->set->naims; i++) {
+        double slack = bd_slack(r->c, s->klass, s->estimate, &r->c->set->aims[i]);
+        if (slack >= 0)
+            r->not_spot = fmin(r->not_spot, slack * NOT_SPOT_SHARE);
+    }
     for (int t = 0; t < r->c->ntypes; t++)
         for (int spot = 0; spot < 2; spot++)
             r->dear[t][spot] = bd_dear(r->c, s, t, spot);
--- a/src/rounds.c
+++ b/src/rounds.c
@@ -9,6 +9,7 @@
 #define ROUND_SHARE 0.3 /* of the processor that rounds may take */
 #define LOOK_S 1e-7     /* for one job at one machine, on a whole core (callgrind, about) */
 #define GC_S 2.0
+#define GC_AGAIN_S 0.3 /* when there was more than one transaction takes */
 #define EVICT_S 10.0
 #define WRITE_SHARE 0.6 /* of the state service's changes; the rest is the users' */
 #define TXN_BYTES 56000u
@@ -285,7 +286,8 @@
     add_receipts(c, &b);
     if (bd_before(c->next_gc, c->now)) {
         add_drops(c, &b);
-        c->next_gc = bd_add(c->now, bd_secs(GC_S));
+        /* thousands of old intents would slow the next takeover */
+        c->next_gc = bd_add(c->now, bd_secs(can_drop(c, &b) ? GC_S : GC_AGAIN_S));
     }
     if (b.ops == 0) {
         free(bd_txn_end(&b.t));
--- a/src/settings.c
+++ b/src/settings.c
@@ -114,10 +114,12 @@
 }
 
 /* Aims only steer; one that cannot be read is passed over, never a fault. */
-static void aims(json_t *facts, struct bd_settings *s)
+static void aims(struct reader *r, json_t *facts, struct bd_settings *s)
 {
     json_t *a = json_object_get(facts, "objectives"), *o;
     size_t i;
+    if (json_array_size(a) > BD_MAX_AIMS)
+        fault(r, "objectives", "has too many entries");
     json_array_foreach(a, i, o)
     {
         if (s->naims == BD_MAX_AIMS)
@@ -154,7 +156,7 @@
     s->nodes = (int)number(r, f, "count", 1);
     zones(r, f, s);
     teams(r, f, s);
-    aims(f, s);
+    aims(r, f, s);
     json_t *w = object(r, f, "workers");
     s->report = span(r, w, "report_s", 0.01);
     s->lease = span(r, w, "lease_s", 0.1);
