--- a/src/place.c
+++ b/src/place.c
@@ -334,18 +334,26 @@
     }
 }
 
-/* Picks the least valuable of what may be stopped: the lowest rank, then the newest start. */
+/* Whether x is less worth keeping than y: the lower rank, then the younger job, which has more time
+ * to make up for it, then the newer start. */
+static bool less_valuable(const struct bd_ref *x, const struct bd_ref *y)
+{
+    const struct bd_job *a = x->job, *b = y->job;
+    if (a->spec.rank != b->spec.rank)
+        return a->spec.rank < b->spec.rank;
+    if (a != b && a->at != b->at)
+        return a->at > b->at;
+    return a->tasks[x->task].attempt > b->tasks[y->task].attempt;
+}
+
+/* Picks the least valuable of what may be stopped. */
 static struct bd_ref least_valuable(const struct bd_job *want, const struct bd_machine *m)
 {
     struct bd_ref pick = {0};
     for (uint32_t k = 0; k < m->nrefs; k++) {
         struct bd_job *j = m->refs[k].job;
-        const struct bd_task *t = &j->tasks[m->refs[k].task];
-        if (!may_stop(want, j, t))
-            continue;
-        if (!pick.job || j->spec.rank < pick.job->spec.rank ||
-            (j->spec.rank == pick.job->spec.rank &&
-             t->attempt > pick.job->tasks[pick.task].attempt))
+        if (may_stop(want, j, &j->tasks[m->refs[k].task]) &&
+            (!pick.job || less_valuable(&m->refs[k], &pick)))
             pick = m->refs[k];
     }
     return pick;
--- a/tests/profile.c
+++ b/tests/profile.c
@@ -1,5 +1,7 @@
-/* A leader at the size of a large deployment, for callgrind: instructions a round, a check-in, a
- * poll and a submission cost. Not a test; `profile WHAT MACHINES` does WHAT many times over. */
+/* A leader at the size of a large deployment. `profile WHAT MACHINES` does WHAT many times over,
+ * for callgrind: instructions that a round, a check-in or a poll cost. `profile check MACHINES` is
+ * a test: it counts what the leader does until all that fits is placed, and holds every transaction
+ * against the state service's limits. */
 #include "brambledoor/core.h"
 #include "brambledoor/frame.h"
 #include "brambledoor/log.h"
@@ -11,6 +13,8 @@
 
 #define TIMES 200
 #define ZONES 2
+#define ROUNDS 40
+#define COMMITS_MOST 16
 
 struct world {
     struct bd_settings set;
@@ -19,13 +23,46 @@
     uint64_t mark, seq;
     double now;
     uint32_t machines;
+    /* counted */
+    uint32_t commits, commands, faults;
 };
 
+static void fault(struct world *w, const char *what, size_t n, size_t most)
+{
+    fprintf(stderr, "%s: %zu, at most %zu\n", what, n, most);
+    w->faults++;
+}
+
+/* One transaction against the state service's limits. */
+static void check_commit(struct world *w, const char *body)
+{
+    json_t *o = json_loads(body, 0, NULL), *ops = json_object_get(o, "apply"), *v;
+    size_t i, conds = json_array_size(json_object_get(o, "if"));
+    w->commits++;
+    if (strlen(body) > 65536)
+        fault(w, "bytes of a transaction", strlen(body), 65536);
+    if (json_array_size(ops) > w->set.txn_ops)
+        fault(w, "changes", json_array_size(ops), w->set.txn_ops);
+    if (conds > 4 * w->set.txn_ops)
+        fault(w, "conditions", conds, 4 * w->set.txn_ops);
+    json_array_foreach(ops, i, v)
+    {
+        char *text = json_dumps(json_object_get(v, "value"), JSON_COMPACT | JSON_ENCODE_ANY);
+        if (text && strlen(text) > w->set.value_bytes)
+            fault(w, "bytes of a value", strlen(text), w->set.value_bytes);
+        free(text);
+    }
+    json_decref(o);
+}
+
 static void drop_effects(struct world *w)
 {
     struct bd_effect *e = bd_core_effects(w->c);
     while (e) {
         struct bd_effect *next = e->next;
+        if (e->kind == BD_E_COMMIT)
+            check_commit(w, e->body);
+        w->commands += e->kind == BD_E_DO;
         bd_effect_free(e);
         e = next;
     }
@@ -160,19 +197,59 @@
         job(w, 1000 + i, BD_ARRAY, 200, 2, 0, 6);
     for (int i = 0; i < 60; i++)
         job(w, 2000 + i, BD_GANG, 4, 43, 4, 230);
-    for (int k = 0; k < 40; k++) {
+    for (int k = 0; k < ROUNDS; k++) {
         round_once(w);
         for (uint32_t i = 0; i < w->machines; i++)
             report(w, i);
     }
 }
 
+/* Tasks of the shape that hold a place, and that wait for one. */
+static void count_tasks(const struct world *w, enum bd_shape shape, uint32_t *held, uint32_t *waits)
+{
+    *held = *waits = 0;
+    for (const struct bd_job *j = w->c->jobs; j; j = j->hh.next) {
+        if (j->spec.shape != shape)
+            continue;
+        *held += j->nlive;
+        *waits += j->nwait;
+    }
+}
+
+/* What was built must have been placed, by a bounded amount of work. */
+static int check(struct world *w)
+{
+    uint32_t held, waits, arrays, gangs, ignored;
+    count_tasks(w, BD_SERVICE, &held, &waits);
+    count_tasks(w, BD_ARRAY, &arrays, &ignored);
+    count_tasks(w, BD_GANG, &gangs, &ignored);
+    fprintf(stderr, "%u commits, %u commands; %u services, %u arrays, %u gang tasks placed\n",
+            w->commits, w->commands, held, arrays, gangs);
+    if (waits > 0)
+        fault(w, "service tasks left waiting", waits, 0);
+    if (gangs < 60 * 4)
+        fault(w, "gang tasks not placed", 60 * 4 - gangs, 0);
+    if (w->commits > COMMITS_MOST) /* 33 with one intent record in each */
+        fault(w, "transactions", w->commits, COMMITS_MOST);
+    /* few for each machine, however many tasks it starts */
+    if (w->commands > 2 * w->machines)
+        fault(w, "direct commands", w->commands, 2 * w->machines);
+    if (held + arrays + gangs < 8000)
+        fault(w, "tasks not placed", 8000 - held - arrays - gangs, 0);
+    return w->faults ? 1 : 0;
+}
+
 int main(int argc, char **argv)
 {
     struct world w = {.log = {BD_ERROR, "profile"}};
     const char *what = argc > 1 ? argv[1] : "none";
     w.machines = argc > 2 ? (uint32_t)atoi(argv[2]) : 100;
     build(&w);
+    if (strcmp(what, "check") == 0) {
+        int rc = check(&w);
+        bd_core_free(w.c);
+        return rc;
+    }
     uint32_t waits = 0;
     for (struct bd_job *j = w.c->jobs; j; j = j->hh.next)
         waits += j->nwait;
