An image is there once it was fetched, after the others, not once it was asked for

A machine that had only begun to fetch an image counted as holding it, and several images were sent to one machine together, which share its rate.

--- a/include/brambledoor/core.h
+++ b/include/brambledoor/core.h
@@ -9,7 +9,7 @@
 #include <uthash.h>
 
 #define BD_NO_MACHINE UINT32_MAX
-#define BD_IMAGES 24
+#define BD_IMAGES 40
 #define BD_CANARIES 64
 #define BD_SENT_AWAY 8192
 #define BD_DEPUTY_PARTS 6 /* of a deputy's record, a value each */
@@ -111,9 +111,14 @@
     uint32_t nrefs, cap;
     double cpus, gpus, mem;                      /* in use */
     double pinned_cpus, pinned_gpus, pinned_mem; /* by services and GPU tasks */
-    int images[BD_IMAGES];
+    struct bd_held_image {                       /* the most recently used first */
+        int image;
+        double gb;
+        struct timespec ready; /* when it is there, by the type's rate */
+    } images[BD_IMAGES];
     int nimages;
-    uint32_t errors; /* failed tasks in a row, of different jobs */
+    struct timespec fetched_by; /* when all that it fetches is there */
+    uint32_t errors;            /* failed tasks in a row, of different jobs */
     struct bd_job *error_job;
     bool deputised;          /* in a deputy's record at the last look, */
     int deputy;              /* whose: an index into the core's deputies */
--- a/src/core_in.h
+++ b/src/core_in.h
@@ -96,7 +96,8 @@
 void bd_orders_send(struct bd_core *c, struct bd_machine *m);
 bool bd_has_image(const struct bd_machine *m, int image);
 double bd_fetch_s(const struct bd_core *c, const struct bd_machine *m, const struct bd_spec *s);
-void bd_remember_image(struct bd_machine *m, int image);
+void bd_remember_image(struct bd_core *c, struct bd_machine *m, const struct bd_spec *s,
+                       bool there);
 
 void bd_core_step_aside(struct bd_core *c);
 double bd_grace_s(const struct bd_settings *s);
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -20,12 +20,12 @@
 #define WINDOW_LEAST_S 12.0
 #define SETTLE_S 4.0
 #define SUMMARY_S 20.0
-#define SETTLED_S 40.0     /* a service younger than this stays where it is */
-#define GATHER_SHARE 0.8   /* of a machine: with more services than this it is left as it is */
-#define MOVES_LEAST 2.0    /* a second, */
+#define SETTLED_S 40.0    /* a service younger than this stays where it is */
+#define GATHER_SHARE 0.8  /* of a machine: with more services than this it is left as it is */
+#define MOVES_LEAST 2.0   /* a second, */
 #define MOVES_SHARE 0.004 /* of the services' running tasks */
-#define EMPTY_MOST 64      /* tasks of a machine that is emptied */
-#define MOVE_FETCH_S 4.0   /* a longer fetch is not worth a move */
+#define EMPTY_MOST 64     /* tasks of a machine that is emptied */
+#define MOVE_FETCH_S 4.0  /* a longer fetch is not worth a move */
 
 void bd_core_types(struct bd_core *c, const struct bd_type_text *t, int n)
 {
--- a/src/place.c
+++ b/src/place.c
@@ -36,6 +36,7 @@
     size_t bytes, most_bytes;
     uint32_t conds, most_conds;
     struct stops *stops;        /* by machine */
+    double *fetch;              /* by machine: seconds of fetching that this round's plans add */
     double *cost;               /* by machine: of making room for the job that is being placed */
     uint32_t nstops;            /* tasks stopped in this round, and one more */
     struct room *claimed;       /* by machine: room that waits for tasks being stopped */
@@ -146,6 +147,13 @@
            m->pinned_cpus > 0;
 }
 
+/* As bd_fetch_s, with what the round has planned there already. */
+static double fetch_s(const struct round *r, const struct bd_machine *m, const struct bd_spec *s)
+{
+    double v = bd_fetch_s(r->c, m, s);
+    return v > 0 && !bd_has_image(m, s->image) ? v + r->fetch[m->index] : v;
+}
+
 static double cost(const struct round *d, const struct bd_spec *s, const struct bd_machine *m,
                    struct room r, bool harm)
 {
@@ -157,7 +165,7 @@
     double v = left * COST_LEFTOVER;
     if (harm)
         v += COST_GPU_WASTE;
-    v += bd_fetch_s(c, m, s);
+    v += fetch_s(d, m, s);
     if (s->spot && !m->spot)
         v += d->not_spot;
     return v;
@@ -252,6 +260,8 @@
         n = record_room(r, j, m, zone_left(r->c, j, zones, m->zone, n));
         if (n == 0)
             break;
+        if (!bd_has_image(m, j->spec.image))
+            r->fetch[m->index] += j->spec.image_gb / r->c->types[m->type].fetch;
         r->bytes += bd_group_bytes(j, m) + n * BD_TASK_BYTES;
         for (; n > 0 && next < j->ntasks; next++) {
             if (j->tasks[next].state != BD_T_WAIT)
@@ -664,6 +674,7 @@
     gpu_demand(c, r.jobs, r.njobs);
     r.claimed = calloc(c->nmachines + 1, sizeof *r.claimed);
     r.stops = calloc(c->nmachines + 1, sizeof *r.stops);
+    r.fetch = calloc(c->nmachines + 1, sizeof *r.fetch);
     r.cost = calloc(c->nmachines + 1, sizeof *r.cost);
     r.open = calloc(c->nmachines + 1, sizeof *r.open);
     /* each record but the last may end a group's worth early */
@@ -671,7 +682,7 @@
     r.most_bytes =
         (size_t)(BD_VALUE_SHARE * (double)c->set->value_bytes * parts) - (parts - 1) * 2 * BD_LABEL;
     r.most_conds = (uint32_t)(3 * c->set->txn_ops);
-    if (!r.claimed || !r.open || !r.stops || !r.cost)
+    if (!r.claimed || !r.open || !r.stops || !r.cost || !r.fetch)
         abort();
     for (uint32_t i = 0; i < c->nmachines; i++)
         r.open[i] = bd_machine_usable(c, c->by_index[i]) && !c->by_index[i]->drain;
@@ -684,5 +695,6 @@
     free(r.claimed);
     free(r.stops);
     free(r.cost);
+    free(r.fetch);
     free(r.open);
 }
--- a/src/reports.c
+++ b/src/reports.c
@@ -244,6 +244,7 @@
     uint8_t flags = t->flags;
     if (s->sub == BD_RUNNING && (t->sub != BD_RUNNING || t->state != BD_T_LIVE)) {
         j->last_begun = c->now;
+        bd_remember_image(c, m, &j->spec, true);
         /* one that was taken over running began before: how long ago is not known */
         t->begun = t->state == BD_T_LAUNCH || t->state == BD_T_LIVE ? bd_tenths(c->now) : 0;
     }
--- a/src/rounds.c
+++ b/src/rounds.c
@@ -338,7 +338,7 @@
             continue;
         }
         bd_task_set(c, e->job, e->task, BD_T_LAUNCH);
-        bd_remember_image(m, e->job->spec.image);
+        bd_remember_image(c, m, &e->job->spec, false);
     }
     for (uint32_t i = 0; i < k->nplan; i++) {
         struct bd_machine *m = bd_machine_of(c, k->plan[i].machine);
--- a/src/tasks.c
+++ b/src/tasks.c
@@ -114,31 +114,66 @@
     }
 }
 
-bool bd_has_image(const struct bd_machine *m, int image)
+static const struct bd_held_image *held_image(const struct bd_machine *m, int image)
 {
     for (int k = 0; k < m->nimages; k++)
-        if (m->images[k] == image)
-            return true;
-    return false;
+        if (m->images[k].image == image)
+            return &m->images[k];
+    return NULL;
+}
+
+bool bd_has_image(const struct bd_machine *m, int image)
+{
+    return held_image(m, image) != NULL;
+}
+
+static double still_s(const struct bd_core *c, struct timespec ready)
+{
+    return bd_before(c->now, ready) ? bd_between(c->now, ready) : 0;
 }
 
-/* How long the task's image takes to get there: nothing where it lies already. */
+/* How long until the task's image is there: nothing where it lies already; where other images are
+ * on their way it comes after them, or as slowly as if it did. */
 double bd_fetch_s(const struct bd_core *c, const struct bd_machine *m, const struct bd_spec *s)
 {
-    return bd_has_image(m, s->image) ? 0 : s->image_gb / c->types[m->type].fetch;
+    const struct bd_held_image *h = held_image(m, s->image);
+    if (h)
+        return still_s(c, h->ready);
+    return still_s(c, m->fetched_by) + s->image_gb / c->types[m->type].fetch;
 }
 
-void bd_remember_image(struct bd_machine *m, int image)
+/* The least recently used go if all do not fit the machine. */
+static void drop_old_images(const struct bd_core *c, struct bd_machine *m)
 {
-    int k = 0;
-    while (k < m->nimages && m->images[k] != image)
-        k++;
-    if (k == m->nimages && m->nimages < BD_IMAGES)
-        m->nimages++;
+    double gb = 0;
+    if (m->type < 0 || !c->types[m->type].known)
+        return;
+    for (int k = 0; k < m->nimages; k++) {
+        gb += m->images[k].gb;
+        if (k > 0 && gb > c->types[m->type].cache_gb)
+            m->nimages = k;
+    }
+}
+
+/* The image is used, or will be; `there`: a task was seen to run from it. */
+void bd_remember_image(struct bd_core *c, struct bd_machine *m, const struct bd_spec *s, bool there)
+{
+    const struct bd_held_image *known = held_image(m, s->image);
+    struct bd_held_image h = {s->image, s->image_gb, c->now};
+    int k = known ? (int)(known - m->images) : m->nimages;
+    if (known)
+        h = *known;
+    else if (!there && m->type >= 0 && c->types[m->type].fetch > 0)
+        h.ready = m->fetched_by = bd_add(c->now, bd_secs(bd_fetch_s(c, m, s)));
+    if (there)
+        h.ready = c->now;
     if (k == BD_IMAGES)
-        k = BD_IMAGES - 1;
+        k--;
+    else if (!known)
+        m->nimages++;
     memmove(m->images + 1, m->images, (size_t)k * sizeof *m->images);
-    m->images[0] = image;
+    m->images[0] = h;
+    drop_old_images(c, m);
 }
 
 void bd_task_assign(struct bd_core *c, struct bd_job *j, uint32_t i, struct bd_machine *m,
@@ -157,7 +192,7 @@
     add_ref(m, j, i);
     machine_use(m, &j->spec, 1);
     if (st != BD_T_PLAN) /* a plan that comes to nothing fetches nothing */
-        bd_remember_image(m, j->spec.image);
+        bd_remember_image(c, m, &j->spec, true);
     team_use(c, &j->spec, 1);
 }
 
