Loopback: relays, the away list, a connection closed by a 503; fewer moves a second

The test also used ports that outgoing connections take (it failed once in three on a busy machine) and left nodes behind when it ended early.

--- a/src/fleet.c
+++ b/src/fleet.c
@@ -23,7 +23,7 @@
 #define SETTLED_S 40.0    /* a service younger than this stays where it is */
 #define GATHER_SHARE 0.8  /* of a machine: with more services than this it is left as it is */
 #define MOVES_LEAST 2.0   /* a second, */
-#define MOVES_SHARE 0.004 /* of the services' running tasks */
+#define MOVES_SHARE 0.001 /* of the services' running tasks */
 #define EMPTY_MOST 64     /* tasks of a machine that is emptied */
 #define MOVE_FETCH_S 4.0  /* a longer fetch is not worth a move */
 
--- a/tests/loopback.c
+++ b/tests/loopback.c
@@ -1,13 +1,17 @@
 /* The real program, three times, over loopback against the stand-ins: quiet work, bad requests,
  * killed nodes, an outage of the state service and answers that are cut off. */
 #include "brambledoor/http.h"
+#include "brambledoor/node.h"
 #include "brambledoor/timeutil.h"
 #include "standin.h"
+#include <arpa/inet.h>
 #include <jansson.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/prctl.h>
+#include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -30,12 +34,14 @@
     t->faults += !ok;
 }
 
-static void write_settings(struct test *t, int i)
+/* apart: the first and the last node do not reach each other, only the one between them */
+static void write_settings(struct test *t, int i, int apart)
 {
     json_t *others = json_array();
     char mesh[32], a[32];
     for (int k = 0; k < NODES; k++) {
-        snprintf(a, sizeof a, "127.0.0.1:%d", t->base + 10 + k);
+        int wrong = apart && i != 1 && k != 1 ? 50 : 10; /* nobody listens there */
+        snprintf(a, sizeof a, "127.0.0.1:%d", t->base + wrong + k);
         char name[16];
         snprintf(name, sizeof name, "node-%d", k);
         if (k != i)
@@ -70,6 +76,7 @@
 {
     t->pid[i] = fork();
     if (t->pid[i] == 0) {
+        (void)prctl(PR_SET_PDEATHSIG, SIGKILL); /* none outlives the test */
         execl(t->program, t->program, "--config", t->file[i], (char *)NULL);
         _exit(127);
     }
@@ -200,6 +207,31 @@
     check(t, until(t, "/submissions/job-1", "\"done\"", 10), "what was done still is");
 }
 
+/* A refused user is to come through the load balancer again: the connection ends with the 503. */
+static void closed_after_503(struct test *t)
+{
+    const char *text = "GET /submissions/job-88 HTTP/1.1\r\nHost: a\r\n\r\n";
+    char out[1024];
+    size_t len = 0;
+    ssize_t got = 1;
+    struct sockaddr_in to;
+    struct timeval limit = {3, 0};
+    int fd = socket(AF_INET, SOCK_STREAM, 0);
+    bool sent = fd >= 0 && bd_parse_addr(t->addr[0], &to) &&
+                setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit) == 0 &&
+                connect(fd, (struct sockaddr *)&to, sizeof to) == 0 &&
+                send(fd, text, strlen(text), 0) == (ssize_t)strlen(text);
+    while (sent && got > 0 && len < sizeof out - 1) {
+        got = recv(fd, out + len, sizeof out - 1 - len, 0);
+        len += got > 0 ? (size_t)got : 0;
+    }
+    out[len] = '\0';
+    check(t, sent && got == 0 && strstr(out, " 503 ") && strstr(out, "Retry-After"),
+          "a 503 names a time to come again and closes the connection");
+    if (fd >= 0)
+        (void)close(fd);
+}
+
 static void outage(struct test *t)
 {
     check(t, submit(t, "job-4", "sweep", 4, 10), "a job before the outage");
@@ -210,6 +242,7 @@
           ask(t, 0, "POST", "/submissions", job("job-6", "sweep", 1), NULL, 0) == 503 &&
               bd_between(asked, bd_now()) < 1.5,
           "during the outage a submission is refused at once");
+    closed_after_503(t);
     check(t, ask(t, 0, "GET", "/submissions/job-1", NULL, NULL, 0) == 200,
           "a final state is answered");
     world_state_down(t->w, false);
@@ -221,13 +254,75 @@
           "answers that are cut off do no harm");
 }
 
+/* A worker's check-in; its number rises each time, the thousands name the worker. Returns the
+ * status, *seal from the answer. */
+static long check_in(struct test *t, int node, int *tally, long long *seal, char *out, size_t cap)
+{
+    char body[320];
+    snprintf(body, sizeof body,
+             "{\"hearth\":\"vm-9%05d\",\"endpoint\":\"127.0.0.1:1\",\"breed\":\"odd\",\"glade\":"
+             "\"a\",\"windfall\":false,\"tenancy\":1,\"tally\":%d,\"seal\":%lld,\"warningS\":null,"
+             "\"chores\":[]}",
+             *tally / 1000, *tally % 1000, *seal);
+    ++*tally;
+    long status = ask(t, node, "POST", "/checkin", body, out, cap);
+    const char *at = strstr(out, "\"seal\":");
+    if (status == 200 && at)
+        *seal = strtoll(at + 7, NULL, 10);
+    return status;
+}
+
+/* As check_in, until the status comes, for at most so long. */
+static int check_in_until(struct test *t, int node, int *tally, long long *seal, long status,
+                          double seconds)
+{
+    char out[512] = "";
+    struct timespec end = bd_add(bd_now(), bd_secs(seconds));
+    while (bd_before(bd_now(), end)) {
+        if (check_in(t, node, tally, seal, out, sizeof out) == status)
+            return 1;
+        bd_pause(0.3);
+    }
+    printf("     last answer to a check-in with seal %lld: %s\n", *seal, out);
+    return 0;
+}
+
+/* The first node leads; the last does not hear it. Reports go through the one between them; without
+ * that one the last answers itself, until the leader's key says that he hears its workers. */
+static void apart(struct test *t)
+{
+    int tally = 1001;
+    long long seal = 0;
+    for (int i = 0; i < NODES; i++) {
+        end(t, i);
+        write_settings(t, i, 1);
+    }
+    bd_pause(4); /* whoever led has led */
+    start(t, 0);
+    check(t, check_in_until(t, 0, &tally, &seal, 200, 20), "the first node leads");
+    start(t, 1);
+    start(t, 2);
+    long long before = seal;
+    check(t, check_in_until(t, 2, &tally, &seal, 200, 20) && seal >= before,
+          "a report is relayed to a leader who is not heard");
+    end(t, 1);
+    bd_pause(2);
+    tally = 2001; /* one that the leader does not know yet */
+    check(t, check_in_until(t, 2, &tally, &seal, 200, 10), "without a relay a deputy answers");
+    check(t, check_in_until(t, 0, &tally, &seal, 200, 10), "its worker comes to the leader");
+    check(t, check_in_until(t, 2, &tally, &seal, 421, 10),
+          "the leader's key sends the deputy away");
+    start(t, 1);
+}
+
 int main(int argc, char **argv)
 {
     struct test t = {0};
     if (argc != 2)
         return 2;
     t.program = argv[1];
-    t.base = 20000 + (int)(getpid() % 400) * 100;
+    t.base = 20000 + (int)(getpid() % 120) * 100; /* below what outgoing connections take */
+    (void)signal(SIGPIPE, SIG_IGN);
     snprintf(t.dir, sizeof t.dir, "/tmp/bd-loopback-XXXXXX");
     if (!mkdtemp(t.dir) || bd_http_start() != 0)
         return 2;
@@ -235,7 +330,7 @@
     for (int i = 0; i < NODES; i++) {
         snprintf(t.addr[i], sizeof t.addr[i], "127.0.0.1:%d", t.base + i);
         t.nodes[i] = t.addr[i];
-        write_settings(&t, i);
+        write_settings(&t, i, 0);
     }
     t.w = world_new(t.base + 20, t.base + 21, t.base + 30, t.nodes, NODES);
     if (!t.w)
@@ -246,6 +341,7 @@
     bad_requests(&t);
     killed(&t);
     outage(&t);
+    apart(&t);
     check(&t, world_ran_twice(t.w) == 0, "no task ran twice at the same time");
     int applied = 0;
     check(&t, world_copies(t.w, &applied) > 5 && applied == 0,
