Arrays with little time begin where their image lies, in room that is made there

Cause: trip-rollup (60 s from its submission, 25 s of run) was sent to cold machines at once, where it fetched for 12 to 50 s, while idle-rank work held warm ones.

--- a/src/place.c
+++ b/src/place.c
@@ -7,6 +7,7 @@
 #define COST_LEFTOVER 5.0    /* the whole machine left free after the placement */
 #define COST_NOT_SPOT 20.0   /* work that may use spot, on an ordinary machine */
 #define NOT_SPOT_SHARE 0.2   /* ... but no more than this of the time that its aims leave */
+#define HURRY_S 30.0         /* less than this to spare */
 #define COST_STOPPING 10.0   /* the whole room of a task made by stopping others */
 #define WORTH_MOVING_S 12.0  /* a fetch longer than this is worth stopping borrowed work */
 #define PREEMPT_MOST 32u     /* places made for one job in one round */
@@ -44,6 +45,7 @@
     bool quick;                 /* only where no long fetch comes first */
     bool *open;                 /* by machine: new work may come to it */
     bool dear[BD_MAX_TYPES][2]; /* for the job that is being placed */
+    bool hurried;               /* its aims leave it no time for a fetch */
     double not_spot;            /* what an ordinary machine costs it that a spot one would not */
 };
 
@@ -529,9 +531,9 @@
     return placed;
 }
 
-/* A service begins where its image lies: in free room, or in room that is made there, which is
- * sooner than a fetch. Returns how many were placed; those that room is made for are no longer
- * wanted. */
+/* A service begins where its image lies, and so does an array with little time: in free room, or in
+ * room that is made there, which is sooner than a fetch. Returns how many were placed; those that
+ * room is made for are no longer wanted. */
 static uint32_t place_quickly(struct round *r, struct bd_job *j, uint32_t *want, uint64_t attempt)
 {
     r->quick = true;
@@ -546,10 +548,13 @@
 {
     /* work with little time to spare goes where its image lies, on spot or not */
     r->not_spot = COST_NOT_SPOT;
+    r->hurried = s->shape == BD_SERVICE;
     for (int i = 0; i < r->c->set->naims; i++) {
         double slack = bd_slack(r->c, s->klass, s->estimate, &r->c->set->aims[i]);
-        if (slack >= 0)
-            r->not_spot = fmin(r->not_spot, slack * NOT_SPOT_SHARE);
+        if (slack < 0)
+            continue;
+        r->not_spot = fmin(r->not_spot, slack * NOT_SPOT_SHARE);
+        r->hurried = r->hurried || slack < HURRY_S;
     }
     for (int t = 0; t < r->c->ntypes; t++)
         for (int spot = 0; spot < 2; spot++)
@@ -570,7 +575,7 @@
         got = place_gang(r, j, attempt) ? j->ntasks : 0;
         want = got;
     } else {
-        if (j->spec.shape == BD_SERVICE && above)
+        if (r->hurried && above)
             got = place_quickly(r, j, &want, attempt);
         got += got < want ? fill(r, j, want - got, attempt, false) : 0;
         /* a short task that is stopped costs less than a GPU machine taken for a long service */
