--- a/tests/inputs.c
+++ b/tests/inputs.c
@@ -78,6 +78,10 @@
     bad_settings(good, "\"txn_ops\": 24", "\"txn_ops\": 0", "txn_ops");
     bad_settings(good, "\"external\": {", "\"external\": [], \"x\": {", "external");
     bad_settings(good, "\"teams\": [", "\"teams\": 3, \"x\": [", "teams");
+    char many[4096] = "\"objectives\": [";
+    for (int i = 0; i <= BD_MAX_AIMS; i++) /* one more than there is room for */
+        strcat(many, "{\"kind\": \"wait\"}, ");
+    bad_settings(good, "\"objectives\": [", many, "objectives");
     bad_settings(good, "{", "[", "line");
     check(bd_settings_load(s, "/nonexistent", err, sizeof err) == -1, "no file");
     free(good);
--- a/tests/scenario.c
+++ b/tests/scenario.c
@@ -171,7 +171,8 @@
     memset(s, 0, sizeof *s);
     snprintf(s->klass, sizeof s->klass, "%s", arg(p, "class") ? arg(p, "class") : "k");
     snprintf(s->team, sizeof s->team, "%s", arg(p, "team") ? arg(p, "team") : "a");
-    snprintf(s->image, sizeof s->image, "img");
+    snprintf(s->image, sizeof s->image, "%s", arg(p, "image") ? arg(p, "image") : "img");
+    s->image_gb = num(p, "gb", 0);
     if (arg(p, "zone"))
         snprintf(s->zone, sizeof s->zone, "%s", arg(p, "zone"));
     s->ntypes = -1;
