Limits to come: what is written fits them, and a 400 or 429 is met in smaller pieces

Now the smaller of state's and state.next's limits count from the start; a 400 was not applied, is logged and decided anew in smaller pieces; a 429 lowers the leader's own rate.

--- a/include/brambledoor/core.h
+++ b/include/brambledoor/core.h
@@ -61,7 +61,8 @@
     uint64_t receipt_chunks; /* bits of chunks committed */
     uint32_t dirty_chunks;
     double at;
-    struct timespec next_force; /* when something may be stopped for it again */
+    struct timespec next_force;  /* when something may be stopped for it again */
+    struct timespec aside_until; /* nothing is written of it before: see limits.c */
     struct timespec hold_until, last_placed, last_begun;
     uint32_t restarts; /* tasks that lost a place they had */
     uint32_t errors;
@@ -200,6 +201,12 @@
 
 struct bd_commit;
 
+struct bd_limits { /* the state service's, as its answers have shown them so far */
+    size_t value_bytes, txn_ops;
+    double write_rps;
+    struct timespec busy_at, raised_at;
+};
+
 struct bd_core {
     const struct bd_settings *set;
     const struct bd_log *log;
@@ -305,6 +312,7 @@
     struct timespec next_round, next_fleet, next_gc, next_tick, last_bump, next_summary;
     bool want_bump, round_wanted;
     double write_tokens;
+    struct bd_limits lim;
     bool classes_said; /* that there are more than spare room is kept for */
     struct timespec token_at;
 
@@ -367,7 +375,10 @@
 void bd_core_gained(struct bd_core *c, const struct bd_gain *g);
 void bd_core_renewed(struct bd_core *c, uint64_t grant, struct timespec sent);
 void bd_core_lost(struct bd_core *c);
-/* outcome: 1 committed, 0 refused (failed lists the keys), -1 leadership is gone */
+/* a commit was answered that the rate is used up */
+void bd_core_busy(struct bd_core *c);
+/* outcome: 1 committed, 0 refused (failed lists the keys), -1 leadership is gone, 2 called
+ * malformed: not applied, and to be decided anew in smaller pieces */
 void bd_core_committed(struct bd_core *c, int outcome, uint64_t ring, json_t *failed);
 /* the other controllers */
 void bd_core_peer(struct bd_core *c, const char *name, uint64_t term, uint8_t flags,
--- a/include/brambledoor/node.h
+++ b/include/brambledoor/node.h
@@ -32,7 +32,8 @@
     BD_C_PEER,
     BD_C_DEPUTIES,
     BD_C_DEPUTY_COMMITTED,
-    BD_C_LOOKED_UP
+    BD_C_LOOKED_UP,
+    BD_C_BUSY
 };
 
 /* What the adapters tell the owner. Owned by the receiver. */
--- a/include/brambledoor/settings.h
+++ b/include/brambledoor/settings.h
@@ -41,8 +41,8 @@
     int naims;
     int nodes;
     struct timespec report, lease, gang_wait, gang_peer, cancel, list_lag, clock_error;
-    double state_rps, state_write_rps, cloud_rps;
-    size_t value_bytes, txn_ops;
+    double state_rps, state_write_rps, cloud_rps; /* the state service's limits: the smaller of */
+    size_t value_bytes, txn_ops;                  /* what holds now and what is to come */
     double cpu, ram_mb;
     int max_sockets;
     /* operators' own */
--- a/include/brambledoor/wire.h
+++ b/include/brambledoor/wire.h
@@ -130,6 +130,8 @@
 };
 uint64_t bd_wire_ring(json_t *o);
 json_t *bd_wire_failed(json_t *o);
+/* whether a refusal says that the grant of a key is over */
+bool bd_wire_no_grant(json_t *o);
 json_t *bd_wire_pairs(json_t *o, bool *more);
 json_t *bd_wire_log(json_t *o);
 bool bd_wire_change(json_t *o, struct bd_change *c); /* an entry of pairs or of log */
--- a/src/core.c
+++ b/src/core.c
@@ -10,6 +10,7 @@
         return NULL;
     c->set = set;
     c->log = log;
+    bd_limits_init(c);
     for (int i = 0; i < set->nzones; i++)
         (void)bd_zone_index(c, set->zones[i]);
     return c;
@@ -424,6 +425,8 @@
     } else if (status == 409) { /* somebody was faster: look again, then answer what is */
         wait_barrier(c, request, id, (enum bd_wait_how)how);
     } else {
+        if (status == 400) /* the next try is in smaller pieces */
+            (void)bd_limits_refused(c, id);
         refuse(c, request, 503, "state service not reached", 1);
     }
 }
--- a/src/core_in.h
+++ b/src/core_in.h
@@ -99,6 +99,11 @@
 void bd_remember_image(struct bd_core *c, struct bd_machine *m, const struct bd_spec *s,
                        bool there);
 
+void bd_limits_init(struct bd_core *c);
+bool bd_limits_refused(struct bd_core *c, const char *what);
+void bd_limits_tick(struct bd_core *c);
+void bd_limits_aside(struct bd_core *c, struct bd_job *j);
+
 void bd_core_step_aside(struct bd_core *c);
 double bd_grace_s(const struct bd_settings *s);
 
@@ -144,7 +149,7 @@
 
 /* rounds */
 void bd_round_place(struct bd_core *c); /* fills c->commit's plan */
-uint32_t bd_round_parts(const struct bd_settings *s);
+uint32_t bd_round_parts(const struct bd_core *c);
 void bd_round_commit(struct bd_core *c); /* builds and sends the transaction */
 void bd_commit_free(struct bd_commit *k);
 uint32_t bd_jobs_in_order(struct bd_core *c, struct bd_job ***out);
--- a/src/deputy.c
+++ b/src/deputy.c
@@ -81,15 +81,21 @@
         size_t len = strlen(c->deputy.charges[i].id);
         longest = len > longest ? len : longest;
     }
-    double n = (RECORD_SHARE * (double)c->set->value_bytes - RECORD_HEAD) / (double)(longest + 3);
+    double n = (RECORD_SHARE * (double)c->lim.value_bytes - RECORD_HEAD) / (double)(longest + 3);
     return n < 1 ? 1 : (uint32_t)n;
 }
 
+/* They are written together: no more than one transaction takes. */
+static uint32_t most_parts(const struct bd_core *c)
+{
+    return c->lim.txn_ops < BD_DEPUTY_PARTS ? (uint32_t)c->lim.txn_ops : BD_DEPUTY_PARTS;
+}
+
 /* Whether the record has room for one more name; else the worker is sent on. */
 static bool record_takes(const struct bd_core *c, const char *id)
 {
-    uint32_t most = part_holds(c) * BD_DEPUTY_PARTS;
-    if (c->deputy.ncharges < most && strlen(id) + RECORD_HEAD < c->set->value_bytes)
+    uint32_t most = part_holds(c) * most_parts(c);
+    if (c->deputy.ncharges < most && strlen(id) + RECORD_HEAD < c->lim.value_bytes)
         return true;
     bd_say(c->log, BD_ERROR, "a deputy's record is full with %u machines", c->deputy.ncharges);
     return false;
@@ -155,6 +161,11 @@
     bd_txn_if(&t, "leader", d->leader);
     bd_txn_if(&t, key, d->mark);
     uint32_t each = part_holds(c), parts = (d->ncharges + each - 1) / each;
+    if (parts > most_parts(c)) { /* the limits were lowered: who is not in the record is sent on */
+        parts = most_parts(c);
+        d->ncharges = parts * each;
+    }
+    d->parts = d->parts < most_parts(c) ? d->parts : most_parts(c);
     /* a part that is needed no more is written empty, so that it names nobody */
     d->parts = parts > d->parts ? parts : d->parts ? d->parts : 1;
     for (uint32_t part = 0; part < d->parts; part++)
@@ -228,6 +239,8 @@
         d->next_beat = c->now;
         return;
     }
+    if (status == 400)
+        (void)bd_limits_refused(c, "the deputy's record");
     if (status != 200)
         bd_say(c->log, BD_INFO, "the deputy's record was not written: status %ld", status);
     /* a leader's key that was only rewritten is no reason to send the workers round */
--- /dev/null
+++ b/src/limits.c
@@ -0,0 +1,72 @@
+/* The state service's limits as we know them: the settings' at first, then what its answers teach.
+ * A transaction that it calls malformed (400) was not applied; the likely cause is a limit that was
+ * lowered without notice, so the next ones are smaller. One beyond the rate (429) comes later. */
+#include "core_in.h"
+
+/* named defaults */
+#define OPS_LEAST 3u     /* the witness, one change and one more */
+#define VALUE_LEAST 512u /* a done record and an intent of a few tasks fit */
+#define RATE_LEAST 4.0
+#define BUSY_SHARE 0.8 /* of the rate is left after a 429, */
+#define BUSY_S 1.0     /* at most once in this time; */
+#define CALM_S 10.0    /* after so long without one it rises again, */
+#define RISE 1.01      /* by this a second */
+#define ASIDE_S 1.0    /* what may be malformed itself rests so long, and up to 8 s more */
+
+void bd_limits_init(struct bd_core *c)
+{
+    c->lim.value_bytes = c->set->value_bytes;
+    c->lim.txn_ops = c->set->txn_ops;
+    c->lim.write_rps = c->set->state_write_rps;
+}
+
+static size_t smaller(size_t now, size_t least)
+{
+    size_t n = now - now / 3;
+    return n > least ? n : now < least ? now : least;
+}
+
+/* False: they are as small as can be already, so that the size was not the reason. */
+bool bd_limits_refused(struct bd_core *c, const char *what)
+{
+    struct bd_limits was = c->lim;
+    c->lim.value_bytes = smaller(was.value_bytes, VALUE_LEAST);
+    c->lim.txn_ops = smaller(was.txn_ops, OPS_LEAST);
+    bd_say(c->log, BD_ERROR,
+           "the state service calls %s malformed: values of at most %zu bytes and %zu changes from "
+           "now on",
+           what, c->lim.value_bytes, c->lim.txn_ops);
+    return c->lim.value_bytes < was.value_bytes || c->lim.txn_ops < was.txn_ops;
+}
+
+void bd_core_busy(struct bd_core *c)
+{
+    if (bd_between(c->lim.busy_at, c->now) < BUSY_S && !bd_is_zero(c->lim.busy_at))
+        return;
+    c->lim.busy_at = c->lim.raised_at = c->now;
+    c->lim.write_rps = c->lim.write_rps * BUSY_SHARE;
+    if (c->lim.write_rps < RATE_LEAST)
+        c->lim.write_rps = RATE_LEAST;
+    if (c->write_tokens > 0)
+        c->write_tokens = 0;
+    bd_say(c->log, BD_INFO, "the state service is asked too much: %.1f changes a second",
+           c->lim.write_rps);
+}
+
+void bd_limits_tick(struct bd_core *c)
+{
+    if (c->lim.write_rps >= c->set->state_write_rps ||
+        bd_between(c->lim.busy_at, c->now) < CALM_S || bd_between(c->lim.raised_at, c->now) < 1.0)
+        return;
+    c->lim.raised_at = c->now;
+    c->lim.write_rps *= RISE;
+    if (c->lim.write_rps > c->set->state_write_rps)
+        c->lim.write_rps = c->set->state_write_rps;
+}
+
+/* What was in a transaction that no smaller one replaces: each job rests for a time of its own, so
+ * that the one at fault does not take the others with it for ever. */
+void bd_limits_aside(struct bd_core *c, struct bd_job *j)
+{
+    j->aside_until = bd_add(c->now, bd_secs(ASIDE_S + (double)(j->mark % 8)));
+}
--- a/src/owner.c
+++ b/src/owner.c
@@ -218,6 +218,9 @@
     case BD_C_LOST:
         bd_core_lost(c);
         break;
+    case BD_C_BUSY:
+        bd_core_busy(c);
+        break;
     case BD_C_COMMITTED:
         /* an answer to an earlier term's transaction says nothing about ours */
         if (cmd->term == c->base_term && cmd->number == c->witness_n)
--- a/src/place.c
+++ b/src/place.c
@@ -683,17 +683,18 @@
     r.cost = calloc(c->nmachines + 1, sizeof *r.cost);
     r.open = calloc(c->nmachines + 1, sizeof *r.open);
     /* each record but the last may end a group's worth early */
-    uint32_t parts = bd_round_parts(c->set);
+    uint32_t parts = bd_round_parts(c);
     r.most_bytes =
-        (size_t)(BD_VALUE_SHARE * (double)c->set->value_bytes * parts) - (parts - 1) * 2 * BD_LABEL;
-    r.most_conds = (uint32_t)(3 * c->set->txn_ops);
+        (size_t)(BD_VALUE_SHARE * (double)c->lim.value_bytes * parts) - (parts - 1) * 2 * BD_LABEL;
+    r.most_conds = (uint32_t)(3 * c->lim.txn_ops);
     if (!r.claimed || !r.open || !r.stops || !r.cost || !r.fetch)
         abort();
     for (uint32_t i = 0; i < c->nmachines; i++)
         r.open[i] = bd_machine_usable(c, c->by_index[i]) && !c->by_index[i]->drain;
     for (uint32_t i = 0; i < r.njobs; i++) {
         struct bd_job *j = r.jobs[i];
-        if (j->nwait > 0 && !j->stale && bd_before(j->hold_until, c->now))
+        if (j->nwait > 0 && !j->stale && bd_before(j->hold_until, c->now) &&
+            !bd_before(c->now, j->aside_until))
             place_job(&r, j);
     }
     free(r.jobs);
--- a/src/rounds.c
+++ b/src/rounds.c
@@ -50,9 +50,9 @@
 }
 
 /* How many intent records a transaction may hold beside receipts. */
-uint32_t bd_round_parts(const struct bd_settings *s)
+uint32_t bd_round_parts(const struct bd_core *c)
 {
-    size_t n = INTENT_BYTES / s->value_bytes, ops = s->txn_ops / 4;
+    size_t n = INTENT_BYTES / c->lim.value_bytes, ops = c->lim.txn_ops / 4;
     n = n < ops ? n : ops;
     return n < 1 ? 1 : n > BD_ROUND_PARTS ? BD_ROUND_PARTS : (uint32_t)n;
 }
@@ -66,7 +66,7 @@
 static json_t *intent_value(struct bd_core *c, const struct bd_intent *e, uint32_t *n)
 {
     json_t *list = json_array();
-    double room = BD_VALUE_SHARE * (double)c->set->value_bytes;
+    double room = BD_VALUE_SHARE * (double)c->lim.value_bytes;
     uint32_t i = 0;
     while (i < *n) {
         struct bd_machine *m = bd_machine_of(c, e[i].machine);
@@ -99,14 +99,14 @@
             if_job(b, k->plan[i].job);
         prev = k->plan[i].job;
     }
-    for (uint32_t i = 0; i < k->nplan && k->nparts < BD_ROUND_PARTS;) {
+    for (uint32_t i = 0; i < k->nplan && k->nparts < bd_round_parts(c);) {
         struct bd_part *p = &k->parts[k->nparts++];
         p->from = i;
         p->n = k->nplan - i;
         snprintf(p->key, sizeof p->key, "i/%020llu-%08llu", (unsigned long long)c->base_term,
                  (unsigned long long)++c->round_n);
         bd_txn_set(&b->t, p->key, intent_value(c, k->plan + i, &p->n), 0);
-        spend(b, 1, 0, c->set->value_bytes);
+        spend(b, 1, 0, c->lim.value_bytes);
         i += p->n;
     }
 }
@@ -164,8 +164,12 @@
 static bool add_receipt(struct bd_core *c, struct build *b, struct bd_job *j, uint32_t chunk)
 {
     struct bd_commit *k = c->commit;
-    if (!room_for(b, 1, 1, CHUNK / 4 + 200))
+    uint32_t left = j->ntasks - chunk * CHUNK;
+    size_t bytes = (left < CHUNK ? left : CHUNK) / 4 + 16;
+    if (!room_for(b, 1, 1, bytes + 200))
         return false;
+    if (bytes > c->lim.value_bytes) /* fits no value any more: its done record says it */
+        return true;
     struct bd_receipt *grown = realloc(k->receipts, (k->nreceipts + 1) * sizeof *grown);
     if (!grown)
         return false;
@@ -177,7 +181,7 @@
     char key[BD_LABEL];
     snprintf(key, sizeof key, "r/%s/%u", j->id, chunk);
     bd_txn_set(&b->t, key, receipt_value(j, r), 0);
-    spend(b, 1, 0, CHUNK / 4 + 100);
+    spend(b, 1, 0, bytes + 100);
     return true;
 }
 
@@ -186,7 +190,8 @@
     struct bd_job *j, *jt;
     HASH_ITER(hh, c->jobs, j, jt)
     {
-        if (!j->dirty || !j->tasks || j->mood != BD_LIVE || j->stale)
+        if (!j->dirty || !j->tasks || j->mood != BD_LIVE || j->stale ||
+            bd_before(c->now, j->aside_until))
             continue;
         if (j->ndone == j->ntasks) {
             if (!add_done(c, b, j))
@@ -275,7 +280,7 @@
 void bd_round_commit(struct bd_core *c)
 {
     struct bd_commit *k = c->commit;
-    struct build b = {.most_ops = c->set->txn_ops - 1, .most_conds = 4 * c->set->txn_ops - 2};
+    struct build b = {.most_ops = c->lim.txn_ops - 1, .most_conds = 4 * c->lim.txn_ops - 2};
     if (!bd_txn_start(&b.t))
         abort();
     bd_txn_if(&b.t, "leader", c->term);
@@ -443,6 +448,20 @@
     /* the same number is never used for another content */
 }
 
+/* Called malformed: nothing was applied. All of it is decided anew, in smaller pieces. */
+static void too_large(struct bd_core *c, struct bd_commit *k)
+{
+    c->want_bump = c->want_bump || k->bump;
+    if (bd_limits_refused(c, "a round's transaction"))
+        return;
+    for (uint32_t i = 0; i < k->nplan; i++)
+        bd_limits_aside(c, k->plan[i].job);
+    for (uint32_t i = 0; i < k->nreceipts; i++)
+        bd_limits_aside(c, k->receipts[i].job);
+    for (uint32_t i = 0; i < k->ndone; i++)
+        bd_limits_aside(c, k->done[i]);
+}
+
 void bd_core_committed(struct bd_core *c, int outcome, uint64_t ring, json_t *failed)
 {
     struct bd_commit *k = c->commit;
@@ -453,6 +472,8 @@
         return;
     }
     c->commit = NULL;
+    if (outcome == 2)
+        too_large(c, k);
     if (outcome == 1)
         kept(c, k, ring);
     else
@@ -652,7 +673,8 @@
 
 static void tokens(struct bd_core *c)
 {
-    double rate = c->set->state_write_rps * WRITE_SHARE;
+    double rate = c->lim.write_rps * WRITE_SHARE;
+    bd_limits_tick(c);
     c->write_tokens += rate * bd_between(c->token_at, c->now);
     if (c->write_tokens > rate)
         c->write_tokens = rate;
--- a/src/settings.c
+++ b/src/settings.c
@@ -151,6 +151,20 @@
     }
 }
 
+/* A limit of the state service that a moment to come may lower, without notice: what is written
+ * fits the smaller of the two from the start. One that is not named stays as it is. */
+static double limit(struct reader *r, json_t *state, const char *key, double min)
+{
+    double now = number(r, state, key, min);
+    json_t *next = json_object_get(state, "next");
+    if (!next || json_is_null(next))
+        return now;
+    if (!json_is_object(next))
+        fault(r, "next", "needs an object");
+    json_t *v = json_object_get(next, key);
+    return v && !json_is_null(v) ? fmin(now, number(r, next, key, min)) : now;
+}
+
 static void facts_in(struct reader *r, json_t *f, struct bd_settings *s)
 {
     s->nodes = (int)number(r, f, "count", 1);
@@ -164,10 +178,10 @@
     s->gang_peer = span(r, w, "gang_peer_s", 0);
     s->cancel = span(r, w, "cancel_s", 0.1);
     json_t *st = object(r, f, "state");
-    s->state_rps = number(r, st, "rps", 1);
-    s->state_write_rps = number(r, st, "write_rps", 1);
-    s->value_bytes = (size_t)(number(r, st, "value_kb", 1) * 1024);
-    s->txn_ops = (size_t)number(r, st, "txn_ops", 2);
+    s->state_rps = limit(r, st, "rps", 1);
+    s->state_write_rps = limit(r, st, "write_rps", 1);
+    s->value_bytes = (size_t)(limit(r, st, "value_kb", 1) * 1024);
+    s->txn_ops = (size_t)limit(r, st, "txn_ops", 2);
     json_t *c = object(r, f, "cloud");
     s->cloud_rps = number(r, c, "rps", 0.01);
     s->list_lag = span(r, c, "list_lag_s", 0);
--- a/src/store.c
+++ b/src/store.c
@@ -212,8 +212,10 @@
  * is conditional on the witness and changes it. */
 static void settle(struct bd_node *n, struct bd_http *h, struct bd_effect *e, struct bd_cmd *cmd)
 {
-    cmd->outcome = 2;
-    while (cmd->outcome == 2) {
+    const int open = 3;
+    bool unsure = false; /* a copy without an answer may have been applied */
+    cmd->outcome = open;
+    while (cmd->outcome == open) {
         json_t *o = NULL;
         long status = bd_store_call(n, h, "POST", "/commit", e->body, ANSWER_S, &o);
         if (status == 200) {
@@ -228,13 +230,20 @@
                 cmd->outcome = names(failed, "w") || names(failed, "leader") ? -1 : 0;
             json_decref(cmd->json);
             cmd->json = json_incref(o);
-        } else if (status == 400) {
-            /* a grant that ended, or a fault of ours: in both cases this term cannot go on */
-            bd_say(&n->log, BD_ERROR, "transaction malformed or without grant");
+        } else if (status == 400 && bd_wire_no_grant(o)) {
+            bd_say(&n->log, BD_ERROR, "transaction without grant");
             cmd->outcome = -1;
+        } else if (status == 400) {
+            /* not applied now, perhaps beyond a limit that was lowered; but an earlier copy may be
+             */
+            int w = unsure ? witnessed(n, h, e, &cmd->ring) : 0;
+            cmd->outcome = w == 1 ? 1 : w == 0 ? 2 : open;
         } else if (!atomic_load(&n->leading)) {
             cmd->outcome = -1;
         } else {
+            unsure = unsure || (status != 429 && status != 503);
+            if (status == 429)
+                bd_tell(n, bd_cmd_new(BD_C_BUSY));
             bd_pause(PAUSE_S);
         }
         json_decref(o);
--- a/src/wire.c
+++ b/src/wire.c
@@ -478,6 +478,12 @@
     return json_object_get(o, "failed");
 }
 
+bool bd_wire_no_grant(json_t *o)
+{
+    const char *s = json_string_value(json_object_get(o, "error"));
+    return s && strcmp(s, "no such lease") == 0;
+}
+
 json_t *bd_wire_pairs(json_t *o, bool *more)
 {
     *more = json_is_true(json_object_get(o, "more"));
--- a/tests/inputs.c
+++ b/tests/inputs.c
@@ -61,6 +61,28 @@
     free(s);
 }
 
+/* With the limits that are to come, wholly or in part: the smaller of the two count. */
+static void next_limits(const char *good, const char *next, size_t value, size_t ops, double rate)
+{
+    char path[] = "/tmp/bd-inputs-XXXXXX", err[256] = "";
+    const char *at = strstr(good, "\"txn_ops\": 24");
+    struct bd_settings *s = calloc(1, sizeof *s);
+    int fd = mkstemp(path);
+    if (!s || !at || fd < 0)
+        exit(2);
+    (void)close(fd);
+    size_t head = (size_t)(at - good) + strlen("\"txn_ops\": 24"), cap = strlen(good) + 256;
+    char *text = malloc(cap);
+    snprintf(text, cap, "%.*s%s%s", (int)head, good, next, good + head);
+    put(path, text);
+    check(bd_settings_load(s, path, err, sizeof err) == 0 && s->value_bytes == value &&
+              s->txn_ops == ops && s->state_write_rps == rate,
+          *next ? next : "no limits to come");
+    (void)unlink(path);
+    free(text);
+    free(s);
+}
+
 static void settings(const char *dir)
 {
     char err[256], path[512];
@@ -76,6 +98,17 @@
     bad_settings(good, "\"lease_s\": 10.0", "\"lease_s\": \"long\"", "lease_s");
     bad_settings(good, "\"lease_s\": 10.0", "\"lease_s\": -1", "lease_s");
     bad_settings(good, "\"txn_ops\": 24", "\"txn_ops\": 0", "txn_ops");
+    static const char *const state = "\"txn_ops\": 24";
+    bad_settings(good, state, "\"txn_ops\": 24, \"next\": 7", "next");
+    bad_settings(good, state, "\"txn_ops\": 24, \"next\": {\"txn_ops\": \"8\"}", "txn_ops");
+    bad_settings(good, state, "\"txn_ops\": 24, \"next\": {\"value_kb\": -2}", "value_kb");
+    bad_settings(good, state, "\"txn_ops\": 24, \"next\": {\"write_rps\": 0}", "write_rps");
+    next_limits(good, "", 8192, 24, 100);
+    next_limits(good, ", \"next\": null", 8192, 24, 100);
+    next_limits(good, ", \"next\": {}", 8192, 24, 100);
+    next_limits(good, ", \"next\": {\"value_kb\": 2.0, \"odd\": []}", 2048, 24, 100);
+    next_limits(good, ", \"next\": {\"txn_ops\": 8, \"write_rps\": 70.5}", 8192, 8, 70.5);
+    next_limits(good, ", \"next\": {\"value_kb\": 64, \"txn_ops\": 99}", 8192, 24, 100);
     bad_settings(good, "\"external\": {", "\"external\": [], \"x\": {", "external");
     bad_settings(good, "\"teams\": [", "\"teams\": 3, \"x\": [", "teams");
     char many[4096] = "\"objectives\": [";
--- a/tests/scenario.c
+++ b/tests/scenario.c
@@ -13,12 +13,12 @@
  * session=1 seq=1 seal=1 [notice=5] [job-1/0:@1.1:running ...] forwarded node-1 5 vm-1 small a
  * session=1 ... a report that another controller passes on answered 1 200 {text} the answer to a
  * report that we passed on did vm-1 seal=1 status=200 ...                     answer to a direct
- * command, as report committed ok|lost|failed KEY... submit {json} | get job-1 | withdraw job-1 |
- * usercommitted STATUS seed N | up 0|1                                    where numbers begin;
- * whether /up says yes rented N vm-1 vm-2 (status 200), rented refused, returned vm-1 expect KIND
- * TEXT...   an effect of the kind that holds all the texts; it is taken off none KIND [TEXT...] no
- * such effect is waiting clear                 forget the effects that wait task job-1/0 STATE
- * [vm-1]     wait plan launch live unknown done team a cpus=2 gpus=0
+ * command, as report committed ok|lost|large|failed KEY... submit {json} | get job-1 | withdraw
+ * job-1 | usercommitted STATUS seed N | up 0|1                                    where numbers
+ * begin; whether /up says yes rented N vm-1 vm-2 (status 200), rented refused, returned vm-1 expect
+ * KIND TEXT...   an effect of the kind that holds all the texts; it is taken off none KIND
+ * [TEXT...] no such effect is waiting clear                 forget the effects that wait task
+ * job-1/0 STATE [vm-1]     wait plan launch live unknown done team a cpus=2 gpus=0
  *
  * @T.N is the N-th attempt of term T. */
 #include "brambledoor/core.h"
@@ -118,6 +118,7 @@
     p->set.leader_ttl = bd_secs(num(p, "ttl", bd_to_secs(p->set.leader_ttl)));
     p->set.txn_ops = (size_t)num(p, "ops", (double)p->set.txn_ops);
     p->set.value_bytes = (size_t)num(p, "value", (double)p->set.value_bytes);
+    p->set.state_write_rps = num(p, "writes", p->set.state_write_rps);
     const char *t = arg(p, "team"), *peer = arg(p, "peer");
     if (peer) {
         struct bd_peer *b = &p->set.peers[p->set.npeers++];
@@ -464,7 +465,10 @@
     json_t *failed = json_array();
     for (int i = 2; i < p->n; i++)
         json_array_append_new(failed, json_string(p->w[i]));
-    int outcome = strcmp(p->w[1], "ok") == 0 ? 1 : strcmp(p->w[1], "lost") == 0 ? -1 : 0;
+    int outcome = strcmp(p->w[1], "ok") == 0      ? 1
+                  : strcmp(p->w[1], "lost") == 0  ? -1
+                  : strcmp(p->w[1], "large") == 0 ? 2
+                                                  : 0;
     if (!p->c->commit)
         fail(p, "nothing is being committed");
     p->ring = p->ring < 1000 ? 1000 : p->ring + 1;
@@ -637,6 +641,8 @@
     const char *v = p->w[0];
     if (strcmp(v, "tick") == 0)
         bd_core_tick(p->c);
+    else if (strcmp(v, "busy") == 0)
+        bd_core_busy(p->c);
     else if (strcmp(v, "confirmed") == 0)
         bd_core_confirmed(p->c, p->c->now);
     else if (strcmp(v, "renew") == 0)
