--- a/include/brambledoor/core.h
+++ b/include/brambledoor/core.h
@@ -69,11 +69,54 @@
     uint32_t runs, longest_run; /* finished tasks seen from begin to end, and tenths of a second */
     struct bd_spec spec;
     bool has_spec, in_guarantee, pinned;
+    /* what it waits for, see deps.c */
+    struct bd_edge *edges;
+    uint32_t nedges, open; /* it is ready when none is open */
+    struct bd_need *need;  /* who waits for it */
+    uint32_t parts;        /* of its needs, some of which have not been seen; 0: complete */
+    char parts_of[BD_HASH];
+    bool derived;      /* cancelled because a job before it is: its record does not say so yet */
+    double ready, end; /* by the time of day: when it could begin; when it was done */
+    enum bd_rank rank; /* the highest among it and all that need it */
+    double due_by;     /* when it must be done for all of them to be in time; infinite: no matter */
+    struct bd_job *todo;
     int klass;             /* -1: not known */
     json_t *record_spec;   /* the record's own text of the job, kept for rewriting */
     struct bd_task *tasks; /* only while leading */
 };
 
+/* A job that others wait for; it is live, or its record has not been seen. */
+struct bd_need {
+    UT_hash_handle hh;
+    char id[BD_ID];
+    struct bd_job *job;       /* NULL: not seen */
+    struct bd_edge *after;    /* those that wait for it */
+    uint32_t nafter, left;    /* left: while ranks are worked out */
+    struct timespec asked_at; /* a look at its record */
+};
+
+struct bd_edge {
+    struct bd_need *need; /* NULL: it is done */
+    struct bd_job *job;   /* which waits */
+    struct bd_edge *prev, *next;
+};
+
+struct bd_needs_part { /* names of what a job waits for, from a record of their own */
+    UT_hash_handle hh;
+    char key[BD_LABEL];
+    json_t *names;
+};
+
+/* A submission that waits until it is known what the jobs are that it names. */
+struct bd_accept {
+    void *request;
+    char id[BD_ID];
+    struct bd_record record;
+    json_t *needs;
+    uint32_t lookups;
+    struct bd_accept *next;
+};
+
 struct bd_ref {
     struct bd_job *job;
     uint32_t task;
@@ -231,6 +274,12 @@
     struct timespec next_evict;
     struct timespec fresh; /* when the newest answered look at the state service was sent */
     struct bd_wait *waiting, *asked;
+    struct bd_accept *accepting; /* submissions while a record that left memory is looked up */
+    struct bd_need *needs;       /* hash by id */
+    struct bd_needs_part *parts; /* hash by key: of jobs whose own record has not been seen */
+    bool weigh;                  /* ranks and due times are to be worked out anew */
+    uint32_t nderived, nunseen;  /* jobs cancelled by derivation; needs not seen */
+    struct timespec next_unseen;
     bool barrier_out;
 
     /* the other controllers, in the settings' order */
--- a/include/brambledoor/wire.h
+++ b/include/brambledoor/wire.h
@@ -9,6 +9,8 @@
 
 #define BD_ID 32
 #define BD_LABEL 64
+#define BD_HASH 20
+#define BD_NEED_PARTS 512u
 #define BD_MAX_TYPES 32
 #define BD_MAX_TASKS 100000u
 
@@ -77,12 +79,23 @@
 
 enum bd_mood { BD_LIVE, BD_DONE, BD_CANCELLED };
 
+/* What a job waits for: the names of other jobs, in its record or, where a value does not hold them
+ * all, in parts of their own that are written before it. */
+struct bd_record_needs {
+    json_t *names;  /* borrowed; NULL: none here */
+    uint32_t parts; /* 0: none */
+    char of[BD_HASH];
+    bool damaged;
+};
+
 struct bd_record {
     enum bd_mood mood;
     uint32_t tasks;
-    double at; /* time of day of the submission */
+    double at;  /* time of day of the submission */
+    double end; /* done: of its last task's end; 0: not known */
     bool has_spec;
     struct bd_spec_text spec;
+    struct bd_record_needs needs;
 };
 
 struct bd_cloud_machine {
@@ -97,6 +110,12 @@
 bool bd_wire_task_name(const char *s, char job[BD_ID], uint32_t *task);
 /* NULL, or what is wrong; *id gets the job's id as soon as one was found */
 const char *bd_wire_submission(json_t *o, char id[BD_ID], struct bd_spec_text *out);
+/* The jobs that a submission waits for, each once; *out is a new list or NULL. False: malformed. */
+bool bd_wire_needs(json_t *o, json_t **out);
+json_t *bd_wire_needs_part(json_t *names); /* a part's value, and what one holds */
+json_t *bd_wire_read_part(json_t *v);
+/* a job's text once it is cancelled: as short as it can be read */
+json_t *bd_wire_ended_spec(json_t *spec);
 json_t *bd_wire_spec(const struct bd_spec_text *s);
 json_t *bd_wire_record(const struct bd_record *r);
 bool bd_wire_read_record(json_t *v, struct bd_record *out);
--- /dev/null
+++ b/src/accept.c
@@ -0,0 +1,418 @@
+/* Submissions: judged, then accepted by a transaction that is conditional on the job's record being
+ * absent. One that names other jobs is judged by their records: each must have been accepted, which
+ * stays true for ever once it is, so that the replica proves it, or a read barrier, or a look at
+ * the record where it has left memory; only then 422. */
+#include "brambledoor/frame.h"
+#include "core_in.h"
+#include <stdio.h>
+
+/* named defaults */
+#define OLD_HEARD_S 3.0   /* an older controller's word counts so long */
+#define PART_SHARE 0.9    /* of a value */
+#define TXN_BYTES 50000u  /* of a transaction of parts */
+#define LOOKUPS_EXTRA 16u /* beyond one for each name a submission is sent away */
+
+static bool fits_type(const struct bd_type *t, const struct bd_spec *s)
+{
+    return t->known && s->cpus <= t->cpus + 1e-9 && s->gpus <= t->gpus + 1e-9 &&
+           s->mem <= t->mem + 1e-9 && (s->zone < 0 || (t->zones >> s->zone & 1));
+}
+
+static bool over(double max, double use)
+{
+    return max > 0 && use > max + 1e-9;
+}
+
+/* Whether the job could run at all, on an empty fleet. */
+static bool can_run(const struct bd_core *c, const struct bd_spec *s, uint32_t tasks)
+{
+    if (s->team < 0)
+        return false;
+    const struct bd_team_limits *t = &c->set->teams[s->team];
+    double n = s->shape == BD_ARRAY ? 1 : tasks;
+    if (over(t->cpus_max, s->cpus * n) || over(t->gpus_max, s->gpus * n))
+        return false;
+    for (int i = 0; i < c->ntypes; i++)
+        if (bd_type_allowed(s, i) && fits_type(&c->types[i], s))
+            return true;
+    return false;
+}
+
+static char *transaction(const char *id, uint64_t mark, const char *key, json_t *value)
+{
+    struct bd_txn t;
+    char cond[BD_LABEL];
+    snprintf(cond, sizeof cond, "j/%s", id);
+    if (!bd_txn_start(&t))
+        abort();
+    bd_txn_if(&t, cond, mark);
+    bd_txn_set(&t, key ? key : cond, value, 0);
+    return bd_txn_end(&t);
+}
+
+static void send_commit(struct bd_core *c, void *request, const char *id, char *body,
+                        enum bd_wait_how how)
+{
+    struct bd_effect *e = bd_emit(c, BD_E_USER_COMMIT);
+    e->request = request;
+    e->status = (int)how;
+    snprintf(e->key, sizeof e->key, "%s", id);
+    e->body = body;
+}
+
+void bd_user_commit(struct bd_core *c, void *request, const char *id, uint64_t mark, json_t *record,
+                    enum bd_wait_how how)
+{
+    send_commit(c, request, id, transaction(id, mark, NULL, record), how);
+}
+
+struct bd_wait *bd_wait_barrier(struct bd_core *c, void *request, const char *id,
+                                enum bd_wait_how how)
+{
+    struct bd_wait *w = calloc(1, sizeof *w);
+    if (!w)
+        abort();
+    w->request = request;
+    w->how = how;
+    snprintf(w->id, sizeof w->id, "%s", id);
+    w->next = c->waiting;
+    c->waiting = w;
+    return w;
+}
+
+/* ---- writing ---- */
+
+static size_t bytes_of(json_t *v)
+{
+    char *text = json_dumps(v, JSON_COMPACT | JSON_ENCODE_ANY);
+    size_t n = text ? strlen(text) : 0;
+    free(text);
+    return n;
+}
+
+static json_t *record_of(struct bd_accept *a, bool inline_names)
+{
+    a->record.needs.names = inline_names ? a->needs : NULL;
+    return bd_wire_record(&a->record);
+}
+
+/* The parts' keys hold a hash of the names: a retry by another node writes the same parts, and a
+ * submission that differs does not touch them. */
+static void name_parts(struct bd_accept *a)
+{
+    uint64_t h = 1469598103934665603u;
+    json_t *v;
+    size_t i;
+    json_array_foreach(a->needs, i, v)
+    {
+        for (const char *s = json_string_value(v); *s; s++)
+            h = (h ^ (unsigned char)*s) * 1099511628211u;
+        h = (h ^ ',') * 1099511628211u;
+    }
+    snprintf(a->record.needs.of, sizeof a->record.needs.of, "%016llx", (unsigned long long)h);
+}
+
+/* Names from *i on, as many as a value holds. */
+static json_t *some_names(const struct bd_core *c, json_t *needs, size_t *i)
+{
+    double room = PART_SHARE * (double)c->lim.value_bytes - 32;
+    json_t *some = json_array(), *v;
+    while ((v = json_array_get(needs, *i)) && (room -= (double)json_string_length(v) + 3) > 0) {
+        json_array_append(some, v);
+        ++*i;
+    }
+    return some;
+}
+
+static void add_line(char **text, size_t *len, char *line)
+{
+    size_t n = strlen(line);
+    char *grown = realloc(*text, *len + n + 2);
+    if (!grown)
+        abort();
+    memcpy(grown + *len, line, n);
+    grown[*len + n] = '\n';
+    grown[*len + n + 1] = '\0';
+    *len += n + 1;
+    *text = grown;
+    free(line);
+}
+
+/* The transactions that write the parts, a line each. NULL: they are too many. */
+static char *write_parts(struct bd_core *c, struct bd_accept *a)
+{
+    char *text = NULL, key[2 * BD_LABEL];
+    size_t len = 0, i = 0, n = json_array_size(a->needs);
+    name_parts(a);
+    while (i < n) {
+        struct bd_txn t;
+        size_t ops = 0, bytes = 0;
+        snprintf(key, sizeof key, "j/%s", a->id);
+        if (!bd_txn_start(&t))
+            abort();
+        bd_txn_if(&t, key, 0); /* one that was accepted meanwhile needs no more of them */
+        while (i < n && ops < c->lim.txn_ops && bytes + c->lim.value_bytes < TXN_BYTES) {
+            size_t from = i;
+            snprintf(key, sizeof key, "j/%s/%s/%u", a->id, a->record.needs.of,
+                     a->record.needs.parts++);
+            bd_txn_set(&t, key, bd_wire_needs_part(some_names(c, a->needs, &i)), 0);
+            if (i == from)
+                n = 0; /* a value holds no name: this cannot be written */
+            ops++;
+            bytes += c->lim.value_bytes;
+        }
+        add_line(&text, &len, bd_txn_end(&t));
+    }
+    if (n == 0 || a->record.needs.parts > BD_NEED_PARTS) {
+        free(text);
+        return NULL;
+    }
+    return text;
+}
+
+static bool fits_value(const struct bd_core *c, json_t *v)
+{
+    return (double)bytes_of(v) <= PART_SHARE * (double)c->lim.value_bytes;
+}
+
+/* All that the acceptance writes, a transaction a line, the record that counts last. NULL: it
+ * cannot be written. */
+static char *writes(struct bd_core *c, struct bd_accept *a)
+{
+    json_t *whole = record_of(a, true);
+    if (fits_value(c, whole))
+        return transaction(a->id, 0, NULL, whole);
+    json_decref(whole);
+    char *text = a->needs ? write_parts(c, a) : NULL;
+    json_t *record = record_of(a, false);
+    if (!text || !fits_value(c, record)) {
+        json_decref(record);
+        free(text);
+        return NULL;
+    }
+    size_t len = strlen(text);
+    add_line(&text, &len, transaction(a->id, 0, NULL, record));
+    return text;
+}
+
+static void accept_now(struct bd_core *c, struct bd_accept *a)
+{
+    char *body = writes(c, a);
+    if (body)
+        send_commit(c, a->request, a->id, body, BD_WAIT_STATE);
+    else
+        bd_refuse(c, a->request, 400, "malformed: longer than can be kept", 0);
+}
+
+/* ---- judging ---- */
+
+static void drop_accept(struct bd_accept *a)
+{
+    if (a)
+        json_decref(a->needs);
+    free(a);
+}
+
+void bd_accept_free(struct bd_core *c, struct bd_accept *a)
+{
+    drop_accept(a);
+    while (c && c->accepting) {
+        a = c->accepting;
+        c->accepting = a->next;
+        drop_accept(a);
+    }
+}
+
+/* An older controller that leads would start the job too early, and forget what it waits for. */
+static bool older_heard(const struct bd_core *c)
+{
+    for (int i = 0; i < c->set->npeers; i++)
+        if (bd_peer_heard(c, i, OLD_HEARD_S) && !bd_is_zero(c->peers[i].heard) &&
+            !(c->peers[i].flags & BD_PEER_DEPS))
+            return true;
+    return false;
+}
+
+/* The first name that is not in memory, or NULL; *never: the job can never run, *cancelled: a job
+ * that it needs is. */
+static const char *find_needs(struct bd_core *c, const struct bd_accept *a, bool *never,
+                              bool *cancelled)
+{
+    json_t *v;
+    size_t i;
+    json_array_foreach(a->needs, i, v)
+    {
+        struct bd_job *x = bd_job_find(c, json_string_value(v));
+        if (!x)
+            return json_string_value(v);
+        *cancelled |= x->mood == BD_CANCELLED;
+        *never |= x->mood == BD_LIVE && x->has_spec && x->spec.shape == BD_SERVICE;
+    }
+    return NULL;
+}
+
+static void look_for(struct bd_core *c, struct bd_accept *a, const char *name)
+{
+    struct bd_effect *e = bd_emit(c, BD_E_LOOKUP);
+    e->request = a->request;
+    e->status = BD_WAIT_ACCEPT;
+    snprintf(e->key, sizeof e->key, "%s", name);
+    a->lookups++;
+    a->next = c->accepting;
+    c->accepting = a;
+}
+
+/* proven: a read barrier stands behind what the replica lacks. Takes over `a`. */
+static void judge(struct bd_core *c, struct bd_accept *a, bool proven)
+{
+    bool never = false, cancelled = false;
+    const char *missing = a->needs ? find_needs(c, a, &never, &cancelled) : NULL;
+    if (missing && !proven) {
+        bd_wait_barrier(c, a->request, a->id, BD_WAIT_ACCEPT)->accept = a;
+        return;
+    }
+    bool look = missing && c->evicted;
+    if (look && a->lookups < json_array_size(a->needs) + LOOKUPS_EXTRA) {
+        look_for(c, a, missing);
+        return;
+    }
+    if (look)
+        bd_refuse(c, a->request, 503, "not ready", 1);
+    else if (missing)
+        bd_refuse(c, a->request, 422, "awaits a job that was never accepted", 0);
+    else if (never)
+        bd_refuse(c, a->request, 422, "awaits a service, which is never done", 0);
+    else if (a->needs && older_heard(c))
+        bd_refuse(c, a->request, 503, "an older controller serves beside this one", OUTAGE_RETRY_S);
+    else {
+        a->record.mood = cancelled ? BD_CANCELLED : BD_LIVE;
+        accept_now(c, a);
+    }
+    drop_accept(a);
+}
+
+void bd_accept_proven(struct bd_core *c, struct bd_accept *a)
+{
+    judge(c, a, true);
+}
+
+/* A record that a submission names was looked up; if it exists, the core has it by now. */
+void bd_accept_looked_up(struct bd_core *c, void *request, long status)
+{
+    struct bd_accept **at = &c->accepting;
+    while (*at && (*at)->request != request)
+        at = &(*at)->next;
+    struct bd_accept *a = *at;
+    if (!a)
+        return;
+    *at = a->next;
+    if (status == 200) {
+        judge(c, a, true);
+        return;
+    }
+    if (status == 404)
+        bd_refuse(c, request, 422, "awaits a job that was never accepted", 0);
+    else
+        bd_refuse(c, request, 503, "state service not reached", OUTAGE_RETRY_S);
+    drop_accept(a);
+}
+
+static struct bd_accept *new_accept(void *request, const char *id, const struct bd_record *r)
+{
+    struct bd_accept *a = calloc(1, sizeof *a);
+    if (!a)
+        abort();
+    a->request = request;
+    a->record = *r;
+    a->record.tasks = r->spec.tasks;
+    snprintf(a->id, sizeof a->id, "%s", id);
+    return a;
+}
+
+void bd_core_submit(struct bd_core *c, void *request, const char *body, size_t len)
+{
+    struct bd_record r = {.mood = BD_LIVE, .at = c->wall, .has_spec = true};
+    char id[BD_ID] = "";
+    json_t *needs = NULL, *o = json_loadb(body, len, JSON_REJECT_DUPLICATES, NULL);
+    const char *bad = o ? bd_wire_submission(o, id, &r.spec) : "body";
+    if (!bad && !bd_wire_needs(o, &needs))
+        bad = "awaits";
+    json_decref(o);
+    struct bd_job *j = *id ? bd_job_find(c, id) : NULL;
+    if (j) { /* known: its state, whatever the body says now */
+        json_decref(needs);
+        bd_core_get(c, request, id);
+        return;
+    }
+    struct bd_spec s;
+    bool wrong = false;
+    if (!bad && c->types_known) {
+        bd_spec_resolve(c, &r.spec, &s);
+        wrong = !can_run(c, &s, r.spec.tasks);
+    }
+    /* an id that another node may have accepted must not get 400 or 422 */
+    if ((bad || wrong) && *id) {
+        (void)bd_wait_barrier(c, request, id, bad ? BD_WAIT_BAD : BD_WAIT_NEVER);
+    } else if (bad) {
+        char why[96];
+        snprintf(why, sizeof why, "malformed: %s", bad);
+        bd_refuse(c, request, 400, why, 0);
+    } else if (!c->types_known || !bd_reachable(c)) {
+        bd_refuse(c, request, 503, "not ready", OUTAGE_RETRY_S);
+    } else {
+        struct bd_accept *a = new_accept(request, id, &r);
+        a->needs = json_incref(needs);
+        judge(c, a, false);
+    }
+    json_decref(needs);
+}
+
+/* ---- outcome ---- */
+
+/* What was committed shows here at once: the record, and the parts before it. */
+static void take_writes(struct bd_core *c, const char *body, uint64_t ring)
+{
+    const char *line = body;
+    while (line && *line) {
+        size_t n = strcspn(line, "\n");
+        json_t *o = json_loadb(line, n, 0, NULL), *op;
+        struct bd_change ch;
+        size_t i;
+        json_array_foreach(json_object_get(o, "apply"), i, op)
+        {
+            json_object_set_new(op, "mark", json_integer((json_int_t)ring));
+            if (bd_wire_change(op, &ch))
+                bd_core_change(c, &ch);
+        }
+        json_decref(o);
+        line += n + (line[n] == '\n');
+    }
+}
+
+static void accepted(struct bd_core *c, void *request, const char *id, enum bd_wait_how how)
+{
+    struct bd_job *j = bd_job_find(c, id);
+    if (!j)
+        bd_refuse(c, request, 503, "not ready", 1);
+    else if (j->mood == BD_LIVE)
+        bd_reply(c, request, 201, bd_wire_accepted(id), 0);
+    else if (how == BD_WAIT_STATE && j->mood == BD_CANCELLED) /* with a job that it needs */
+        bd_reply(c, request, 201, bd_wire_state(id, "cancelled", 0, 0), 0);
+    else
+        bd_answer_state(c, request, j);
+}
+
+void bd_core_user_committed(struct bd_core *c, void *request, const char *id, const char *body,
+                            int how, long status, uint64_t ring)
+{
+    if (status == 200) {
+        take_writes(c, body, ring);
+        accepted(c, request, id, (enum bd_wait_how)how);
+    } else if (status == 409) { /* somebody was faster: look again, then answer what is */
+        (void)bd_wait_barrier(c, request, id, (enum bd_wait_how)how);
+    } else {
+        if (status == 400) /* the next try is in smaller pieces */
+            (void)bd_limits_refused(c, id);
+        bd_refuse(c, request, 503, "state service not reached", 1);
+    }
+}
--- a/src/core.c
+++ b/src/core.c
@@ -1,6 +1,7 @@
 /* Users' requests, the replica of job records, and names. */
 #include "brambledoor/frame.h"
 #include "core_in.h"
+#include <math.h>
 #include <stdio.h>
 
 struct bd_core *bd_core_new(const struct bd_settings *set, const struct bd_log *log)
@@ -36,6 +37,7 @@
     while (*list) {
         struct bd_wait *w = *list;
         *list = w->next;
+        bd_accept_free(NULL, w->accept);
         free(w);
     }
 }
@@ -68,6 +70,7 @@
     {
         HASH_DEL(c->jobs, j);
         json_decref(j->record_spec);
+        free(j->edges);
         free(j->tasks);
         free(j);
     }
@@ -82,6 +85,8 @@
     free_names(&c->classes);
     free_waits(&c->waiting);
     free_waits(&c->asked);
+    bd_accept_free(c, NULL);
+    bd_deps_free(c);
     free_rounds(c);
     bd_commit_free(c->commit);
     c->last_term = 0; /* nobody waits for a better answer any more */
@@ -133,7 +138,7 @@
     e->retry_after = retry_after;
 }
 
-static void refuse(struct bd_core *c, void *request, int status, const char *why, int retry_after)
+void bd_refuse(struct bd_core *c, void *request, int status, const char *why, int retry_after)
 {
     char buf[160];
     snprintf(buf, sizeof buf, "{\"error\":\"%s\"}", why);
@@ -241,7 +246,7 @@
 
 /* ---- users ---- */
 
-static void answer_state(struct bd_core *c, void *request, const struct bd_job *j)
+void bd_answer_state(struct bd_core *c, void *request, const struct bd_job *j)
 {
     const char *mood = "pending";
     uint32_t done = j->ndone, run = j->nrun;
@@ -262,125 +267,37 @@
     bd_reply(c, request, 200, bd_wire_state(j->id, mood, done, run), 0);
 }
 
-static bool fits_type(const struct bd_type *t, const struct bd_spec *s)
-{
-    return t->known && s->cpus <= t->cpus + 1e-9 && s->gpus <= t->gpus + 1e-9 &&
-           s->mem <= t->mem + 1e-9 && (s->zone < 0 || (t->zones >> s->zone & 1));
-}
-
-static bool over(double max, double use)
-{
-    return max > 0 && use > max + 1e-9;
-}
-
-/* Whether the job could run at all, on an empty fleet. */
-static bool can_run(const struct bd_core *c, const struct bd_spec *s, uint32_t tasks)
-{
-    if (s->team < 0)
-        return false;
-    const struct bd_team_limits *t = &c->set->teams[s->team];
-    double n = s->shape == BD_ARRAY ? 1 : tasks;
-    if (over(t->cpus_max, s->cpus * n) || over(t->gpus_max, s->gpus * n))
-        return false;
-    for (int i = 0; i < c->ntypes; i++)
-        if (bd_type_allowed(s, i) && fits_type(&c->types[i], s))
-            return true;
-    return false;
-}
-
-static void user_commit(struct bd_core *c, void *request, const char *id, uint64_t mark,
-                        json_t *record, enum bd_wait_how how)
-{
-    struct bd_effect *e = bd_emit(c, BD_E_USER_COMMIT);
-    struct bd_txn t;
-    char key[BD_LABEL];
-    snprintf(key, sizeof key, "j/%s", id);
-    if (!bd_txn_start(&t))
-        abort();
-    bd_txn_if(&t, key, mark);
-    bd_txn_set(&t, key, record, 0);
-    e->request = request;
-    e->status = (int)how;
-    snprintf(e->key, sizeof e->key, "%s", id);
-    e->body = bd_txn_end(&t);
-}
-
 #define HEARD_S 2.0 /* another controller's word counts so long */
 #define ALONE_S 3.0 /* without a word from anywhere users are better sent elsewhere */
 
-static const int outage_retry_s = 2;
-
-static void wait_barrier(struct bd_core *c, void *request, const char *id, enum bd_wait_how how)
-{
-    struct bd_wait *w = calloc(1, sizeof *w);
-    if (!w)
-        abort();
-    w->request = request;
-    w->how = how;
-    snprintf(w->id, sizeof w->id, "%s", id);
-    w->next = c->waiting;
-    c->waiting = w;
-}
-
 /* Whether the state service answered lately: without it nothing can be accepted, and the user is
  * told so at once. */
-static bool reachable(const struct bd_core *c)
+bool bd_reachable(const struct bd_core *c)
 {
     return c->replica_ready && bd_between(c->fresh, c->now) < 2.0;
 }
 
-void bd_core_submit(struct bd_core *c, void *request, const char *body, size_t len)
-{
-    struct bd_record r = {.mood = BD_LIVE, .at = c->wall, .has_spec = true};
-    char id[BD_ID] = "";
-    json_t *o = json_loadb(body, len, JSON_REJECT_DUPLICATES, NULL);
-    const char *bad = o ? bd_wire_submission(o, id, &r.spec) : "body";
-    json_decref(o);
-    struct bd_job *j = *id ? bd_job_find(c, id) : NULL;
-    if (j) { /* known: its state, whatever the body says now */
-        bd_core_get(c, request, id);
-        return;
-    }
-    struct bd_spec s;
-    bool wrong = false;
-    if (!bad && c->types_known) {
-        bd_spec_resolve(c, &r.spec, &s);
-        wrong = !can_run(c, &s, r.spec.tasks);
-    }
-    /* an id that another node may have accepted must not get 400 or 422 */
-    if ((bad || wrong) && *id) {
-        wait_barrier(c, request, id, bad ? BD_WAIT_BAD : BD_WAIT_NEVER);
-    } else if (bad) {
-        char why[96];
-        snprintf(why, sizeof why, "malformed: %s", bad);
-        refuse(c, request, 400, why, 0);
-    } else if (!c->types_known || !reachable(c)) {
-        refuse(c, request, 503, "not ready", outage_retry_s);
-    } else {
-        r.tasks = r.spec.tasks;
-        user_commit(c, request, id, 0, bd_wire_record(&r), BD_WAIT_STATE);
-    }
-}
-
 void bd_core_get(struct bd_core *c, void *request, const char *id)
 {
     struct bd_job *j = bd_job_find(c, id);
     if (j && j->mood != BD_LIVE)
-        answer_state(c, request, j);
+        bd_answer_state(c, request, j);
     else if (!bd_wire_job_id(id) || strlen(id) >= BD_ID - 1)
-        refuse(c, request, 404, "no such job", 0);
-    else if (!reachable(c))
-        refuse(c, request, 503, "state service not reached", outage_retry_s);
+        bd_refuse(c, request, 404, "no such job", 0);
+    else if (!bd_reachable(c))
+        bd_refuse(c, request, 503, "state service not reached", OUTAGE_RETRY_S);
     else
-        wait_barrier(c, request, id, BD_WAIT_STATE);
+        bd_wait_barrier(c, request, id, BD_WAIT_STATE);
 }
 
-static json_t *cancelled_record(const struct bd_job *j)
+/* Without what only placing needs: it is no larger than what was accepted, and fits limits that are
+ * lower now. */
+json_t *bd_cancelled_record(const struct bd_job *j)
 {
     struct bd_record r = {.mood = BD_CANCELLED, .tasks = j->ntasks, .at = j->at};
     json_t *o = bd_wire_record(&r);
     if (o && j->record_spec)
-        json_object_set(o, "job", j->record_spec);
+        json_object_set_new(o, "job", bd_wire_ended_spec(j->record_spec));
     return o;
 }
 
@@ -388,55 +305,22 @@
 {
     struct bd_job *j = bd_job_find(c, id);
     if (j && j->mood != BD_LIVE) {
-        answer_state(c, request, j);
+        bd_answer_state(c, request, j);
     } else if (!bd_wire_job_id(id) || strlen(id) >= BD_ID - 1) {
-        refuse(c, request, 404, "no such job", 0);
-    } else if (!reachable(c)) {
-        refuse(c, request, 503, "state service not reached", outage_retry_s);
+        bd_refuse(c, request, 404, "no such job", 0);
+    } else if (!bd_reachable(c)) {
+        bd_refuse(c, request, 503, "state service not reached", OUTAGE_RETRY_S);
     } else if (j) {
-        user_commit(c, request, id, j->mark, cancelled_record(j), BD_WAIT_WITHDRAW);
+        bd_user_commit(c, request, id, j->mark, bd_cancelled_record(j), BD_WAIT_WITHDRAW);
     } else { /* perhaps accepted by another node a moment ago */
-        wait_barrier(c, request, id, BD_WAIT_WITHDRAW);
-    }
-}
-
-void bd_core_user_committed(struct bd_core *c, void *request, const char *id, const char *body,
-                            int how, long status, uint64_t ring)
-{
-    if (status == 200) {
-        json_t *o = json_loads(body, 0, NULL);
-        json_t *ops = json_object_get(o, "apply");
-        struct bd_change ch;
-        json_t *op = json_array_get(ops, 0);
-        if (op) {
-            json_object_set_new(op, "mark", json_integer((json_int_t)ring));
-            if (bd_wire_change(op, &ch))
-                bd_core_change(c, &ch);
-        }
-        json_decref(o);
-        struct bd_job *j = bd_job_find(c, id);
-        if (j && j->mood == BD_LIVE) {
-            bd_reply(c, request, 201, bd_wire_accepted(id), 0);
-        } else if (j) {
-            answer_state(c, request, j);
-        } else {
-            refuse(c, request, 503, "not ready", 1);
-        }
-    } else if (status == 409) { /* somebody was faster: look again, then answer what is */
-        wait_barrier(c, request, id, (enum bd_wait_how)how);
-    } else {
-        if (status == 400) /* the next try is in smaller pieces */
-            (void)bd_limits_refused(c, id);
-        refuse(c, request, 503, "state service not reached", 1);
+        bd_wait_barrier(c, request, id, BD_WAIT_WITHDRAW);
     }
 }
 
 /* ---- replica ---- */
 
-static void job_mood(struct bd_core *c, struct bd_job *j, enum bd_mood mood)
+void bd_job_mood(struct bd_core *c, struct bd_job *j, enum bd_mood mood)
 {
-    if (j->mood == mood)
-        return;
     j->mood = mood;
     if (mood == BD_CANCELLED && j->tasks) {
         for (uint32_t i = 0; i < j->ntasks; i++) {
@@ -451,12 +335,46 @@
     }
 }
 
+static struct bd_job *new_job(struct bd_core *c, const char *id, const struct bd_record *r)
+{
+    struct bd_job *j = calloc(1, sizeof *j);
+    if (!j)
+        abort();
+    snprintf(j->id, sizeof j->id, "%s", id);
+    j->ntasks = r->tasks;
+    j->klass = *r->spec.klass ? bd_intern(&c->classes, r->spec.klass) : -1;
+    j->at = j->ready = r->at;
+    j->rank = r->spec.rank;
+    j->due_by = r->has_spec && r->spec.due >= 0 ? r->at + r->spec.due : INFINITY;
+    HASH_ADD_STR(c->jobs, id, j);
+    bd_deps_seen(c, j);
+    return j;
+}
+
+/* What the record says now. A job that was cancelled with another's record stays so until its own
+ * says it too. */
+static void take_mood(struct bd_core *c, struct bd_job *j, const struct bd_record *r)
+{
+    if (r->mood == BD_LIVE)
+        return;
+    bd_deps_written(c, j);
+    if (j->mood == r->mood)
+        return;
+    j->end = r->end > 0 ? r->end : c->replica_ready ? c->wall : r->at;
+    bd_job_mood(c, j, r->mood);
+    bd_deps_settled(c, j);
+}
+
 void bd_core_change(struct bd_core *c, const struct bd_change *ch)
 {
     struct bd_record r;
     if (strncmp(ch->key, "j/", 2) != 0 || !ch->value)
         return;
     const char *id = ch->key + 2;
+    if (strchr(id, '/')) {
+        bd_deps_part(c, id, ch->value);
+        return;
+    }
     if (strlen(id) >= BD_ID || !bd_wire_read_record(ch->value, &r)) {
         bd_say(c->log, BD_ERROR, "record %s cannot be read", ch->key);
         return;
@@ -464,15 +382,9 @@
     struct bd_job *j = bd_job_find(c, id);
     if (j && ch->mark <= j->mark)
         return;
-    if (!j) {
-        j = calloc(1, sizeof *j);
-        if (!j)
-            abort();
-        snprintf(j->id, sizeof j->id, "%s", id);
-        j->ntasks = r.tasks;
-        j->klass = *r.spec.klass ? bd_intern(&c->classes, r.spec.klass) : -1;
-        HASH_ADD_STR(c->jobs, id, j);
-    }
+    bool first = !j;
+    if (first)
+        j = new_job(c, id, &r);
     j->mark = ch->mark;
     j->stale = false;
     j->at = r.at;
@@ -484,18 +396,20 @@
     }
     if (c->role == BD_LEADER && !j->tasks && r.mood == BD_LIVE && !bd_job_lead(c, j))
         bd_say(c->log, BD_ERROR, "%s: no memory for its tasks yet", j->id);
-    job_mood(c, j, r.mood);
+    take_mood(c, j, &r);
+    if (first && r.mood == BD_LIVE)
+        bd_deps_take(c, j, &r.needs);
     c->round_wanted = true;
 }
 
 static void answer_none(struct bd_core *c, void *request, enum bd_wait_how how)
 {
     if (how == BD_WAIT_BAD)
-        refuse(c, request, 400, "malformed", 0);
+        bd_refuse(c, request, 400, "malformed", 0);
     else if (how == BD_WAIT_NEVER)
-        refuse(c, request, 422, "can never run", 0);
+        bd_refuse(c, request, 422, "can never run", 0);
     else
-        refuse(c, request, 404, "no such job", 0);
+        bd_refuse(c, request, 404, "no such job", 0);
 }
 
 static void look_up(struct bd_core *c, const struct bd_wait *w)
@@ -510,10 +424,15 @@
 {
     const char *id = w->id;
     struct bd_job *j = bd_job_find(c, id);
+    if (w->accept && !j) {
+        bd_accept_proven(c, w->accept);
+        return;
+    }
+    bd_accept_free(NULL, w->accept);
     if (j && w->how == BD_WAIT_WITHDRAW && j->mood == BD_LIVE)
-        user_commit(c, w->request, id, j->mark, cancelled_record(j), BD_WAIT_WITHDRAW);
+        bd_user_commit(c, w->request, id, j->mark, bd_cancelled_record(j), BD_WAIT_WITHDRAW);
     else if (j)
-        answer_state(c, w->request, j);
+        bd_answer_state(c, w->request, j);
     else if (c->evicted)
         look_up(c, w);
     else
@@ -527,12 +446,16 @@
     snprintf(w.id, sizeof w.id, "%s", id);
     if (status == 200)
         bd_core_change(c, ch);
-    if (status == 200 && bd_job_find(c, id))
+    if (w.how == BD_WAIT_NEED)
+        return;
+    if (w.how == BD_WAIT_ACCEPT)
+        bd_accept_looked_up(c, request, status == 200 && !bd_job_find(c, id) ? 0 : status);
+    else if (status == 200 && bd_job_find(c, id))
         answer_wait(c, &w);
     else if (status == 404)
         answer_none(c, request, w.how);
     else
-        refuse(c, request, 503, "state service not reached", outage_retry_s);
+        bd_refuse(c, request, 503, "state service not reached", OUTAGE_RETRY_S);
 }
 
 /* ---- final records in memory ---- */
@@ -550,7 +473,7 @@
 static void pin(struct bd_core *c)
 {
     for (struct bd_job *j = c->jobs; j; j = j->hh.next)
-        j->pinned = j->mood == BD_LIVE || j->tasks || j->receipt_chunks;
+        j->pinned = j->mood == BD_LIVE || j->tasks || j->receipt_chunks || j->derived;
     for (uint32_t r = 0; r < c->nrounds; r++)
         for (uint32_t k = 0; k < c->rounds[r].n; k++)
             c->rounds[r].e[k].job->pinned = true;
@@ -560,6 +483,8 @@
         c->commit->receipts[k].job->pinned = true;
     for (uint32_t k = 0; c->commit && k < c->commit->ndone; k++)
         c->commit->done[k]->pinned = true;
+    for (uint32_t k = 0; c->commit && k < c->commit->ncancelled; k++)
+        c->commit->cancelled[k]->pinned = true;
 }
 
 void bd_core_evict(struct bd_core *c)
@@ -600,7 +525,9 @@
         if (ok)
             answer_wait(c, w);
         else
-            refuse(c, w->request, 503, "state service not reached", outage_retry_s);
+            bd_accept_free(NULL, w->accept);
+        if (!ok)
+            bd_refuse(c, w->request, 503, "state service not reached", OUTAGE_RETRY_S);
         free(w);
         w = next;
     }
--- a/src/core_in.h
+++ b/src/core_in.h
@@ -10,12 +10,21 @@
 #define CHUNK 4096u /* tasks a receipt record covers: 1 KiB of hex */
 #define DRIFT 0.001 /* twice the steady clocks' bound */
 
-enum bd_wait_how { BD_WAIT_STATE, BD_WAIT_WITHDRAW, BD_WAIT_BAD, BD_WAIT_NEVER };
+enum bd_wait_how {
+    BD_WAIT_STATE,
+    BD_WAIT_WITHDRAW,
+    BD_WAIT_BAD,
+    BD_WAIT_NEVER,
+    BD_WAIT_ACCEPT, /* a submission that names jobs which are not in memory */
+    BD_WAIT_NEED    /* nobody: a record that a job waits for */
+};
+#define OUTAGE_RETRY_S 2
 
 struct bd_wait { /* a poll that waits for a read barrier */
     void *request;
     char id[BD_ID];
     enum bd_wait_how how;
+    struct bd_accept *accept;
     struct bd_wait *next;
 };
 
@@ -40,6 +49,8 @@
     uint32_t nreceipts;
     struct bd_job *done[64];
     uint32_t ndone;
+    struct bd_job *cancelled[64]; /* by derivation: now their records say so too */
+    uint32_t ncancelled;
     struct bd_part { /* an intent record: a value takes only so many */
         char key[BD_LABEL];
         uint32_t from, n;
@@ -76,6 +87,36 @@
 struct bd_machine *bd_machine_of(struct bd_core *c, uint32_t index);
 void bd_spec_resolve(struct bd_core *c, const struct bd_spec_text *t, struct bd_spec *s);
 
+/* users */
+void bd_refuse(struct bd_core *c, void *request, int status, const char *why, int retry_after);
+void bd_answer_state(struct bd_core *c, void *request, const struct bd_job *j);
+bool bd_reachable(const struct bd_core *c);
+struct bd_wait *bd_wait_barrier(struct bd_core *c, void *request, const char *id,
+                                enum bd_wait_how how);
+void bd_user_commit(struct bd_core *c, void *request, const char *id, uint64_t mark, json_t *record,
+                    enum bd_wait_how how);
+void bd_accept_proven(struct bd_core *c, struct bd_accept *a);
+void bd_accept_looked_up(struct bd_core *c, void *request, long status);
+/* with a core: all that wait, too */
+void bd_accept_free(struct bd_core *c, struct bd_accept *a);
+json_t *bd_cancelled_record(const struct bd_job *j);
+void bd_job_mood(struct bd_core *c, struct bd_job *j, enum bd_mood mood);
+
+/* dependencies */
+static inline bool bd_job_waits(const struct bd_job *j)
+{
+    return j->open > 0;
+}
+void bd_deps_take(struct bd_core *c, struct bd_job *j, const struct bd_record_needs *r);
+void bd_deps_part(struct bd_core *c, const char *key, json_t *value);
+void bd_deps_seen(struct bd_core *c, struct bd_job *j);
+void bd_deps_settled(struct bd_core *c, struct bd_job *j);
+void bd_deps_written(struct bd_core *c, struct bd_job *j);
+void bd_deps_weigh(struct bd_core *c);
+double bd_due_slack(const struct bd_core *c, const struct bd_job *j);
+void bd_deps_tick(struct bd_core *c);
+void bd_deps_free(struct bd_core *c);
+
 /* tasks: the only ways their state changes */
 void bd_task_set(struct bd_core *c, struct bd_job *j, uint32_t i, enum bd_task_state st);
 void bd_task_assign(struct bd_core *c, struct bd_job *j, uint32_t i, struct bd_machine *m,
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -383,7 +383,9 @@
 
 static void count_job(struct klass *f, const struct bd_job *j, double from)
 {
-    f->arrived += j->at >= from;
+    if (bd_job_waits(j))
+        return;
+    f->arrived += j->ready >= from;
     if (!j->has_spec)
         return;
     f->jobs++;
@@ -400,7 +402,7 @@
 {
     int n = 0;
     for (struct bd_job *j = c->jobs; j; j = j->hh.next) {
-        if (j->klass < 0 || c->wall - j->at > 2 * WINDOW_S)
+        if (j->klass < 0 || c->wall - j->ready > 2 * WINDOW_S)
             continue;
         struct klass *f = klass_of(k, &n, j->klass);
         if (f)
--- a/src/owner.c
+++ b/src/owner.c
@@ -278,6 +278,10 @@
         give(n, &n->to_users, e);
         return;
     case BD_E_LOOKUP:
+        if (bd_queue_put(&n->to_users, e))
+            return;
+        bd_core_looked_up(n->core, e->request, e->key, e->status, 0, NULL);
+        break;
     case BD_E_USER_COMMIT:
         if (bd_queue_put(&n->to_users, e))
             return;
@@ -303,7 +307,7 @@
     while (e) {
         struct bd_effect *next = e->next;
         perform(n, e);
-        e = next;
+        e = next ? next : bd_core_effects(n->core); /* one that failed may have others follow */
     }
     atomic_store(&n->leading, n->core->role == BD_LEADER);
     atomic_store(&n->ring, n->core->ring);
@@ -339,6 +343,7 @@
     (void)pthread_mutex_lock(&n->said_lock);
     n->status.term = c->role == BD_LEADER ? c->term : 0;
     n->status.flags = c->role == BD_LEADER ? BD_PEER_LEADS : 0;
+    n->status.flags |= BD_PEER_DEPS;
     if (bd_core_hears_leader(c))
         n->status.flags |= BD_PEER_HEARS;
     if (c->role == BD_LEADER && c->deaf)
--- a/src/place.c
+++ b/src/place.c
@@ -295,7 +295,7 @@
     /* a team's guarantee may take what another team runs beyond its own */
     bool owed = want->in_guarantee && !j->in_guarantee && want->spec.team != j->spec.team &&
                 t->state == BD_T_LIVE && t->sub == BD_RUNNING;
-    return (j->spec.rank < want->spec.rank || owed) && stoppable(j, t);
+    return (j->rank < want->rank || owed) && stoppable(j, t);
 }
 
 static void add(struct room *r, const struct bd_spec *s, double sign)
@@ -318,7 +318,7 @@
         if (!stoppable(j, t))
             continue;
         s->any = true;
-        s->least = j->spec.rank < s->least ? j->spec.rank : s->least;
+        s->least = j->rank < s->least ? j->rank : s->least;
         s->borrowed |= !j->in_guarantee;
     }
     return s;
@@ -331,7 +331,7 @@
     const struct stops *s = sum_up(r, m);
     *soon = unclaimed_room(r, m);
     *most = *soon;
-    bool lower = s->any && s->least < want->spec.rank;
+    bool lower = s->any && s->least < want->rank;
     if (!s->stopping && !lower && !(want->in_guarantee && s->borrowed))
         return;
     for (uint32_t k = 0; k < m->nrefs; k++) {
@@ -351,10 +351,10 @@
 static bool less_valuable(const struct bd_ref *x, const struct bd_ref *y)
 {
     const struct bd_job *a = x->job, *b = y->job;
-    if (a->spec.rank != b->spec.rank)
-        return a->spec.rank < b->spec.rank;
-    if (a != b && a->at != b->at)
-        return a->at > b->at;
+    if (a->rank != b->rank)
+        return a->rank < b->rank;
+    if (a != b && a->ready != b->ready)
+        return a->ready > b->ready;
     return a->tasks[x->task].attempt > b->tasks[y->task].attempt;
 }
 
@@ -511,7 +511,7 @@
 {
     uint32_t got = 0, most = 0;
     int zone = -1, zones = j->spec.together && j->ntasks > 1 ? r->c->nzones : 0;
-    bool waits = r->c->wall - j->at > HOLD_AFTER_S;
+    bool waits = r->c->wall - j->ready > HOLD_AFTER_S;
     bool placed = whole_gang(r, j, attempt, waits && zones == 0, &got);
     for (int z = 0; z < zones && !placed; z++) {
         r->only_zone = z;
@@ -524,7 +524,7 @@
     r->only_zone = zones ? zone : -1;
     if (!placed && zones && waits)
         (void)whole_gang(r, j, attempt, true, &got);
-    if (!placed && (waits || j->ntasks == 1) && j->spec.rank > BD_IDLE &&
+    if (!placed && (waits || j->ntasks == 1) && j->rank > BD_IDLE &&
         !bd_before(r->c->now, j->next_force) && !preempt_gang(r, j, j->ntasks - got))
         j->next_force = bd_add(r->c->now, bd_secs(FORCE_AGAIN_S));
     r->only_zone = -1;
@@ -564,7 +564,7 @@
 static void place_job(struct round *r, struct bd_job *j)
 {
     uint32_t want = quota_left(r->c, &j->spec, j->nwait), got = 0;
-    bool gang = j->spec.shape == BD_GANG, above = j->spec.rank > BD_IDLE;
+    bool gang = j->spec.shape == BD_GANG, above = j->rank > BD_IDLE;
     if (r->conds >= r->most_conds || want == 0 || (gang && want < j->ntasks))
         return;
     uint64_t attempt = (r->c->base_term << 20) + r->c->counter + 1;
@@ -595,20 +595,20 @@
 static int order_jobs(const void *x, const void *y)
 {
     const struct bd_job *a = *(struct bd_job *const *)x, *b = *(struct bd_job *const *)y;
-    if (a->spec.rank != b->spec.rank)
-        return a->spec.rank > b->spec.rank ? -1 : 1;
+    if (a->rank != b->rank)
+        return a->rank > b->rank ? -1 : 1;
     if (a->in_guarantee != b->in_guarantee)
         return a->in_guarantee ? -1 : 1;
-    if (a->at != b->at)
-        return a->at < b->at ? -1 : 1;
+    if (a->ready != b->ready)
+        return a->ready < b->ready ? -1 : 1;
     return strcmp(a->id, b->id);
 }
 
 static int order_age(const void *x, const void *y)
 {
     const struct bd_job *a = *(struct bd_job *const *)x, *b = *(struct bd_job *const *)y;
-    if (a->at != b->at)
-        return a->at < b->at ? -1 : 1;
+    if (a->ready != b->ready)
+        return a->ready < b->ready ? -1 : 1;
     return strcmp(a->id, b->id);
 }
 
@@ -640,7 +640,7 @@
     HASH_ITER(hh, c->jobs, j, jt)
     {
         if (j->mood == BD_LIVE && j->tasks && j->has_spec && j->spec.team >= 0 &&
-            j->ndone < j->ntasks)
+            j->ndone < j->ntasks && !bd_job_waits(j))
             list[n++] = j;
     }
     *out = list;
@@ -650,6 +650,7 @@
 /* The live jobs in the order in which they are served. The caller frees the list. */
 uint32_t bd_jobs_in_order(struct bd_core *c, struct bd_job ***out)
 {
+    bd_deps_weigh(c);
     uint32_t n = live_jobs(c, out);
     mark_guarantees(c, *out, n);
     qsort(*out, n, sizeof(struct bd_job *), order_jobs);
--- a/src/price.c
+++ b/src/price.c
@@ -89,9 +89,9 @@
 
 enum bd_reach bd_reach_of(const struct bd_core *c, const struct bd_job *j)
 {
-    double can = patience(c, &j->spec), waited = c->wall - j->at;
-    bool yields = c->gpu_waiting && j->spec.gpus <= 0 && j->spec.shape == BD_ARRAY &&
-                  j->spec.rank <= BD_STANDARD;
+    double can = patience(c, &j->spec), waited = c->wall - j->ready;
+    bool yields =
+        c->gpu_waiting && j->spec.gpus <= 0 && j->spec.shape == BD_ARRAY && j->rank <= BD_STANDARD;
     if (waited >= (yields ? fmax(can, YIELD_LEAST_S) : can))
         return BD_REACH_ANY;
     return j->spec.spot && waited < can / 2 ? BD_REACH_SPOT : BD_REACH_CHEAP;
--- a/src/rounds.c
+++ b/src/rounds.c
@@ -128,7 +128,7 @@
     struct bd_commit *k = c->commit;
     if (k->ndone == sizeof k->done / sizeof *k->done || !room_for(b, 1, 1, 300))
         return false;
-    struct bd_record r = {.mood = BD_DONE, .tasks = j->ntasks, .at = j->at};
+    struct bd_record r = {.mood = BD_DONE, .tasks = j->ntasks, .at = j->at, .end = c->wall};
     snprintf(r.spec.klass, sizeof r.spec.klass, "%s", bd_klass_name(c, j->klass));
     char key[BD_LABEL];
     snprintf(key, sizeof key, "j/%s", j->id);
@@ -139,6 +139,29 @@
     return true;
 }
 
+/* The leader makes durable, as the rate allows, what follows from other jobs' cancellations. */
+static void add_cancelled(struct bd_core *c, struct build *b)
+{
+    struct bd_commit *k = c->commit;
+    struct bd_job *j, *jt;
+    const size_t most = 1000; /* of a cancelled record */
+    if (c->nderived == 0)
+        return;
+    HASH_ITER(hh, c->jobs, j, jt)
+    {
+        if (!j->derived || j->stale || bd_before(c->now, j->aside_until))
+            continue;
+        if (k->ncancelled == sizeof k->cancelled / sizeof *k->cancelled || !room_for(b, 1, 1, most))
+            return;
+        char key[BD_LABEL];
+        snprintf(key, sizeof key, "j/%s", j->id);
+        if_job(b, j);
+        bd_txn_set(&b->t, key, bd_cancelled_record(j), 0);
+        spend(b, 1, 0, most);
+        k->cancelled[k->ncancelled++] = j;
+    }
+}
+
 static void receipt_bits(const struct bd_job *j, struct bd_receipt *r)
 {
     uint32_t from = r->chunk * CHUNK;
@@ -289,6 +312,7 @@
     add_intents(c, &b);
     unplan_rest(c);
     add_receipts(c, &b);
+    add_cancelled(c, &b);
     if (bd_before(c->next_gc, c->now)) {
         add_drops(c, &b);
         /* thousands of old intents would slow the next takeover */
@@ -405,9 +429,11 @@
         j->restarts);
     j->mark = ring;
     j->mood = BD_DONE;
+    j->end = c->wall;
     bd_job_unlead(j);
     json_decref(j->record_spec);
     j->record_spec = NULL;
+    bd_deps_settled(c, j); /* now, and not before, what waits for it may start */
 }
 
 static void kept(struct bd_core *c, struct bd_commit *k, uint64_t ring)
@@ -426,6 +452,10 @@
         launch_planned(c, k);
     for (uint32_t i = 0; i < k->ndone; i++)
         done_kept(c, k->done[i], ring);
+    for (uint32_t i = 0; i < k->ncancelled; i++) {
+        k->cancelled[i]->mark = ring;
+        bd_deps_written(c, k->cancelled[i]);
+    }
 }
 
 static void refused(struct bd_core *c, struct bd_commit *k, json_t *failed)
@@ -460,6 +490,8 @@
         bd_limits_aside(c, k->receipts[i].job);
     for (uint32_t i = 0; i < k->ndone; i++)
         bd_limits_aside(c, k->done[i]);
+    for (uint32_t i = 0; i < k->ncancelled; i++)
+        bd_limits_aside(c, k->cancelled[i]);
 }
 
 void bd_core_committed(struct bd_core *c, int outcome, uint64_t ring, json_t *failed)
@@ -687,7 +719,7 @@
 {
     double jobs = 0;
     for (const struct bd_job *j = c->jobs; j; j = j->hh.next)
-        jobs += j->mood == BD_LIVE && j->nwait > 0;
+        jobs += j->mood == BD_LIVE && j->nwait > 0 && !bd_job_waits(j);
     double s = c->set->cpu > 0 ? jobs * c->nmachines * LOOK_S / c->set->cpu / ROUND_SHARE : 0;
     return s < ROUND_S ? ROUND_S : s > ROUND_MOST_S ? ROUND_MOST_S : s;
 }
@@ -696,7 +728,7 @@
 {
     if (c->commit || bd_before(c->now, c->next_round) || c->write_tokens < 2)
         return;
-    if (!c->round_wanted && !c->want_bump && bd_before(c->now, c->next_gc))
+    if (!c->round_wanted && !c->want_bump && c->nderived == 0 && bd_before(c->now, c->next_gc))
         return;
     c->round_wanted = false;
     c->next_round = bd_add(c->now, bd_secs(round_s(c)));
@@ -721,6 +753,7 @@
         (void)bd_emit(c, BD_E_BARRIER);
     }
     bd_core_step_aside(c);
+    bd_deps_tick(c);
     bd_forward_tick(c);
     if (c->role != BD_LEADER) {
         bd_deputy_tick(c);
--- a/src/store.c
+++ b/src/store.c
@@ -297,8 +297,16 @@
 {
     struct bd_cmd *cmd = bd_cmd_new(BD_C_USER_COMMITTED);
     json_t *o = NULL;
-    cmd->status = bd_store_call(n, h, "POST", "/commit", e->body, USER_ANSWER_S, &o);
-    cmd->ring = bd_wire_ring(o);
+    /* a transaction a line: what a record needs before the record itself */
+    char *rest = NULL, *copy = strdup(e->body);
+    cmd->status = copy ? 200 : 0;
+    for (char *line = copy ? strtok_r(copy, "\n", &rest) : NULL; line && cmd->status == 200;
+         line = strtok_r(NULL, "\n", &rest)) {
+        json_decref(o);
+        cmd->status = bd_store_call(n, h, "POST", "/commit", line, USER_ANSWER_S, &o);
+        cmd->ring = bd_wire_ring(o);
+    }
+    free(copy);
     cmd->request = e->request;
     cmd->outcome = e->status;
     cmd->text = e->body;
--- a/src/wire.c
+++ b/src/wire.c
@@ -174,6 +174,50 @@
     return spec_of(o, out);
 }
 
+bool bd_wire_needs(json_t *o, json_t **out)
+{
+    json_t *a = json_object_get(o, "awaits"), *v, *seen;
+    size_t i;
+    *out = NULL;
+    if (is_null(a))
+        return true;
+    if (!json_is_array(a))
+        return false;
+    seen = json_object();
+    *out = json_array();
+    json_array_foreach(a, i, v)
+    {
+        const char *s = json_string_value(v);
+        if (!bd_wire_job_id(s)) {
+            json_decref(seen);
+            json_decref(*out);
+            *out = NULL;
+            return false;
+        }
+        if (json_object_get(seen, s))
+            continue;
+        json_object_set_new(seen, s, json_true());
+        json_array_append(*out, v);
+    }
+    json_decref(seen);
+    if (json_array_size(*out) == 0) {
+        json_decref(*out);
+        *out = NULL;
+    }
+    return true;
+}
+
+json_t *bd_wire_needs_part(json_t *names)
+{
+    return json_pack("{s:o}", "awaits", names);
+}
+
+json_t *bd_wire_read_part(json_t *v)
+{
+    json_t *a = json_object_get(v, "awaits");
+    return json_is_array(a) ? a : NULL;
+}
+
 static json_t *maybe(const char *s)
 {
     return *s ? json_string(s) : json_null();
@@ -194,6 +238,14 @@
         s->due < 0 ? json_null() : json_real(s->due));
 }
 
+json_t *bd_wire_ended_spec(json_t *spec)
+{
+    json_t *o = json_copy(spec);
+    if (o)
+        json_object_set_new(o, "breeds", json_null());
+    return o;
+}
+
 json_t *bd_wire_record(const struct bd_record *r)
 {
     json_t *o = json_pack("{s:s,s:i,s:f}", "s", moods[r->mood], "n", (int)r->tasks, "at", r->at);
@@ -201,9 +253,35 @@
         json_object_set_new(o, "job", bd_wire_spec(&r->spec));
     else if (o && *r->spec.klass) /* a finished job's class still tells how many come */
         json_object_set_new(o, "k", json_string(r->spec.klass));
+    if (o && r->needs.parts)
+        json_object_set_new(o, "parts",
+                            json_pack("{s:s,s:i}", "of", r->needs.of, "n", (int)r->needs.parts));
+    else if (o && r->needs.names)
+        json_object_set(o, "awaits", r->needs.names);
+    if (o && r->end > 0)
+        json_object_set_new(o, "end", json_real(r->end));
     return o;
 }
 
+static void read_needs(json_t *v, struct bd_record_needs *out)
+{
+    json_t *names = json_object_get(v, "awaits"), *parts = json_object_get(v, "parts");
+    uint64_t n = 0;
+    const char *of = json_string_value(json_object_get(parts, "of"));
+    if (names && !json_is_array(names))
+        out->damaged = true;
+    else
+        out->names = names;
+    if (!parts)
+        return;
+    if (!of || strlen(of) >= BD_HASH || !whole(parts, "n", &n) || n < 1 || n > BD_NEED_PARTS) {
+        out->damaged = true;
+        return;
+    }
+    strcpy(out->of, of);
+    out->parts = (uint32_t)n;
+}
+
 bool bd_wire_read_record(json_t *v, struct bd_record *out)
 {
     uint64_t n = 0;
@@ -212,8 +290,10 @@
     if (m < 0 || !whole(v, "n", &n) || n < 1 || n > BD_MAX_TASKS)
         return false;
     out->at = json_number_value(json_object_get(v, "at"));
+    out->end = json_number_value(json_object_get(v, "end"));
     out->mood = (enum bd_mood)m;
     out->tasks = (uint32_t)n;
+    read_needs(v, &out->needs);
     json_t *job = json_object_get(v, "job");
     out->has_spec = json_is_object(job) && spec_of(job, &out->spec) == NULL;
     if (!out->has_spec && !label(v, "k", out->spec.klass))
