--- a/include/brambledoor/core.h
+++ b/include/brambledoor/core.h
@@ -461,6 +461,8 @@
                     int n);
 void bd_core_returned(struct bd_core *c, char (*names)[BD_LABEL], int n, bool ok);
 void bd_core_tick(struct bd_core *c);
+/* ranks and due times, if what waits for what has changed */
+void bd_core_weigh(struct bd_core *c);
 struct timespec bd_core_next(const struct bd_core *c);
 bool bd_core_may_answer(const struct bd_core *c);
 bool bd_core_valid(const struct bd_core *c);
--- a/src/core_in.h
+++ b/src/core_in.h
@@ -112,7 +112,6 @@
 void bd_deps_seen(struct bd_core *c, struct bd_job *j);
 void bd_deps_settled(struct bd_core *c, struct bd_job *j);
 void bd_deps_written(struct bd_core *c, struct bd_job *j);
-void bd_deps_weigh(struct bd_core *c);
 double bd_due_slack(const struct bd_core *c, const struct bd_job *j);
 void bd_deps_tick(struct bd_core *c);
 void bd_deps_free(struct bd_core *c);
--- a/src/deps.c
+++ b/src/deps.c
@@ -300,7 +300,7 @@
 /* A job's rank is the highest among it and all that need it, and its end is due early enough for
  * them: from the last ones back, each edge once. Worked out anew when the graph has changed, so
  * that it lasts no longer than those that need it. */
-void bd_deps_weigh(struct bd_core *c)
+void bd_core_weigh(struct bd_core *c)
 {
     struct bd_job *work = NULL;
     if (!c->weigh)
--- a/src/place.c
+++ b/src/place.c
@@ -650,7 +650,7 @@
 /* The live jobs in the order in which they are served. The caller frees the list. */
 uint32_t bd_jobs_in_order(struct bd_core *c, struct bd_job ***out)
 {
-    bd_deps_weigh(c);
+    bd_core_weigh(c);
     uint32_t n = live_jobs(c, out);
     mark_guarantees(c, *out, n);
     qsort(*out, n, sizeof(struct bd_job *), order_jobs);
--- a/tests/inputs.c
+++ b/tests/inputs.c
@@ -204,6 +204,36 @@
     free(good);
 }
 
+/* What a submission may say of the jobs it waits for; expected: how many names are left, or -1. */
+static void needs(void)
+{
+    static const struct {
+        const char *text;
+        int names;
+    } forms[] = {{"{}", 0},
+                 {"{\"awaits\":null}", 0},
+                 {"{\"awaits\":[]}", 0},
+                 {"{\"awaits\":[\"job-1\"]}", 1},
+                 {"{\"awaits\":[\"job-1\",\"job-01\",\"job-1\"]}", 2},
+                 {"{\"awaits\":\"job-1\"}", -1},
+                 {"{\"awaits\":{\"job-1\":1}}", -1},
+                 {"{\"awaits\":[7]}", -1},
+                 {"{\"awaits\":[null]}", -1},
+                 {"{\"awaits\":[\"job-1\",\"\"]}", -1},
+                 {"{\"awaits\":[\"job-1\",\"job-1/0\"]}", -1},
+                 {"{\"awaits\":[\"job-1234567890123456789\"]}", -1}};
+    for (size_t i = 0; i < sizeof forms / sizeof *forms; i++) {
+        json_t *o = json_loads(forms[i].text, 0, NULL), *names = NULL;
+        bool ok = bd_wire_needs(o, &names);
+        check(ok == (forms[i].names >= 0) &&
+                  json_array_size(names) == (size_t)(forms[i].names > 0 ? forms[i].names : 0) &&
+                  (names != NULL) == (forms[i].names > 0),
+              forms[i].text);
+        json_decref(names);
+        json_decref(o);
+    }
+}
+
 static bool report_ok(const char *text, size_t len)
 {
     struct bd_report r;
@@ -357,6 +387,7 @@
     settings(argv[1]);
     operator_files();
     submissions(argv[1]);
+    needs();
     reports(argv[1]);
     records();
     cloud();
--- a/tests/scenario.c
+++ b/tests/scenario.c
@@ -2,23 +2,23 @@
  *
  *   set lease=10 cancel=35 report=2 ttl=3 team=a:0:0:8:16 aim=k:150:0.9      settings, before
  * anything else type small cpus=8 gpus=0 mem=32 boot=10 zones=a,b at 12.5 the time, in seconds job
- * job-1 mark=5 tasks=2 cpus=2 ... [mood=cancelled]   a record change seen by the replica gain 1
- * [receipt=job-1/0:03] [intent=job-1:@1.1:vm-1:0,1] renew | lose | looked [fail] | tick set zone=a
- * peer=node-1:b; peer node-1 term=0 state=1 deaf=0 hears=1 age=0      a status frame of another
- * controller leader node-1 7 (or - 0) [away=1]                                    who holds the
- * lease, by a fresh look deputies [p/node-1:mark:vm-1,vm-2]                 the leader's look at
- * the deputies' records watch 28                                           as `at`, with such a
- * look every 2 s deputycommitted STATUS [unknown]                   the fate of our own deputy's
- * record listed vm-1:small:a[:running|booting|failed] ...   a list of the cloud report vm-1 small a
- * session=1 seq=1 seal=1 [notice=5] [job-1/0:@1.1:running ...] forwarded node-1 5 vm-1 small a
- * session=1 ... a report that another controller passes on answered 1 200 {text} the answer to a
- * report that we passed on did vm-1 seal=1 status=200 ...                     answer to a direct
- * command, as report committed ok|lost|large|failed KEY... submit {json} | get job-1 | withdraw
- * job-1 | usercommitted STATUS seed N | up 0|1                                    where numbers
- * begin; whether /up says yes rented N vm-1 vm-2 (status 200), rented refused, returned vm-1 expect
- * KIND TEXT...   an effect of the kind that holds all the texts; it is taken off none KIND
- * [TEXT...] no such effect is waiting clear                 forget the effects that wait task
- * job-1/0 STATE [vm-1]     wait plan launch live unknown done team a cpus=2 gpus=0
+ * job-1 mark=5 tasks=2 cpus=2 ... [mood=cancelled] [needs=job-2,job-3] [parts=HASH:N]   a record
+ * change seen by the replica gain 1 [receipt=job-1/0:03] [intent=job-1:@1.1:vm-1:0,1] renew | lose
+ * | looked [fail] | tick set zone=a peer=node-1:b; peer node-1 term=0 state=1 deaf=0 hears=1 age=0
+ * a status frame of another controller leader node-1 7 (or - 0) [away=1] who holds the lease, by a
+ * fresh look deputies [p/node-1:mark:vm-1,vm-2]                 the leader's look at the deputies'
+ * records watch 28                                           as `at`, with such a look every 2 s
+ * deputycommitted STATUS [unknown]                   the fate of our own deputy's record listed
+ * vm-1:small:a[:running|booting|failed] ...   a list of the cloud report vm-1 small a session=1
+ * seq=1 seal=1 [notice=5] [job-1/0:@1.1:running ...] forwarded node-1 5 vm-1 small a session=1 ...
+ * a report that another controller passes on answered 1 200 {text} the answer to a report that we
+ * passed on did vm-1 seal=1 status=200 ...                     answer to a direct command, as
+ * report committed ok|lost|large|failed KEY... submit {json} | get job-1 | withdraw job-1 |
+ * usercommitted STATUS seed N | up 0|1                                    where numbers begin;
+ * whether /up says yes rented N vm-1 vm-2 (status 200), rented refused, returned vm-1 expect KIND
+ * TEXT...   an effect of the kind that holds all the texts; it is taken off none KIND [TEXT...] no
+ * such effect is waiting clear                 forget the effects that wait task job-1/0 STATE
+ * [vm-1]     wait plan launch live unknown done team a cpus=2 gpus=0
  *
  * @T.N is the N-th attempt of term T. */
 #include "brambledoor/core.h"
@@ -187,12 +187,67 @@
     s->mem = num(p, "mem", 1);
     s->checkpoint = num(p, "checkpoint", 0);
     s->save = num(p, "save", 0);
-    s->due = -1;
+    s->due = num(p, "due", -1);
+    s->estimate = num(p, "guess", 0);
     s->scatter = yes(p, "scatter");
     s->together = yes(p, "together");
     s->spot = yes(p, "spot");
 }
 
+static json_t *names_in(const char *list)
+{
+    char copy[4096];
+    json_t *a = json_array();
+    snprintf(copy, sizeof copy, "%s", list);
+    for (char *s = NULL, *v = strtok_r(copy, ",", &s); v; v = strtok_r(NULL, ",", &s))
+        json_array_append_new(a, json_string(v));
+    return a;
+}
+
+/* part job-1/HASH/0 job-7,job-8: a part of what a job waits for */
+static void cmd_part(struct play *p)
+{
+    char key[BD_LABEL + 8];
+    snprintf(key, sizeof key, "j/%s", p->w[1]);
+    json_t *v = bd_wire_needs_part(names_in(p->n > 2 ? p->w[2] : ""));
+    struct bd_change ch = {key, v, (uint64_t)num(p, "mark", 1)};
+    bd_core_change(p->c, &ch);
+    json_decref(v);
+}
+
+/* record job-1 MARK {...}: as it stands in the state service */
+static void cmd_record(struct play *p)
+{
+    char key[BD_LABEL];
+    const char *text = strchr(p->raw, '{');
+    json_t *v = text ? json_loads(text, 0, NULL) : NULL;
+    if (!v)
+        fail(p, "not JSON");
+    snprintf(key, sizeof key, "j/%s", p->w[1]);
+    struct bd_change ch = {key, v, strtoull(p->w[2], NULL, 10)};
+    bd_core_change(p->c, &ch);
+    json_decref(v);
+}
+
+/* mood job-1 live|done|cancelled [rank=N] [ready=0|1]: what the core holds of a job */
+static void cmd_mood(struct play *p)
+{
+    static const char *const moods[] = {"live", "done", "cancelled"};
+    struct bd_job *j = NULL;
+    HASH_FIND_STR(p->c->jobs, p->w[1], j);
+    if (!j) {
+        fail(p, "no such job");
+        return;
+    }
+    bd_core_weigh(p->c);
+    if (strcmp(moods[j->mood], p->w[2]) != 0)
+        fail(p, moods[j->mood]);
+    if (num(p, "rank", j->rank) != (double)j->rank)
+        fail(p, "another rank");
+    if (num(p, "ready", j->open == 0) != (double)(j->open == 0))
+        fail(p, "its readiness is otherwise");
+}
+
 static void cmd_job(struct play *p)
 {
     struct bd_record r = {.mood = BD_LIVE, .at = num(p, "mark", 1), .has_spec = true};
@@ -203,10 +258,16 @@
     if (mood)
         r.mood = strcmp(mood, "done") == 0 ? BD_DONE : BD_CANCELLED;
     snprintf(key, sizeof key, "j/%s", p->w[1]);
+    json_t *names = arg(p, "needs") ? names_in(arg(p, "needs")) : NULL;
+    r.needs.names = names;
+    if (arg(p, "parts") && sscanf(arg(p, "parts"), "%15[^:]:%u", r.needs.of, &r.needs.parts) != 2)
+        fail(p, "parts");
+    r.end = num(p, "end", 0);
     json_t *v = bd_wire_record(&r);
     struct bd_change ch = {key, v, (uint64_t)num(p, "mark", 1)};
     bd_core_change(p->c, &ch);
     json_decref(v);
+    json_decref(names);
 }
 
 static void cmd_gain(struct play *p)
@@ -357,6 +418,7 @@
     flags |= num(p, "hears", 1) != 0 ? BD_PEER_HEARS : 0;
     flags |= num(p, "deaf", 0) != 0 ? BD_PEER_DEAF : 0;
     flags |= yes(p, "cut") ? BD_PEER_CUT : 0;
+    flags |= num(p, "deps", 1) != 0 ? BD_PEER_DEPS : 0;
     bd_core_peer(p->c, p->w[1], (uint64_t)num(p, "term", 0), flags, num(p, "age", 0),
                  p->c->wall - num(p, "late", 0));
 }
@@ -408,6 +470,11 @@
     snprintf(key, sizeof key, "j/%s", p->w[1]);
     long status = atol(p->w[3]);
     struct bd_record r = {.mood = BD_DONE, .tasks = 1, .at = 1};
+    if (p->n > 4 && strcmp(p->w[4], "cancelled") == 0) {
+        spec(p, &r.spec);
+        r.has_spec = true;
+        r.mood = BD_CANCELLED;
+    }
     struct bd_change ch = {key, v = bd_wire_record(&r), 5};
     bd_core_looked_up(p->c, NULL, p->w[1], atoi(p->w[2]), status, status == 200 ? &ch : NULL);
     json_decref(v);
@@ -672,6 +739,9 @@
         void (*run)(struct play *);
     } steps[] = {{"type", 2, cmd_type},
                  {"job", 2, cmd_job},
+                 {"part", 2, cmd_part},
+                 {"record", 4, cmd_record},
+                 {"mood", 3, cmd_mood},
                  {"gain", 2, cmd_gain},
                  {"report", 4, cmd_report},
                  {"forwarded", 6, cmd_forwarded},
--- a/tests/standin.c
+++ b/tests/standin.c
@@ -58,7 +58,7 @@
     struct served served[WORKERS + 2];
     int nserved;
     struct key keys[KEYS];
-    struct change log[4096];
+    struct change log[32768];
     json_t *old[8]; /* transactions that applied, to come again as late copies */
     int nold, applied_again, copies;
     int nkeys, nlog, ran_twice, starts, garbles;
