--- a/tests/inputs.c
+++ b/tests/inputs.c
@@ -380,6 +380,46 @@
     free(g);
 }
 
+/* What the version in production wrote, captured by running it (`loopback OLD capture DIR`). */
+static void production(const char *dir)
+{
+    char path[512];
+    unsigned char buf[8192];
+    struct bd_record r;
+    struct bd_frame *f = calloc(1, sizeof *f);
+    int jobs[3] = {0}, intents = 0, frames = 0;
+    json_t *v;
+    const char *key;
+    snprintf(path, sizeof path, "%s/production-records.json", dir);
+    json_t *all = json_load_file(path, 0, NULL);
+    json_object_foreach(all, key, v)
+    {
+        intents += strncmp(key, "i/", 2) == 0;
+        if (strncmp(key, "j/", 2) != 0)
+            continue;
+        bool ok = bd_wire_read_record(v, &r);
+        check(ok && !r.needs.names && !r.needs.parts && !r.needs.damaged && r.end == 0, key);
+        jobs[ok ? r.mood : 0]++;
+    }
+    check(jobs[BD_LIVE] == 2 && jobs[BD_DONE] == 1 && jobs[BD_CANCELLED] == 1 && intents > 0,
+          "records of production");
+    json_decref(all);
+    snprintf(path, sizeof path, "%s/production-frames.bin", dir);
+    FILE *in = fopen(path, "rb");
+    size_t len = in ? fread(buf, 1, sizeof buf, in) : 0, at = 0;
+    if (in)
+        (void)fclose(in);
+    for (long used = 1; used > 0 && at < len; at += (size_t)(used > 0 ? used : 0)) {
+        used = bd_frame_read(buf + at, len - at, f);
+        check(used >= 0 && (used == 0 || f->type != BD_FRAME_STATUS ||
+                            (strcmp(f->name, "node-0") == 0 && !(f->flags & BD_PEER_DEPS))),
+              "a frame of production");
+        frames += used > 0;
+    }
+    check(frames > 5 && len - at < 100, "frames of production");
+    free(f);
+}
+
 int main(int argc, char **argv)
 {
     if (argc != 2)
@@ -392,6 +432,7 @@
     records();
     cloud();
     frames();
+    production(argv[1]);
     printf("%d faults\n", faults);
     return faults ? 1 : 0;
 }
--- a/tests/loopback.c
+++ b/tests/loopback.c
@@ -18,7 +18,8 @@
 #define NODES 3
 
 struct test {
-    const char *program;
+    const char *program, *old; /* old: the version in production, or NULL */
+    const char *run[NODES];    /* what a node is started with */
     char dir[64], addr[NODES][32], file[NODES][128];
     const char *nodes[NODES];
     pid_t pid[NODES];
@@ -55,14 +56,15 @@
     snprintf(cloud, sizeof cloud, "127.0.0.1:%d", t->base + 21);
     json_t *team = json_pack("{s:s,s:f,s:f,s:f,s:f}", "name", "blue", "cpus", 0.0, "cpus_max", 32.0,
                              "gpus", 0.0, "gpus_max", 0.0);
-    json_t *facts =
-        json_pack("{s:i,s:[s],s:[o],s:[],s:{s:f,s:f,s:f,s:f,s:f},s:{s:f,s:f,s:f,s:i},s:{s:f,s:f},"
-                  "s:{s:f,s:f,s:i},s:f}",
-                  "count", NODES, "zones", "a", "teams", team, "objectives", "workers", "report_s",
-                  0.2, "lease_s", 6.0, "gang_wait_s", 5.0, "gang_peer_s", 2.0, "cancel_s", 20.0,
-                  "state", "rps", 500.0, "write_rps", 300.0, "value_kb", 8.0, "txn_ops", 24,
-                  "cloud", "rps", 20.0, "list_lag_s", 0.5, "limits", "cpu", 1.0, "ram_mb", 256.0,
-                  "max_sockets", 300, "clock_error_ms", 5.0);
+    json_t *next = t->old ? json_pack("{s:f,s:i}", "value_kb", 2.0, "txn_ops", 8) : json_null();
+    json_t *facts = json_pack(
+        "{s:i,s:[s],s:[o],s:[],s:{s:f,s:f,s:f,s:f,s:f},s:{s:f,s:f,s:f,s:i,s:o},s:{s:f,s:f},"
+        "s:{s:f,s:f,s:i},s:f}",
+        "count", NODES, "zones", "a", "teams", team, "objectives", "workers", "report_s", 0.2,
+        "lease_s", 6.0, "gang_wait_s", 5.0, "gang_peer_s", 2.0, "cancel_s", 20.0, "state", "rps",
+        500.0, "write_rps", 300.0, "value_kb", 8.0, "txn_ops", 24, "next", next, "cloud", "rps",
+        20.0, "list_lag_s", 0.5, "limits", "cpu", 1.0, "ram_mb", 256.0, "max_sockets", 300,
+        "clock_error_ms", 5.0);
     json_t *o = json_pack("{s:s,s:s,s:s,s:s,s:o,s:{s:s,s:s},s:o}", "node_name", name, "location",
                           "a", "front", t->addr[i], "mesh_addr", mesh, "others", others, "external",
                           "cloud", cloud, "state", state, "facts", facts);
@@ -77,7 +79,8 @@
     t->pid[i] = fork();
     if (t->pid[i] == 0) {
         (void)prctl(PR_SET_PDEATHSIG, SIGKILL); /* none outlives the test */
-        execl(t->program, t->program, "--config", t->file[i], (char *)NULL);
+        const char *program = t->run[i] ? t->run[i] : t->program;
+        execl(program, program, "--config", t->file[i], (char *)NULL);
         _exit(127);
     }
 }
@@ -105,18 +108,23 @@
     return status;
 }
 
-static char *job(const char *id, const char *shape, int tasks)
+static char *job_after(const char *id, const char *shape, int tasks, const char *awaits)
 {
-    static char buf[512];
+    static char buf[640];
     snprintf(buf, sizeof buf,
              "{\"id\":\"%s\",\"kin\":\"k\",\"household\":\"blue\",\"shape\":\"%s\",\"rank\":"
              "\"standard\",\"chores\":%d,\"vcpus\":1,\"accelerators\":0,\"memGb\":1,\"seed\":"
              "\"img\",\"imageGb\":1,\"breeds\":null,\"glade\":null,\"together\":false,\"scatter\":"
-             "false,\"windfall\":false,\"guessS\":1,\"markS\":0,\"stowS\":0,\"dueS\":null}",
-             id, shape, tasks);
+             "false,\"windfall\":false,\"guessS\":1,\"markS\":0,\"stowS\":0,\"dueS\":null%s}",
+             id, shape, tasks, awaits);
     return buf;
 }
 
+static char *job(const char *id, const char *shape, int tasks)
+{
+    return job_after(id, shape, tasks, "");
+}
+
 /* Asks until the answer holds the text, any node, for at most so long. */
 static int until(struct test *t, const char *path, const char *text, double seconds)
 {
@@ -131,11 +139,13 @@
     return 0;
 }
 
-static int submit(struct test *t, const char *id, const char *shape, int tasks, double seconds)
+static int submit_after(struct test *t, const char *id, const char *shape, int tasks,
+                        const char *awaits, double seconds)
 {
     struct timespec end = bd_add(bd_now(), bd_secs(seconds));
     for (int n = 0; bd_before(bd_now(), end); n++) {
-        long s = ask(t, n % NODES, "POST", "/submissions", job(id, shape, tasks), NULL, 0);
+        long s =
+            ask(t, n % NODES, "POST", "/submissions", job_after(id, shape, tasks, awaits), NULL, 0);
         if (s == 200 || s == 201)
             return 1;
         bd_pause(0.2);
@@ -143,6 +153,11 @@
     return 0;
 }
 
+static int submit(struct test *t, const char *id, const char *shape, int tasks, double seconds)
+{
+    return submit_after(t, id, shape, tasks, "", seconds);
+}
+
 static void quiet(struct test *t)
 {
     char out[256];
@@ -315,12 +330,189 @@
     start(t, 1);
 }
 
+/* Jobs that need others, on any node: in order, cancelled together, refused where one was never
+ * accepted. */
+static void pipelines(struct test *t)
+{
+    char out[256];
+    check(t,
+          submit(t, "job-30", "sweep", 3, 10) &&
+              submit_after(t, "job-31", "gang", 2, ",\"awaits\":[\"job-30\"]", 10) &&
+              submit_after(t, "job-32", "sweep", 2, ",\"awaits\":[\"job-30\",\"job-31\"]", 10),
+          "a pipeline is accepted");
+    check(t, until(t, "/submissions/job-32", "\"mood\":\"done\"", 40), "it is done");
+    check(t, world_too_early(t->w) == 0, "none of it began too early");
+    check(t,
+          ask(t, 1, "POST", "/submissions",
+              job_after("job-33", "sweep", 1, ",\"awaits\":[\"job-30\",\"job-77\"]"), out,
+              sizeof out) == 422,
+          "a job that was never accepted is not awaited: 422");
+    check(t,
+          ask(t, 1, "POST", "/submissions", job_after("job-33", "sweep", 1, ",\"awaits\":7"), out,
+              sizeof out) == 400,
+          "no list: 400");
+    check(t,
+          submit(t, "job-40", "sweep", 60, 10) &&
+              submit_after(t, "job-41", "sweep", 2, ",\"awaits\":[\"job-40\"]", 10) &&
+              submit_after(t, "job-42", "sweep", 2, ",\"awaits\":[\"job-41\"]", 10) &&
+              ask(t, 0, "POST", "/submissions/job-40/withdraw", "{}", out, sizeof out) == 200 &&
+              strstr(out, "cancelled"),
+          "the first of a chain is withdrawn");
+    for (int i = 0; i < NODES; i++)
+        check(t,
+              ask(t, i, "GET", "/submissions/job-42", NULL, out, sizeof out) == 200 &&
+                  strstr(out, "cancelled"),
+              "every node says at once that the last is cancelled");
+    check(t,
+          submit_after(t, "job-43", "sweep", 2, ",\"awaits\":[\"job-42\"]", 10) &&
+              until(t, "/submissions/job-43", "cancelled", 5),
+          "one that needs a cancelled one is accepted, and is cancelled");
+}
+
+/* The state service's limits fall: foreseen or not, work goes on. */
+static void lowered(struct test *t, size_t value, size_t ops, bool foreseen)
+{
+    int refused = 0, busy = 0;
+    world_limits(t->w, value, ops, 60);
+    check(t,
+          submit(t, "job-60", "sweep", 40, 20) &&
+              until(t, "/submissions/job-60", "\"mood\":\"done\"", 60),
+          "a job under lower limits is done");
+    world_refused(t->w, &refused, &busy);
+    check(t, foreseen ? refused == 0 : refused > 0,
+          foreseen ? "nothing was too large" : "what was too large was decided anew");
+    world_limits(t->w, value, ops, 25);
+    check(t,
+          submit(t, "job-61", "sweep", 20, 40) &&
+              until(t, "/submissions/job-61", "\"mood\":\"done\"", 60),
+          "a job under a lower rate is done");
+    world_limits(t->w, 0, 0, 0);
+}
+
+static int all_nodes(struct test *t, const char *path, const char *text, double seconds)
+{
+    char out[256];
+    struct timespec end = bd_add(bd_now(), bd_secs(seconds));
+    for (int i = 0; i < NODES && bd_before(bd_now(), end);) {
+        bool good = ask(t, i, "GET", path, NULL, out, sizeof out) == 200 && strstr(out, text);
+        i += good;
+        if (!good)
+            bd_pause(0.1);
+    }
+    return bd_before(bd_now(), end);
+}
+
+static void again(struct test *t, int i, const char *program)
+{
+    t->run[i] = program;
+    start(t, i);
+}
+
+/* One stage of the roll: those of the mask end, work comes meanwhile, then they are back. */
+static void stage(struct test *t, unsigned ends, const char *back, const char *id, const char *what)
+{
+    char path[64];
+    snprintf(path, sizeof path, "/submissions/%s", id);
+    int taken = submit(t, id, "sweep", 8, 10); /* in the middle of its rounds */
+    for (int i = 0; i < NODES; i++)
+        if (ends >> i & 1)
+            end(t, i);
+    bool none = ends == (1u << NODES) - 1;
+    check(t, taken && (none || until(t, path, "\"mood\":\"done\"", 30)), what);
+    for (int i = 0; i < NODES; i++)
+        if (ends >> i & 1)
+            again(t, i, back);
+    check(t, all_nodes(t, path, "\"done\":8", 20) && all_nodes(t, "/up", "up", 20),
+          "all nodes are back and know it");
+    check(t, world_running(t->w) == 2 && world_lapses(t->w) == 0,
+          "the replicas went on and no lease was lost");
+}
+
+/* From the version in production to this one while both serve: leadership passes to and fro. */
+static void roll(struct test *t)
+{
+    check(t, all_nodes(t, "/up", "up", 30), "three nodes of the old version");
+    check(t, submit(t, "job-9", "service", 2, 10), "a service is accepted");
+    check(t,
+          submit(t, "job-1", "gang", 2, 10) &&
+              until(t, "/submissions/job-1", "done\",\"done\":2", 30),
+          "a gang is done");
+    stage(t, 1, t->program, "job-20", "one node is new");
+    stage(t, 6, t->old, "job-21", "the new one leads alone; others die and come back old");
+    stage(t, 1, t->program, "job-22", "an old one leads");
+    stage(t, 2, t->program, "job-23", "two nodes are new");
+    stage(t, 3, t->program, "job-24", "the old one leads alone");
+    stage(t, 4, t->program, "job-25", "all are new");
+    stage(t, 7, t->program, "job-26", "none was there for a moment");
+    check(t, world_starts(t->w) == 2 + 2 + 7 * 8, "every task was started once");
+    pipelines(t);
+    lowered(t, 2048, 8, true);
+    check(t, world_too_early(t->w) == 0, "none began too early");
+}
+
+/* Keeps what the old version writes: its records, and what it says to another controller. */
+static int capture(struct test *t, const char *dir)
+{
+    char path[256];
+    unsigned char buf[8192];
+    size_t len = 0;
+    struct sockaddr_in a;
+    snprintf(path, sizeof path, "127.0.0.1:%d", t->base + 10 + NODES - 1);
+    int ear = socket(AF_INET, SOCK_STREAM, 0), one = 1;
+    if (ear < 0 || !bd_parse_addr(path, &a) ||
+        setsockopt(ear, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one) != 0 ||
+        bind(ear, (struct sockaddr *)&a, sizeof a) != 0 || listen(ear, 4) != 0)
+        return 2;
+    for (int i = 0; i < NODES - 1; i++)
+        again(t, i, t->program);
+    int fd = accept(ear, NULL, NULL);
+    (void)submit(t, "job-9", "service", 2, 20);
+    (void)submit(t, "job-1", "sweep", 3, 20);
+    (void)until(t, "/submissions/job-1", "\"mood\":\"done\"", 30);
+    (void)submit(t, "job-2", "gang", 2, 20);
+    (void)submit(t, "job-3", "sweep", 60, 20);
+    (void)ask(t, 0, "POST", "/submissions/job-3/withdraw", "{}", NULL, 0);
+    bd_pause(0.5);
+    snprintf(path, sizeof path, "%s/production-records.json", dir);
+    bool ok = fd >= 0 && world_dump(t->w, path);
+    while (ok && len < 2000) {
+        ssize_t got = recv(fd, buf + len, sizeof buf - len, 0);
+        if (got <= 0)
+            break;
+        len += (size_t)got;
+    }
+    snprintf(path, sizeof path, "%s/production-frames.bin", dir);
+    FILE *f = fopen(path, "wb");
+    ok = ok && f && fwrite(buf, 1, len, f) == len;
+    if (f)
+        (void)fclose(f);
+    return ok ? 0 : 1;
+}
+
+static void finish(struct test *t)
+{
+    for (int i = 0; i < NODES; i++) {
+        end(t, i);
+        (void)unlink(t->file[i]);
+    }
+    (void)rmdir(t->dir);
+    world_stop(t->w);
+    bd_http_free(t->h);
+}
+
+/* loopback PROGRAM; loopback PROGRAM OLD; loopback PROGRAM capture DIR */
 int main(int argc, char **argv)
 {
     struct test t = {0};
-    if (argc != 2)
+    if (argc < 2 || argc > 4)
         return 2;
     t.program = argv[1];
+    if (argc == 3 && access(argv[2], X_OK) != 0) {
+        printf("skipped: the version in production is not there: %s\n", argv[2]);
+        return 77;
+    }
+    if (argc == 3)
+        t.old = argv[2];
     t.base = 20000 + (int)(getpid() % 120) * 100; /* below what outgoing connections take */
     (void)signal(SIGPIPE, SIG_IGN);
     snprintf(t.dir, sizeof t.dir, "/tmp/bd-loopback-XXXXXX");
@@ -335,13 +527,24 @@
     t.w = world_new(t.base + 20, t.base + 21, t.base + 30, t.nodes, NODES);
     if (!t.w)
         return 2;
+    if (argc == 4) {
+        int rc = capture(&t, argv[3]);
+        finish(&t);
+        return rc;
+    }
     for (int i = 0; i < NODES; i++)
-        start(&t, i);
-    quiet(&t);
-    bad_requests(&t);
-    killed(&t);
-    outage(&t);
-    apart(&t);
+        again(&t, i, t.old);
+    if (t.old) {
+        roll(&t);
+    } else {
+        quiet(&t);
+        bad_requests(&t);
+        killed(&t);
+        outage(&t);
+        pipelines(&t);
+        lowered(&t, 900, 5, false);
+        apart(&t);
+    }
     check(&t, world_ran_twice(t.w) == 0, "no task ran twice at the same time");
     int applied = 0;
     check(&t, world_copies(t.w, &applied) > 5 && applied == 0,
@@ -349,13 +552,7 @@
     check(&t, world_starts(t.w) >= 29, "all of the work was started");
     for (int i = 0; i < NODES; i++)
         check(&t, t.pid[i] > 0 && waitpid(t.pid[i], NULL, WNOHANG) == 0, "no node ended by itself");
-    for (int i = 0; i < NODES; i++) {
-        end(&t, i);
-        (void)unlink(t.file[i]);
-    }
-    (void)rmdir(t.dir);
-    world_stop(t.w);
-    bd_http_free(t.h);
+    finish(&t);
     printf("%d faults\n", t.faults);
     return t.faults ? 1 : 0;
 }
--- a/tests/standin.c
+++ b/tests/standin.c
@@ -13,6 +13,7 @@
 #define WORKERS 12
 #define TASKS 64
 #define RUN_S 0.6
+#define LEASE_S 6.0 /* as in the loopback test's settings */
 
 struct key {
     char name[96];
@@ -42,7 +43,8 @@
     bool used, stop;
     pthread_t thread;
     struct MHD_Daemon *daemon;
-    uint64_t tally, seal;
+    uint64_t tally, seal, session;
+    struct timespec answered; /* when the last report that got an answer was sent */
     struct task tasks[TASKS];
 };
 
@@ -61,7 +63,10 @@
     struct change log[32768];
     json_t *old[8]; /* transactions that applied, to come again as late copies */
     int nold, applied_again, copies;
-    int nkeys, nlog, ran_twice, starts, garbles;
+    int nkeys, nlog, ran_twice, starts, garbles, too_early, lapses;
+    size_t value_bytes, ops;
+    int write_rps, writes, refused, busy;
+    struct timespec second;
     uint64_t ring, grants;
     struct {
         uint64_t id;
@@ -225,6 +230,48 @@
     return false;
 }
 
+static bool too_large(const struct world *w, json_t *in)
+{
+    json_t *ops = json_object_get(in, "apply"), *v;
+    size_t i;
+    if (w->ops && json_array_size(ops) > w->ops)
+        return true;
+    json_array_foreach(ops, i, v)
+    {
+        char *text = json_dumps(json_object_get(v, "value"), JSON_COMPACT | JSON_ENCODE_ANY);
+        bool large = w->value_bytes && text && strlen(text) > w->value_bytes;
+        free(text);
+        if (large)
+            return true;
+    }
+    return false;
+}
+
+static bool too_many(struct world *w, json_t *in)
+{
+    struct timespec now = bd_now();
+    if (bd_between(w->second, now) >= 1) {
+        w->second = now;
+        w->writes = 0;
+    }
+    w->writes += (int)json_array_size(json_object_get(in, "apply"));
+    return w->write_rps && w->writes > w->write_rps;
+}
+
+/* 0: within the limits */
+static int beyond_limits(struct world *w, json_t *in)
+{
+    if (too_large(w, in)) {
+        w->refused++;
+        return 400;
+    }
+    if (too_many(w, in)) {
+        w->busy++;
+        return 429;
+    }
+    return 0;
+}
+
 static int commit(struct world *w, json_t *in, json_t **out)
 {
     json_t *failed = json_array(), *v;
@@ -242,6 +289,7 @@
         json_t *g = json_object_get(v, "charter");
         if (g && !grant_lives(w, (uint64_t)json_integer_value(g))) {
             json_decref(failed);
+            *out = json_pack("{s:s}", "error", "no such lease");
             return 400;
         }
     }
@@ -280,7 +328,7 @@
 static int commit_and_copy(struct world *w, json_t *in, json_t **out)
 {
     json_t *ignored = NULL;
-    int status = commit(w, in, out);
+    int beyond = beyond_limits(w, in), status = beyond ? beyond : commit(w, in, out);
     if (status != 200 || !of_leader(in))
         return status;
     int at = w->nold++ % 8;
@@ -415,6 +463,31 @@
     return NULL;
 }
 
+static bool job_is_done(struct world *w, const char *id)
+{
+    char key[96];
+    snprintf(key, sizeof key, "j/%s", id);
+    struct key *r = find_key(w, key);
+    const char *s = r ? json_string_value(json_object_get(r->value, "s")) : NULL;
+    return s && strcmp(s, "done") == 0;
+}
+
+/* Whether the task's job needs one that is not done, by the records as they are now. */
+static bool is_early(struct world *w, const char *task)
+{
+    char key[96];
+    json_t *v;
+    size_t i;
+    snprintf(key, sizeof key, "j/%.*s", (int)strcspn(task, "/"), task);
+    struct key *r = find_key(w, key);
+    json_array_foreach(r ? json_object_get(r->value, "awaits") : NULL, i, v)
+    {
+        if (!job_is_done(w, json_string_value(v)))
+            return true;
+    }
+    return false;
+}
+
 static void launch(struct worker *k, const char *name, uint64_t attempt)
 {
     if (find_task(k, name, attempt))
@@ -426,6 +499,7 @@
         if (runs_elsewhere(k->w, k, name))
             k->w->ran_twice++;
         k->w->starts++;
+        k->w->too_early += is_early(k->w, name);
         snprintf(t->name, sizeof t->name, "%s", name);
         t->attempt = attempt;
         t->mood = 1;
@@ -473,10 +547,10 @@
                                                    "cause", t->cause));
     }
     snprintf(addr, sizeof addr, "127.0.0.1:%d", k->port);
-    return json_pack("{s:s,s:s,s:s,s:s,s:b,s:i,s:I,s:I,s:n,s:o}", "hearth", k->id, "endpoint", addr,
-                     "breed", "small", "glade", "a", "windfall", 0, "tenancy", 1, "tally",
-                     (json_int_t)++k->tally, "seal", (json_int_t)k->seal, "warningS", "chores",
-                     tasks);
+    return json_pack("{s:s,s:s,s:s,s:s,s:b,s:I,s:I,s:I,s:n,s:o}", "hearth", k->id, "endpoint", addr,
+                     "breed", "small", "glade", "a", "windfall", 0, "tenancy",
+                     (json_int_t)k->session, "tally", (json_int_t)++k->tally, "seal",
+                     (json_int_t)k->seal, "warningS", "chores", tasks);
 }
 
 static bool obey(struct worker *k, json_t *in)
@@ -501,7 +575,9 @@
     (void)method;
     (void)url;
     (void)conn;
-    int status = obey(k, in) ? 200 : 409;
+    json_t *session = json_object_get(in, "tenancy");
+    bool ours = (uint64_t)json_integer_value(session) == k->session;
+    int status = ours && obey(k, in) ? 200 : 409;
     *out = report(k);
     return status;
 }
@@ -514,6 +590,16 @@
     return -1;
 }
 
+static void expire(struct worker *k)
+{
+    if (bd_between(k->answered, bd_now()) <= LEASE_S)
+        return;
+    k->w->lapses++;
+    k->session++;
+    k->answered = bd_now();
+    memset(k->tasks, 0, sizeof k->tasks);
+}
+
 static void *worker_run(void *arg)
 {
     struct worker *k = arg;
@@ -522,6 +608,9 @@
     for (;;) {
         pthread_mutex_lock(&k->w->lock);
         bool stop = k->stop;
+        expire(k);
+        struct timespec sent = bd_now();
+        uint64_t session = k->session;
         json_t *o = report(k);
         pthread_mutex_unlock(&k->w->lock);
         char *text = json_dumps(o, JSON_COMPACT), url[96];
@@ -534,8 +623,8 @@
         json_t *in = r.body ? json_loadb(r.body, r.len, 0, NULL) : NULL;
         pthread_mutex_lock(&k->w->lock);
         int named = -1;
-        if (r.status == 200)
-            (void)obey(k, in);
+        if (r.status == 200 && session == k->session && obey(k, in))
+            k->answered = sent;
         else if (r.status == 421)
             named = node_named(k->w, json_string_value(json_object_get(in, "steward")));
         if (r.status != 200)
@@ -562,6 +651,8 @@
     k->port = w->worker_port + w->nworkers;
     snprintf(k->id, sizeof k->id, "vm-%06d", ++w->nworkers);
     k->used = true;
+    k->session = 1;
+    k->answered = bd_now();
     k->daemon = listen_on(w, k->port, worker_answer, k);
     if (!k->daemon || pthread_create(&k->thread, NULL, worker_run, k) != 0)
         abort();
@@ -671,6 +762,55 @@
     return sum(w, twice);
 }
 
+static int early(struct world *w)
+{
+    return w->too_early;
+}
+
+static int lapses(struct world *w)
+{
+    return w->lapses;
+}
+
+int world_too_early(struct world *w)
+{
+    return sum(w, early);
+}
+
+int world_lapses(struct world *w)
+{
+    return sum(w, lapses);
+}
+
+void world_limits(struct world *w, size_t value_bytes, size_t ops, int write_rps)
+{
+    pthread_mutex_lock(&w->lock);
+    w->value_bytes = value_bytes;
+    w->ops = ops;
+    w->write_rps = write_rps;
+    pthread_mutex_unlock(&w->lock);
+}
+
+void world_refused(struct world *w, int *refused, int *busy)
+{
+    pthread_mutex_lock(&w->lock);
+    *refused = w->refused;
+    *busy = w->busy;
+    pthread_mutex_unlock(&w->lock);
+}
+
+bool world_dump(struct world *w, const char *path)
+{
+    json_t *all = json_object();
+    pthread_mutex_lock(&w->lock);
+    for (int i = 0; i < w->nkeys; i++)
+        json_object_set(all, w->keys[i].name, w->keys[i].value);
+    pthread_mutex_unlock(&w->lock);
+    bool ok = json_dump_file(all, path, JSON_INDENT(1) | JSON_SORT_KEYS) == 0;
+    json_decref(all);
+    return ok;
+}
+
 int world_copies(struct world *w, int *applied)
 {
     pthread_mutex_lock(&w->lock);
--- a/tests/standin.h
+++ b/tests/standin.h
@@ -3,6 +3,7 @@
 #ifndef STANDIN_H
 #define STANDIN_H
 #include <stdbool.h>
+#include <stddef.h>
 #include <stdint.h>
 
 struct world;
@@ -17,6 +18,16 @@
 int world_running(struct world *w);
 /* late copies of leaders' transactions that the state service got, and how many of them applied */
 int world_copies(struct world *w, int *applied);
+/* starts of tasks whose job needs another that was not done */
+int world_too_early(struct world *w);
+/* workers whose lease ran out */
+int world_lapses(struct world *w);
+/* from now on larger values and transactions get 400 and changes beyond the rate 429; 0: no limit.
+ * refused, busy: how many did */
+void world_limits(struct world *w, size_t value_bytes, size_t ops, int write_rps);
+void world_refused(struct world *w, int *refused, int *busy);
+/* all keys and values, to a file; false: it cannot be written */
+bool world_dump(struct world *w, const char *path);
 /* while on, the state service answers 503 to everything */
 void world_state_down(struct world *w, bool down);
 /* the next answers of the state service are cut off in the middle of their JSON */
