--- a/src/limits.c
+++ b/src/limits.c
@@ -4,7 +4,7 @@
 #include "core_in.h"
 
 /* named defaults */
-#define OPS_LEAST 3u     /* the witness, one change and one more */
+#define OPS_LEAST 2u     /* the witness and one change */
 #define VALUE_LEAST 512u /* a done record and an intent of a few tasks fit */
 #define RATE_LEAST 4.0
 #define BUSY_SHARE 0.8 /* of the rate is left after a 429, */
