--- /dev/null
+++ b/tests/graphs.c
@@ -0,0 +1,603 @@
+/* Random graphs of jobs that need others, against a plain model: two controllers' cores over a
+ * model of the state service and one machine, with submissions, withdrawals, polls, lost answers
+ * and crashes of either controller. Fixed seeds. Asserted: no task starts before all that its job
+ * needs are done by the records; a job is called cancelled exactly when it or one before it was
+ * withdrawn, on each node, and never called pending after that; every job that is not cancelled
+ * ends; every record of a cancelled one says so in the end.
+ *
+ *   graphs SEEDS */
+#include "brambledoor/core.h"
+#include "brambledoor/log.h"
+#include "brambledoor/timeutil.h"
+#include "small.h"
+#include <gsl/gsl_rng.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define JOBS 160
+#define STEPS 900
+#define NEEDS 5
+#define NODES 2
+#define TASKS 600
+
+enum asked { ASK_SUBMIT, ASK_GET, ASK_WITHDRAW };
+
+struct req { /* begins as the core expects of a request */
+    struct bd_remote remote;
+    struct world *w;
+    enum asked what;
+    int job;
+};
+
+struct key {
+    char name[96];
+    json_t *value;
+    uint64_t mark;
+};
+
+struct job {
+    bool tried, accepted, told_cancelled;
+    int needs[NEEDS], nneeds;
+};
+
+struct task {
+    char name[64];
+    uint64_t attempt;
+    bool used, ended, stopped;
+};
+
+struct world {
+    struct bd_settings set[NODES];
+    struct bd_log log;
+    struct bd_core *c[NODES];
+    struct bd_effect *commit[NODES]; /* on its way */
+    gsl_rng *rng;
+    struct key keys[4 * JOBS + 4000];
+    int nkeys, leader, faults, ends, cancels;
+    uint64_t ring, seen[NODES], seq, seal;
+    double now;
+    struct job jobs[JOBS];
+    struct task tasks[TASKS];
+    unsigned long seed;
+};
+
+static void fault(struct world *w, const char *what, int job)
+{
+    fprintf(stderr, "seed %lu: %s: job-%d\n", w->seed, what, job);
+    w->faults++;
+}
+
+static unsigned dice(struct world *w, unsigned n)
+{
+    return (unsigned)gsl_rng_uniform_int(w->rng, n);
+}
+
+/* ---- the state service ---- */
+
+static struct key *find(struct world *w, const char *name)
+{
+    for (int i = 0; i < w->nkeys; i++)
+        if (strcmp(w->keys[i].name, name) == 0)
+            return &w->keys[i];
+    return NULL;
+}
+
+static void set(struct world *w, const char *name, json_t *value)
+{
+    struct key *k = find(w, name);
+    if (!k) {
+        if (w->nkeys == (int)(sizeof w->keys / sizeof *w->keys))
+            abort();
+        k = &w->keys[w->nkeys++];
+        snprintf(k->name, sizeof k->name, "%s", name);
+        k->value = NULL;
+    }
+    json_incref(value);
+    json_decref(k->value);
+    k->value = value;
+    k->mark = w->ring;
+}
+
+static void drop(struct world *w, const char *name)
+{
+    struct key *k = find(w, name);
+    if (!k)
+        return;
+    json_decref(k->value);
+    *k = w->keys[--w->nkeys];
+}
+
+/* 200, or 409 with the keys that failed. */
+static long apply(struct world *w, const char *body, json_t **failed)
+{
+    json_t *o = json_loads(body, 0, NULL), *v;
+    size_t i;
+    *failed = json_array();
+    json_array_foreach(json_object_get(o, "if"), i, v)
+    {
+        const char *name = json_string_value(json_object_get(v, "k"));
+        struct key *k = find(w, name);
+        if ((k ? k->mark : 0) != (uint64_t)json_integer_value(json_object_get(v, "mark")))
+            json_array_append_new(*failed, json_string(name));
+    }
+    bool ok = json_array_size(*failed) == 0;
+    w->ring += ok;
+    json_array_foreach(ok ? json_object_get(o, "apply") : NULL, i, v)
+    {
+        const char *name = json_string_value(json_object_get(v, "set"));
+        if (name)
+            set(w, name, json_object_get(v, "value"));
+        else
+            drop(w, json_string_value(json_object_get(v, "drop")));
+    }
+    json_decref(o);
+    return ok ? 200 : 409;
+}
+
+static bool record_says(struct world *w, const char *id, const char *mood)
+{
+    char key[96];
+    snprintf(key, sizeof key, "j/%s", id);
+    struct key *k = find(w, key);
+    const char *s = k ? json_string_value(json_object_get(k->value, "s")) : NULL;
+    return s && strcmp(s, mood) == 0;
+}
+
+/* ---- the model ---- */
+
+static bool is_cancelled(struct world *w, int n)
+{
+    bool cancelled[JOBS] = {false};
+    char id[32];
+    for (int i = 0; i <= n; i++) { /* a job's needs have lower numbers */
+        snprintf(id, sizeof id, "job-%d", i);
+        cancelled[i] = record_says(w, id, "cancelled");
+        for (int k = 0; k < w->jobs[i].nneeds; k++)
+            cancelled[i] = cancelled[i] || cancelled[w->jobs[i].needs[k]];
+    }
+    return cancelled[n];
+}
+
+static void check_start(struct world *w, const char *task)
+{
+    int n = atoi(task + strlen("job-"));
+    char id[32];
+    for (int k = 0; k < w->jobs[n].nneeds; k++) {
+        snprintf(id, sizeof id, "job-%d", w->jobs[n].needs[k]);
+        if (!record_says(w, id, "done"))
+            fault(w, "started too early", n);
+    }
+}
+
+/* ---- the machine ---- */
+
+static void order(struct world *w, json_t *o)
+{
+    const char *verb = json_string_value(json_object_get(o, "verb"));
+    const char *name = json_string_value(json_object_get(o, "chore"));
+    uint64_t attempt = (uint64_t)json_integer_value(json_object_get(o, "try"));
+    struct task *t = NULL, *empty = NULL;
+    for (int i = 0; i < TASKS; i++) {
+        if (w->tasks[i].used && strcmp(w->tasks[i].name, name) == 0 &&
+            w->tasks[i].attempt == attempt)
+            t = &w->tasks[i];
+        if (!w->tasks[i].used)
+            empty = &w->tasks[i];
+    }
+    if (strcmp(verb, "launch") == 0 && !t && empty) {
+        check_start(w, name);
+        *empty = (struct task){.attempt = attempt, .used = true};
+        snprintf(empty->name, sizeof empty->name, "%s", name);
+    } else if (t && strcmp(verb, "halt") == 0 && !t->ended) {
+        t->ended = t->stopped = true;
+    } else if (t && strcmp(verb, "forget") == 0 && t->ended) {
+        t->used = false;
+    }
+}
+
+static void orders(struct world *w, const char *body)
+{
+    json_t *o = json_loads(body, 0, NULL), *v;
+    size_t i;
+    uint64_t seal = (uint64_t)json_integer_value(json_object_get(o, "seal"));
+    if (seal >= w->seal) {
+        w->seal = seal;
+        json_array_foreach(json_object_get(o, "bids"), i, v)
+        {
+            order(w, v);
+        }
+    }
+    json_decref(o);
+}
+
+static void fill_report(struct world *w, struct bd_report *r, struct bd_seen_task *seen)
+{
+    memset(r, 0, sizeof *r);
+    snprintf(r->machine, sizeof r->machine, "vm-1");
+    snprintf(r->addr, sizeof r->addr, "addr");
+    snprintf(r->type, sizeof r->type, "big");
+    snprintf(r->zone, sizeof r->zone, "a");
+    r->session = 1;
+    r->seq = ++w->seq;
+    r->seal = w->seal;
+    r->notice = -1;
+    r->tasks = seen;
+    for (int i = 0; i < TASKS; i++) {
+        struct task *t = &w->tasks[i];
+        if (!t->used)
+            continue;
+        struct bd_seen_task *s = &seen[r->n++];
+        (void)bd_wire_task_name(t->name, s->job, &s->task);
+        s->attempt = t->attempt;
+        s->sub = t->ended ? BD_EXITED : BD_RUNNING;
+        s->why = !t->ended ? BD_WHY_NONE : t->stopped ? BD_WHY_STOPPED : BD_WHY_DONE;
+    }
+}
+
+static void some_end(struct world *w, unsigned one_in)
+{
+    for (int i = 0; i < TASKS; i++)
+        if (w->tasks[i].used && !w->tasks[i].ended && dice(w, one_in) == 0)
+            w->tasks[i].ended = true;
+}
+
+/* ---- effects ---- */
+
+static void answered(struct world *w, struct req *q, int status, const char *body)
+{
+    struct job *j = &w->jobs[q->job];
+    bool cancelled = body && strstr(body, "\"cancelled\"");
+    if (status == 200 || status == 201) {
+        if (q->what == ASK_SUBMIT)
+            j->accepted = true;
+        if (cancelled && !is_cancelled(w, q->job))
+            fault(w, "called cancelled without reason", q->job);
+        if (!cancelled && j->told_cancelled)
+            fault(w, "called otherwise after cancelled", q->job);
+        if (!cancelled && q->what == ASK_GET && is_cancelled(w, q->job))
+            fault(w, "not called cancelled", q->job);
+        j->told_cancelled = j->told_cancelled || cancelled;
+        w->cancels += cancelled;
+    } else if (status != 503) {
+        if (q->what != ASK_SUBMIT || status != 422)
+            fault(w, "refused", q->job);
+    }
+    free(q);
+}
+
+static void look(struct world *w, int n, bool all);
+
+static void direct(struct world *w, int n, struct bd_effect *e)
+{
+    struct bd_report r;
+    struct bd_seen_task *seen = calloc(TASKS, sizeof *seen);
+    bool heard = dice(w, 12) != 0, told = heard && dice(w, 12) != 0;
+    if (heard)
+        orders(w, e->body);
+    if (told)
+        fill_report(w, &r, seen);
+    bd_core_did(w->c[n], e->machine, e->seal, e->launch, told ? 200 : 0, told ? &r : NULL);
+    free(seen);
+}
+
+static void user_commit(struct world *w, int n, struct bd_effect *e)
+{
+    json_t *failed = NULL;
+    long status = dice(w, 15) == 0 ? 0 : 1; /* 0: never came there */
+    if (status) {
+        char *copy = strdup(e->body), *rest = NULL;
+        status = 200;
+        for (char *line = strtok_r(copy, "\n", &rest); line && status == 200;
+             line = strtok_r(NULL, "\n", &rest)) {
+            json_decref(failed);
+            status = apply(w, line, &failed);
+        }
+        free(copy);
+        if (dice(w, 15) == 0) /* done, but the answer is lost */
+            status = 0;
+    }
+    json_decref(failed);
+    bd_core_user_committed(w->c[n], e->request, e->key, e->body, e->status, status, w->ring);
+}
+
+static void perform(struct world *w, int n)
+{
+    struct bd_effect *e = bd_core_effects(w->c[n]);
+    while (e) {
+        struct bd_effect *next = e->next;
+        if (e->kind == BD_E_REPLY && e->request)
+            answered(w, e->request, e->status, e->body);
+        else if (e->kind == BD_E_USER_COMMIT)
+            user_commit(w, n, e);
+        else if (e->kind == BD_E_DO)
+            direct(w, n, e);
+        else if (e->kind == BD_E_BARRIER)
+            look(w, n, dice(w, 10) != 0);
+        else if (e->kind == BD_E_REPLY && e->status == 200)
+            orders(w, e->body);
+        if (e->kind == BD_E_COMMIT) {
+            w->commit[n] = e;
+        } else {
+            bd_effect_free(e);
+        }
+        e = next ? next : bd_core_effects(w->c[n]);
+    }
+}
+
+/* ---- steps ---- */
+
+/* What changed since the node's last look; sometimes the look fails. */
+static void look(struct world *w, int n, bool ok)
+{
+    uint64_t after = w->seen[n];
+    for (int i = 0; ok && i < w->nkeys; i++) {
+        struct bd_change ch = {w->keys[i].name, w->keys[i].value, w->keys[i].mark};
+        if (ch.mark > after && strncmp(ch.key, "j/", 2) == 0)
+            bd_core_change(w->c[n], &ch);
+    }
+    if (ok)
+        w->seen[n] = w->ring;
+    bd_core_followed(w->c[n], after, w->ring, w->c[n]->now, w->c[n]->barrier_out, ok);
+}
+
+static void times(struct world *w)
+{
+    for (int n = 0; n < NODES; n++)
+        if (w->c[n])
+            bd_core_time(w->c[n], bd_secs(100 + w->now), 1000 + w->now);
+}
+
+static void settle(struct world *w)
+{
+    int n = w->leader;
+    struct bd_effect *e = w->commit[n];
+    json_t *failed = NULL;
+    if (!e)
+        return;
+    w->commit[n] = NULL;
+    long status = apply(w, e->body, &failed);
+    bd_core_committed(w->c[n], status == 200, w->ring, failed);
+    json_decref(failed);
+    bd_effect_free(e);
+}
+
+/* A new process: it reads the records in the order of a list, in any order that keys may have. */
+static void boot(struct world *w, int n)
+{
+    static const double cpus = 10000;
+    struct bd_type_text t = {.cpus = cpus, .mem = cpus, .price = 1, .spot_price = 1, .boot = 5};
+    snprintf(t.label, sizeof t.label, "big");
+    snprintf(t.zones[t.nzones++], BD_LABEL, "a");
+    t.fetch = t.cache_gb = 100;
+    w->c[n] = bd_core_new(&w->set[n], &w->log);
+    if (!w->c[n])
+        abort();
+    times(w);
+    bd_core_types(w->c[n], &t, 1);
+    unsigned from = w->nkeys ? dice(w, (unsigned)w->nkeys) : 0;
+    for (int i = 0; i < w->nkeys; i++) {
+        struct key *k = &w->keys[((unsigned)i + from) % (unsigned)w->nkeys];
+        struct bd_change ch = {k->name, k->value, k->mark};
+        if (strncmp(ch.key, "j/", 2) == 0)
+            bd_core_change(w->c[n], &ch);
+    }
+    w->seen[n] = w->ring;
+    bd_core_relisted(w->c[n], w->ring, w->c[n]->now);
+}
+
+static json_t *listed(struct world *w, const char *prefix)
+{
+    json_t *a = json_array();
+    for (int i = 0; i < w->nkeys; i++)
+        if (strncmp(w->keys[i].name, prefix, strlen(prefix)) == 0)
+            json_array_append_new(a,
+                                  json_pack("{s:s,s:O,s:I}", "k", w->keys[i].name, "value",
+                                            w->keys[i].value, "mark", (json_int_t)w->keys[i].mark));
+    return a;
+}
+
+static void lead(struct world *w, int n)
+{
+    json_t *value = json_pack("{s:i}", "node", n);
+    struct key *wit = find(w, "w");
+    w->leader = n;
+    w->ring++;
+    set(w, "leader", value);
+    json_decref(value);
+    struct bd_gain g = {.term = w->ring, .grant = 7, .nonce = "n", .renewed = w->c[n]->now};
+    g.witness_mark = wit ? wit->mark : 0;
+    g.receipts = listed(w, "r/");
+    g.intents = listed(w, "i/");
+    look(w, n, true); /* the replica is at least as new as the term */
+    bd_core_gained(w->c[n], &g);
+    json_decref(g.receipts);
+    json_decref(g.intents);
+}
+
+static void forget_node(struct world *w, int n)
+{
+    if (w->commit[n])
+        bd_effect_free(w->commit[n]);
+    w->commit[n] = NULL;
+    bd_core_free(w->c[n]);
+    w->c[n] = NULL;
+}
+
+static void crash(struct world *w, int n)
+{
+    json_t *failed = NULL;
+    if (w->commit[n] && dice(w, 2)) { /* it was applied all the same */
+        (void)apply(w, w->commit[n]->body, &failed);
+        json_decref(failed);
+    }
+    forget_node(w, n);
+    boot(w, n);
+    if (n == w->leader)
+        lead(w, (int)dice(w, NODES));
+}
+
+static struct req *ask(struct world *w, enum asked what, int job)
+{
+    struct req *q = calloc(1, sizeof *q);
+    q->w = w;
+    q->what = what;
+    q->job = job;
+    return q;
+}
+
+static void submit(struct world *w, int n)
+{
+    char body[1024], needs[256] = "", id[32];
+    struct job *j = &w->jobs[n];
+    for (unsigned k = dice(w, NEEDS + 1); !j->tried && n > 0 && k > 0; k--) {
+        /* chains, and wide ones: half of them near */
+        int x =
+            dice(w, 2) ? n - 1 - (int)dice(w, n < 3 ? (unsigned)n : 3) : (int)dice(w, (unsigned)n);
+        if (w->jobs[x].accepted)
+            j->needs[j->nneeds++] = x;
+    }
+    j->tried = true;
+    for (int k = 0; k < j->nneeds; k++) {
+        snprintf(id, sizeof id, "%s\"job-%d\"", k ? "," : "", j->needs[k]);
+        strcat(needs, id);
+    }
+    snprintf(
+        body, sizeof body,
+        "{\"id\":\"job-%d\",\"kin\":\"k\",\"household\":\"a\",\"shape\":\"%s\",\"rank\":"
+        "\"standard\",\"chores\":%d,\"vcpus\":1,\"accelerators\":0,\"memGb\":1,\"seed\":\"i\","
+        "\"imageGb\":0,\"breeds\":null,\"glade\":null,\"together\":false,\"scatter\":false,"
+        "\"windfall\":false,\"guessS\":1,\"markS\":0,\"stowS\":0,\"dueS\":null,\"awaits\":[%s]}",
+        n, n % 3 ? "sweep" : "gang", 1 + n % 3, needs);
+    bd_core_submit(w->c[dice(w, NODES)], ask(w, ASK_SUBMIT, n), body, strlen(body));
+}
+
+static int pick(struct world *w)
+{
+    int n = (int)dice(w, JOBS);
+    return w->jobs[n].accepted ? n : -1;
+}
+
+static void user_step(struct world *w, int *next, bool may_cancel)
+{
+    char id[32];
+    int n = pick(w), node = (int)dice(w, NODES);
+    if (*next < JOBS && dice(w, 3) == 0) {
+        submit(w, *next);
+        for (int k = 0; k < NODES; k++)
+            perform(w, k);
+        *next += w->jobs[*next].accepted;
+        return;
+    }
+    if (n < 0)
+        return;
+    snprintf(id, sizeof id, "job-%d", n);
+    if (may_cancel && dice(w, 14) == 0)
+        bd_core_withdraw(w->c[node], ask(w, ASK_WITHDRAW, n), id);
+    else
+        bd_core_get(w->c[node], ask(w, ASK_GET, n), id);
+}
+
+static void machine_step(struct world *w)
+{
+    struct bd_report r;
+    struct bd_seen_task *seen = calloc(TASKS, sizeof *seen);
+    some_end(w, 4);
+    fill_report(w, &r, seen);
+    bd_core_checkin(w->c[w->leader], NULL, &r, "{}", 2);
+    free(seen);
+}
+
+static void step(struct world *w, int *next, bool troubles)
+{
+    w->now += 0.3;
+    times(w);
+    bd_core_renewed(w->c[w->leader], 7, w->c[w->leader]->now);
+    user_step(w, next, troubles);
+    machine_step(w);
+    for (int n = 0; n < NODES; n++)
+        look(w, n, dice(w, 8) != 0);
+    if (dice(w, 3))
+        settle(w);
+    for (int n = 0; n < NODES; n++) {
+        bd_core_tick(w->c[n]);
+        perform(w, n);
+    }
+    /* a crash loses what users asked of the process: they are answered before it here */
+    if (troubles && dice(w, 40) == 0) {
+        for (int n = 0; n < NODES; n++) {
+            look(w, n, true);
+            perform(w, n);
+        }
+        crash(w, (int)dice(w, NODES));
+    }
+}
+
+static void check_end(struct world *w)
+{
+    char id[32];
+    for (int n = 0; n < JOBS; n++) {
+        snprintf(id, sizeof id, "job-%d", n);
+        if (!w->jobs[n].accepted)
+            fault(w, "not accepted", n);
+        else if (is_cancelled(w, n) && !record_says(w, id, "cancelled"))
+            fault(w, "its record is not cancelled", n);
+        else if (!is_cancelled(w, n) && !record_says(w, id, "done"))
+            fault(w, "never ended", n);
+        w->ends += record_says(w, id, "done");
+    }
+}
+
+static void settings(struct bd_settings *s, int n)
+{
+    small_settings(s);
+    s->value_bytes = 600; /* long lists go in parts */
+    s->txn_ops = 6;
+    s->leader_ttl = bd_secs(3);
+    snprintf(s->node, sizeof s->node, "node-%d", n);
+    s->nteams = 1;
+    snprintf(s->teams[0].name, BD_NAME, "a");
+}
+
+static int play(unsigned long seed, int *ends, int *cancels)
+{
+    struct world *w = calloc(1, sizeof *w);
+    int next = 0;
+    if (!w)
+        abort();
+    w->seed = seed;
+    w->log = (struct bd_log){BD_ERROR, "graphs"};
+    w->rng = gsl_rng_alloc(gsl_rng_taus2);
+    gsl_rng_set(w->rng, seed);
+    for (int n = 0; n < NODES; n++)
+        settings(&w->set[n], n);
+    w->ring = 1;
+    for (int n = 0; n < NODES; n++)
+        boot(w, n);
+    lead(w, 0);
+    for (int i = 0; i < STEPS; i++)
+        step(w, &next, true);
+    for (int i = 0; i < 4 * STEPS && (next < JOBS || i < STEPS); i++)
+        step(w, &next, false);
+    check_end(w);
+    *ends += w->ends;
+    *cancels += w->cancels;
+    int faults = w->faults;
+    for (int n = 0; n < NODES; n++)
+        forget_node(w, n);
+    for (int i = 0; i < w->nkeys; i++)
+        json_decref(w->keys[i].value);
+    gsl_rng_free(w->rng);
+    free(w);
+    return faults;
+}
+
+int main(int argc, char **argv)
+{
+    int faults = 0, ends = 0, cancels = 0, seeds = argc > 1 ? atoi(argv[1]) : 0;
+    for (int s = 1; s <= seeds; s++)
+        faults += play((unsigned long)s, &ends, &cancels);
+    printf("%d seeds: %d jobs done, %d times told cancelled, %d faults\n", seeds, ends, cancels,
+           faults);
+    return faults || seeds == 0 || ends == 0 || cancels == 0;
+}
