Arrays do not keep dear machines from going back; services move to idle cheap machines

Cause (fleet lines of rollout): 23 to 48 GPU machines at 15.31 an hour stayed up for one array task of 2 CPUs each; 26 idle gran were kept as cheap room that no service could move to.

--- a/include/brambledoor/core.h
+++ b/include/brambledoor/core.h
@@ -369,6 +369,8 @@
     double team_cpus[BD_MAX_TEAMS], team_gpus[BD_MAX_TEAMS];
 
     /* cloud */
+    double moves_s; /* that replicas may be away for moves, */
+    struct timespec moves_at;
     struct bd_rental rentals[64];
     int nrentals;
     bool gpu_waiting;                           /* some live job's GPU tasks have no place */
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -20,12 +20,15 @@
 #define WINDOW_LEAST_S 12.0
 #define SETTLE_S 4.0
 #define SUMMARY_S 20.0
-#define SETTLED_S 40.0    /* a service younger than this stays where it is */
-#define GATHER_SHARE 0.8  /* of a machine: with more services than this it is left as it is */
-#define MOVES_LEAST 2.0   /* a second, */
-#define MOVES_SHARE 0.001 /* of the services' running tasks */
-#define EMPTY_MOST 64     /* tasks of a machine that is emptied */
-#define MOVE_FETCH_S 4.0  /* a longer fetch is not worth a move */
+#define SETTLED_S 40.0   /* a service younger than this stays where it is */
+#define GATHER_SHARE 0.8 /* of a machine: with more services than this it is left as it is */
+#define AWAY_LEAST_S 2.0 /* seconds that moves keep replicas away, a second, */
+#define AWAY_SHARE 0.003 /* of the services' running tasks */
+#define AWAY_KEPT_S 40.0 /* so long is kept of what was not used */
+#define MOVE_S 2.0       /* one move keeps a replica away so long, and for the fetch of its image */
+#define EMPTY_MOST 64    /* tasks of a machine that is emptied */
+#define MOVE_FETCH_S 4.0 /* a longer fetch is not worth a move, */
+#define CHEAP_FETCH_S 15.0 /* ... nor this to a cheap machine */
 
 void bd_core_types(struct bd_core *c, const struct bd_type_text *t, int n)
 {
@@ -489,13 +492,6 @@
            bd_between(j->last_begun, c->now) > SETTLED_S;
 }
 
-/* Whether a move there is short: the image is there, or quickly fetched. */
-static bool quick_start(const struct bd_core *c, const struct bd_machine *m,
-                        const struct bd_spec *s)
-{
-    return bd_fetch_s(c, m, s) < MOVE_FETCH_S;
-}
-
 /* A look at where services could gather: the machines with room for some, and what moves that are
  * decided in this look take of it. */
 struct gathering {
@@ -509,19 +505,29 @@
         struct bd_machine *m;
         double cpus, gpus, mem, services;
         bool taken;
+        int fetches; /* the image that a move of this look brings there, or -1 */
     } * targets;
     uint32_t ntargets;
 };
 
+/* How long the replica's image takes there; none where another move of this look brings it. */
+static double move_fetch_s(const struct bd_core *c, const struct target *t, const struct bd_spec *s)
+{
+    return t->fetches == s->image ? 0 : bd_fetch_s(c, t->m, s);
+}
+
 static bool target_fits(const struct bd_core *c, const struct bd_job *j, const struct target *t,
                         const struct bd_machine *from, double services)
 {
     const struct bd_machine *m = t->m;
     if (m == from || m->drain || m->zone != from->zone || t->cpus < j->spec.cpus ||
         t->gpus < j->spec.gpus || t->mem < j->spec.mem ||
-        !bd_allowed(&j->spec, m->type, m->zone, m->spot) || !quick_start(c, m, &j->spec))
+        !bd_allowed(&j->spec, m->type, m->zone, m->spot))
+        return false;
+    bool cheap = !bd_dear(c, &j->spec, m->type, m->spot);
+    if (move_fetch_s(c, t, &j->spec) >= (cheap ? CHEAP_FETCH_S : MOVE_FETCH_S))
         return false;
-    return !bd_dear(c, &j->spec, m->type, m->spot) || m->gpus > 0 || t->services > services;
+    return cheap || m->gpus > 0 || t->services > services;
 }
 
 /* A place for the task where no GPU work is harmed: on a cheap machine, on the one that holds most
@@ -536,7 +542,8 @@
         if (!target_fits(g->c, j, t, from, services))
             continue;
         double v = t->m->gpus > 0 ? 0 : 1 + t->services;
-        v = bd_dear(g->c, &j->spec, t->m->type, t->m->spot) ? v : INFINITY;
+        if (!bd_dear(g->c, &j->spec, t->m->type, t->m->spot)) /* the sooner there the better */
+            v += 1e6 * (1 + CHEAP_FETCH_S - move_fetch_s(g->c, t, &j->spec));
         if (v > high) {
             high = v;
             found = t;
@@ -576,9 +583,9 @@
         if (only_services(c, m, &held))
             g->sources[g->nsources++] = (struct source){m, held};
         const struct bd_type *t = &c->types[m->type];
-        if (t->cpus - m->cpus > 0 && m->nrefs > 0)
+        if (t->cpus - m->cpus > 0)
             g->targets[g->ntargets++] = (struct target){
-                m, t->cpus - m->cpus, t->gpus - m->gpus, t->mem - m->mem, held, false};
+                m, t->cpus - m->cpus, t->gpus - m->gpus, t->mem - m->mem, held, false, -1};
     }
     qsort(g->sources, g->nsources, sizeof *g->sources, fewer_services);
 }
@@ -591,13 +598,16 @@
     return false;
 }
 
-/* Whether all that the machine holds could move now: to empty it in part frees nothing. */
+/* Whether all that the machine holds could move now: to empty it in part frees nothing. Moves with
+ * a long fetch wait until what replicas may be away covers them. */
 static bool can_empty(struct gathering *g, const struct source *s, double than)
 {
     struct target *took[EMPTY_MOST];
+    int fetched[EMPTY_MOST];
     const struct bd_spec *what[EMPTY_MOST];
     uint32_t n = 0;
-    bool all = s->m->nrefs <= EMPTY_MOST;
+    bool all = s->m->nrefs <= EMPTY_MOST, slow = false;
+    double away = 0;
     for (uint32_t k = 0; all && k < s->m->nrefs; k++) {
         struct bd_ref r = s->m->refs[k];
         if (r.job->tasks[r.task].flags & BD_F_STOP)
@@ -609,21 +619,28 @@
         if (!t)
             break;
         target_take(t, &r.job->spec, 1);
+        double fetch = move_fetch_s(g->c, t, &r.job->spec);
+        slow = slow || fetch >= MOVE_FETCH_S;
+        away += MOVE_S + fetch;
+        fetched[n] = t->fetches;
+        if (bd_fetch_s(g->c, t->m, &r.job->spec) > 0)
+            t->fetches = r.job->spec.image;
         took[n] = t;
         what[n++] = &r.job->spec;
     }
     while (n > 0) {
         n--;
         target_take(took[n], what[n], -1);
+        took[n]->fetches = fetched[n];
     }
-    return all;
+    return all && (!slow || away <= g->c->moves_s);
 }
 
-/* All tasks leave the machine at once: a job that was moved is not settled for a while. Returns how
- * many. */
-static uint32_t empty(struct gathering *g, const struct source *s, double than)
+/* All tasks leave the machine at once: a job that was moved is not settled for a while. Returns for
+ * how long replicas are away, in sum. */
+static double empty(struct gathering *g, const struct source *s, double than)
 {
-    uint32_t moved = 0;
+    double away = 0;
     for (uint32_t k = s->m->nrefs; k > 0; k--) {
         if (k > s->m->nrefs)
             continue;
@@ -634,21 +651,26 @@
         if (!t)
             continue;
         target_take(t, &r.job->spec, 1);
+        away += MOVE_S + move_fetch_s(g->c, t, &r.job->spec);
+        if (bd_fetch_s(g->c, t->m, &r.job->spec) > 0)
+            t->fetches = r.job->spec.image;
         t->taken = true;
         s->m->drain = true;
         bd_say(g->c->log, BD_INFO, "%s/%u moves off %s", r.job->id, r.task, s->m->id);
         bd_task_stop(g->c, r.job, r.task, false);
-        moved++;
     }
-    return moved;
+    return away;
 }
 
-static uint32_t moves_a_tick(const struct bd_core *c)
+/* What moves may keep replicas away comes as time goes on, and is spent a machine at a time. */
+static void allow_moves(struct bd_core *c)
 {
-    double running = 0;
+    double running = 0, passed = fmin(bd_between(c->moves_at, c->now), AWAY_KEPT_S);
     for (const struct bd_job *j = c->jobs; j; j = j->hh.next)
         running += j->mood == BD_LIVE && j->has_spec && j->spec.shape == BD_SERVICE ? j->nrun : 0;
-    return (uint32_t)fmax(MOVES_LEAST, MOVES_SHARE * running);
+    double rate = fmax(AWAY_LEAST_S, AWAY_SHARE * running);
+    c->moves_s = fmin(c->moves_s + rate * passed, rate * AWAY_KEPT_S);
+    c->moves_at = c->now;
 }
 
 /* Dear machines are emptied, those with the fewest services first; one that cannot be emptied now
@@ -657,8 +679,8 @@
 {
     struct gathering g = {.c = c};
     look_round(&g);
-    uint32_t left = moves_a_tick(c);
-    for (uint32_t i = 0; i < g.nsources && left > 0; i++) {
+    allow_moves(c);
+    for (uint32_t i = 0; i < g.nsources && c->moves_s > 0; i++) {
         struct source *s = &g.sources[i];
         /* a machine full of services is worth emptying into cheap room only */
         double than =
@@ -666,8 +688,7 @@
         s->m->drain = false; /* new services may come if it is not to be emptied after all */
         if (is_target(&g, s->m) || !can_empty(&g, s, than))
             continue;
-        uint32_t moved = empty(&g, s, than);
-        left -= moved < left ? moved : left;
+        c->moves_s -= empty(&g, s, than);
     }
     free(g.sources);
     free(g.targets);
--- a/src/place.c
+++ b/src/place.c
@@ -4,6 +4,7 @@
 
 /* named defaults: the weights of a choice, in seconds of later start */
 #define COST_GPU_WASTE 200.0 /* work without GPUs on a machine that has some */
+#define COST_KEEPS_DEAR 30.0 /* a dear machine that would go back otherwise */
 #define COST_LEFTOVER 5.0    /* the whole machine left free after the placement */
 #define COST_NOT_SPOT 20.0   /* work that may use spot, on an ordinary machine */
 #define NOT_SPOT_SHARE 0.2   /* ... but no more than this of the time that its aims leave */
@@ -185,6 +186,15 @@
     return bd_fetch_s(c, m, s) < QUICK_S;
 }
 
+/* Whether work that could go elsewhere would keep a dear machine from going back: nothing else
+ * does, and it is not kept for work that is expected. One short task in each of many such machines
+ * costs more than all that runs there is worth. */
+static bool keeps_dear(const struct round *r, const struct bd_spec *s, const struct bd_machine *m)
+{
+    return s->gpus <= 0 && s->shape == BD_ARRAY && r->dear[m->type][m->spot] &&
+           m->pinned_cpus <= 0 && m->pinned_gpus <= 0 && !m->spare;
+}
+
 static struct bd_machine *best(struct round *r, const struct bd_job *j, const uint32_t *zones,
                                bool any_price, bool may_harm)
 {
@@ -206,7 +216,10 @@
         /* a dear machine that GPU work cannot use anyway is as good as a cheap one */
         if (!any_price && r->dear[m->type][m->spot] && (harm || !known_use(c, m)))
             continue;
-        double v = cost(r, &j->spec, m, room, harm);
+        bool keeps = keeps_dear(r, &j->spec, m);
+        if (keeps && !any_price)
+            continue;
+        double v = cost(r, &j->spec, m, room, harm) + (keeps ? COST_KEEPS_DEAR : 0);
         if (v < low) {
             low = v;
             found = m;
