--- a/include/brambledoor/core.h
+++ b/include/brambledoor/core.h
@@ -75,6 +75,7 @@
     struct bd_need *need;  /* who waits for it */
     uint32_t parts;        /* of its needs, some of which have not been seen; 0: complete */
     char parts_of[BD_HASH];
+    bool chained;      /* it waits, or waited, for others: its due time is minded */
     bool derived;      /* cancelled because a job before it is: its record does not say so yet */
     double ready, end; /* by the time of day: when it could begin; when it was done */
     enum bd_rank rank; /* the highest among it and all that need it */
--- a/src/core.c
+++ b/src/core.c
@@ -345,7 +345,7 @@
     j->klass = *r->spec.klass ? bd_intern(&c->classes, r->spec.klass) : -1;
     j->at = j->ready = r->at;
     j->rank = r->spec.rank;
-    j->due_by = r->has_spec && r->spec.due >= 0 ? r->at + r->spec.due : INFINITY;
+    j->due_by = INFINITY;
     HASH_ADD_STR(c->jobs, id, j);
     bd_deps_seen(c, j);
     return j;
--- a/src/deps.c
+++ b/src/deps.c
@@ -248,6 +248,7 @@
 /* The record of a live job, seen for the first time. */
 void bd_deps_take(struct bd_core *c, struct bd_job *j, const struct bd_record_needs *r)
 {
+    j->chained = r->damaged || r->parts || json_array_size(r->names) > 0;
     if (r->damaged) {
         bd_say(c->log, BD_ERROR, "%s: what it awaits cannot be read: it is not started", j->id);
         j->open = 1;
@@ -289,7 +290,7 @@
         if (j->mood != BD_LIVE)
             continue;
         j->rank = j->spec.rank;
-        j->due_by = j->spec.due >= 0 ? j->at + j->spec.due : INFINITY;
+        j->due_by = j->chained && j->spec.due >= 0 ? j->at + j->spec.due : INFINITY;
         if (j->edges && !j->need) {
             j->todo = *work;
             *work = j;
--- a/src/place.c
+++ b/src/place.c
@@ -8,6 +8,8 @@
 #define COST_LEFTOVER 5.0    /* the whole machine left free after the placement */
 #define COST_NOT_SPOT 20.0   /* work that may use spot, on an ordinary machine */
 #define NOT_SPOT_SHARE 0.2   /* ... but no more than this of the time that its aims leave */
+#define COST_SPOT_LOST 8.0   /* what a due time may lose by a spot machine that is taken */
+#define DUE_HURRY_S 8.0      /* less than this until the start that a due time needs */
 #define HURRY_S 30.0         /* less than this to spare */
 #define COST_STOPPING 10.0   /* the whole room of a task made by stopping others */
 #define WORTH_MOVING_S 12.0  /* a fetch longer than this is worth stopping borrowed work */
@@ -47,6 +49,7 @@
     bool *open;                 /* by machine: new work may come to it */
     bool dear[BD_MAX_TYPES][2]; /* for the job that is being placed */
     bool hurried;               /* its aims leave it no time for a fetch */
+    double spot_lost;           /* what a spot one costs it that an ordinary one would not */
     double not_spot;            /* what an ordinary machine costs it that a spot one would not */
 };
 
@@ -171,6 +174,8 @@
     v += fetch_s(d, m, s);
     if (s->spot && !m->spot)
         v += d->not_spot;
+    if (m->spot)
+        v += d->spot_lost;
     return v;
 }
 
@@ -557,11 +562,19 @@
     return got;
 }
 
-static void know_prices(struct round *r, const struct bd_spec *s)
+static void know_prices(struct round *r, const struct bd_job *j)
 {
+    const struct bd_spec *s = &j->spec;
+    bool due = isfinite(j->due_by);
     /* work with little time to spare goes where its image lies, on spot or not */
     r->not_spot = COST_NOT_SPOT;
     r->hurried = s->shape == BD_SERVICE;
+    /* work that others wait for with a due time would lose more by a second run than spot saves */
+    r->spot_lost = due ? COST_SPOT_LOST : 0;
+    if (due) {
+        r->not_spot = 0;
+        r->hurried = bd_due_slack(r->c, j) < DUE_HURRY_S;
+    }
     for (int i = 0; i < r->c->set->naims; i++) {
         double slack = bd_slack(r->c, s->klass, s->estimate, &r->c->set->aims[i]);
         if (slack < 0)
@@ -581,7 +594,7 @@
     if (r->conds >= r->most_conds || want == 0 || (gang && want < j->ntasks))
         return;
     uint64_t attempt = (r->c->base_term << 20) + r->c->counter + 1;
-    know_prices(r, &j->spec);
+    know_prices(r, j);
     if (gang && waits_for_image(r, j))
         return;
     if (gang) {
@@ -612,6 +625,8 @@
         return a->rank > b->rank ? -1 : 1;
     if (a->in_guarantee != b->in_guarantee)
         return a->in_guarantee ? -1 : 1;
+    if (a->due_by != b->due_by) /* most have none */
+        return a->due_by < b->due_by ? -1 : 1;
     if (a->ready != b->ready)
         return a->ready < b->ready ? -1 : 1;
     return strcmp(a->id, b->id);
--- a/src/price.c
+++ b/src/price.c
@@ -90,6 +90,8 @@
 enum bd_reach bd_reach_of(const struct bd_core *c, const struct bd_job *j)
 {
     double can = patience(c, &j->spec), waited = c->wall - j->ready;
+    if (isfinite(j->due_by)) /* what waits for it leaves it no more than that */
+        can = fmin(can, fmax(0, bd_due_slack(c, j) - HOPE_S + waited));
     bool yields =
         c->gpu_waiting && j->spec.gpus <= 0 && j->spec.shape == BD_ARRAY && j->rank <= BD_STANDARD;
     if (waited >= (yields ? fmax(can, YIELD_LEAST_S) : can))
