--- a/src/place.c
+++ b/src/place.c
@@ -310,9 +310,11 @@
 
 static bool may_stop(const struct bd_job *want, const struct bd_job *j, const struct bd_task *t)
 {
-    /* a team's guarantee may take what another team runs beyond its own */
+    /* a team's guarantee may take what another team runs beyond its own, but for a few short tasks
+     * that others wait for by a due time: there is enough beside them */
+    bool hurries = isfinite(j->due_by) && j->rank > want->rank;
     bool owed = want->in_guarantee && !j->in_guarantee && want->spec.team != j->spec.team &&
-                t->state == BD_T_LIVE && t->sub == BD_RUNNING;
+                !hurries && t->state == BD_T_LIVE && t->sub == BD_RUNNING;
     return (j->rank < want->rank || owed) && stoppable(j, t);
 }
 
