--- a/src/settings.c
+++ b/src/settings.c
@@ -197,7 +197,7 @@
     struct reader r = {path, err, errlen, false};
     json_error_t je;
     memset(s, 0, sizeof *s);
-    s->spare_share = 1.4;
+    s->spare_share = 1.6;
     s->idle_boots = 0.7;
     json_t *root = json_load_file(path, 0, &je);
     if (!root) {
--- a/tests/profile.c
+++ b/tests/profile.c
@@ -76,7 +76,7 @@
     s->leader_ttl = bd_secs(2);
     s->state_rps = 250;
     s->ram_mb = 72;
-    s->spare_share = 1.4;
+    s->spare_share = 1.6;
     s->idle_boots = 0.7;
     s->nteams = 2;
     for (int i = 0; i < 2; i++)
