--- a/tests/graphs.c
+++ b/tests/graphs.c
@@ -592,11 +592,73 @@
     return faults;
 }
 
+#define MANY 30000
+
+static void record(struct bd_core *c, int n, const char *mood, int needs, uint64_t mark)
+{
+    char key[64], name[32];
+    struct bd_record r = {.mood = BD_LIVE, .tasks = 1, .at = 1000, .has_spec = true};
+    json_t *names = json_array();
+    snprintf(key, sizeof key, "j/job-%d", n);
+    snprintf(name, sizeof name, "job-%d", needs);
+    if (needs >= 0)
+        json_array_append_new(names, json_string(name));
+    snprintf(r.spec.klass, BD_LABEL, "k");
+    snprintf(r.spec.team, BD_LABEL, "a");
+    snprintf(r.spec.image, BD_LABEL, "i");
+    r.spec.ntypes = r.spec.due = -1;
+    r.spec.cpus = r.spec.tasks = 1;
+    r.spec.rank = n == MANY - 1 ? BD_HIGH : BD_IDLE;
+    r.needs.names = names;
+    r.mood = strcmp(mood, "cancelled") == 0 ? BD_CANCELLED : BD_LIVE;
+    json_t *v = bd_wire_record(&r);
+    struct bd_change ch = {key, v, mark};
+    bd_core_change(c, &ch);
+    json_decref(v);
+    json_decref(names);
+}
+
+static struct bd_job *job_of(struct bd_core *c, int n)
+{
+    struct bd_job *j = NULL;
+    char id[32];
+    snprintf(id, sizeof id, "job-%d", n);
+    HASH_FIND_STR(c->jobs, id, j);
+    return j;
+}
+
+/* A long chain, read from its end, with a wide crowd behind its first: ranks flow back along all of
+ * it, and one withdrawal cancels it all, without a recursion and without work in the square. */
+static int large(void)
+{
+    struct bd_settings s = {0};
+    struct bd_log log = {BD_ERROR, "graphs"};
+    int faults = 0;
+    settings(&s, 0);
+    struct bd_core *c = bd_core_new(&s, &log);
+    bd_core_time(c, bd_secs(100), 1000);
+    for (int n = MANY - 1; n >= 0; n--)
+        record(c, n, "live", n - 1, 1);
+    for (int n = 1; n < MANY; n++)
+        record(c, MANY + n, "live", 0, 1);
+    bd_core_weigh(c);
+    faults += job_of(c, 0)->rank != BD_HIGH || job_of(c, 1)->open != 1;
+    record(c, 0, "cancelled", -1, 2);
+    for (int n = 0; n < 2 * MANY; n++)
+        faults += n != MANY && job_of(c, n)->mood != BD_CANCELLED;
+    faults += c->needs != NULL || c->nderived != 2 * MANY - 2;
+    bd_core_free(c);
+    if (faults)
+        fprintf(stderr, "a large graph: %d faults\n", faults);
+    return faults;
+}
+
 int main(int argc, char **argv)
 {
     int faults = 0, ends = 0, cancels = 0, seeds = argc > 1 ? atoi(argv[1]) : 0;
     for (int s = 1; s <= seeds; s++)
         faults += play((unsigned long)s, &ends, &cancels);
+    faults += large();
     printf("%d seeds: %d jobs done, %d times told cancelled, %d faults\n", seeds, ends, cancels,
            faults);
     return faults || seeds == 0 || ends == 0 || cancels == 0;
