--- a/tests/loopback.c
+++ b/tests/loopback.c
@@ -391,11 +391,14 @@
     printf("     %d transactions got 400, %d got 429\n", refused, busy);
     check(t, foreseen ? refused == 0 : refused > 0,
           foreseen ? "nothing was too large" : "what was too large was decided anew");
-    world_limits(t->w, value, ops, 25);
+    int calm = busy;
+    world_limits(t->w, value, ops, 6);
     check(t,
           submit(t, "job-61", "sweep", 20, 40) &&
               until(t, "/submissions/job-61", "\"mood\":\"done\"", 60),
           "a job under a lower rate is done");
+    world_refused(t->w, &refused, &busy);
+    check(t, busy > calm, "some of it was asked too fast, and came later");
     world_limits(t->w, 0, 0, 0);
 }
 
