Loopback: workers and relay are there before the node that must not hear the leader

Cause of a failed run: a stand-in worker met the last node first; the leader then sent that deputy away for 30 s, longer than the test waits.

--- a/tests/loopback.c
+++ b/tests/loopback.c
@@ -315,7 +315,12 @@
     bd_pause(4); /* whoever led has led */
     start(t, 0);
     check(t, check_in_until(t, 0, &tally, &seal, 200, 20), "the first node leads");
+    /* the stand-in's own workers are to be there, and the relay, before the last node starts: one
+     * that met it first would end it as a deputy for half a minute */
+    bd_pause(5);
     start(t, 1);
+    check(t, check_in_until(t, 1, &tally, &seal, 200, 20),
+          "the node between them passes reports on");
     start(t, 2);
     long long before = seal;
     check(t, check_in_until(t, 2, &tally, &seal, 200, 20) && seal >= before,
