--- a/include/brambledoor/core.h
+++ b/include/brambledoor/core.h
@@ -292,7 +292,8 @@
         double contact;                /* as leader: its newest record, by its time of day */
         struct timespec suspect_until; /* as leader: it may be standing by */
     } peers[BD_MAX_PEERS];
-    struct timespec confirmed; /* when our own last such record that was written was sent */
+    struct timespec confirmed; /* when our own last such record that was written was sent, */
+    struct timespec offered;   /* ... and the last one that may have been */
 
     /* a follower that answers for a leader its workers cannot reach */
     struct bd_deputy {
@@ -435,7 +436,8 @@
 /* the other controllers */
 void bd_core_peer(struct bd_core *c, const char *name, uint64_t term, uint8_t flags,
                   double state_age, double said_at);
-/* our own record of being in touch was written */
+/* our own record of being in touch is about to be sent; it was written */
+void bd_core_offered(struct bd_core *c, struct timespec sent);
 void bd_core_confirmed(struct bd_core *c, struct timespec sent);
 /* we have not been in touch for so long that we may stand by */
 bool bd_core_cut(const struct bd_core *c);
--- a/include/brambledoor/node.h
+++ b/include/brambledoor/node.h
@@ -21,6 +21,7 @@
     BD_C_LEADER_IS,
     BD_C_GAINED,
     BD_C_RENEWED,
+    BD_C_OFFERED,
     BD_C_CONFIRMED,
     BD_C_LOST,
     BD_C_COMMITTED,
--- a/src/leader.c
+++ b/src/leader.c
@@ -216,6 +216,13 @@
     (void)bd_queue_put(&s->n->reader_wake, s);
 }
 
+static void tell_touch(struct seat *s, enum bd_cmd_kind kind, struct timespec sent)
+{
+    struct bd_cmd *cmd = bd_cmd_new(kind);
+    cmd->sent = sent;
+    bd_tell(s->n, cmd);
+}
+
 /* Says in the state service that we are in touch with it, under the leader whose key we saw. */
 static void touch(struct seat *s, uint64_t mark)
 {
@@ -233,14 +240,12 @@
     bd_txn_if(&t, "leader", mark);
     bd_txn_set(&t, key, json_pack("{s:f}", "at", bd_to_secs(wall)), 0);
     char *body = bd_txn_end(&t);
+    tell_touch(s, BD_C_OFFERED, sent);
     long status = bd_store_call(s->n, s->h, "POST", "/commit", body, call_s(s), &o);
     free(body);
     json_decref(o);
-    if (status != 200)
-        return;
-    struct bd_cmd *cmd = bd_cmd_new(BD_C_CONFIRMED);
-    cmd->sent = sent;
-    bd_tell(s->n, cmd);
+    if (status == 200)
+        tell_touch(s, BD_C_CONFIRMED, sent);
 }
 
 static void follow_once(struct seat *s)
--- a/src/owner.c
+++ b/src/owner.c
@@ -209,6 +209,9 @@
         if (c->role == BD_FOLLOWER && !n->pending_gain)
             bd_core_leader_is(c, cmd->name, cmd->number, cmd->sent, cmd->flag);
         break;
+    case BD_C_OFFERED:
+        bd_core_offered(c, cmd->sent);
+        break;
     case BD_C_CONFIRMED:
         bd_core_confirmed(c, cmd->sent);
         break;
--- a/src/reports.c
+++ b/src/reports.c
@@ -330,17 +330,27 @@
     return r->session > m->session || (r->session == m->session && r->seq > m->seq);
 }
 
+/* What we know to be of the old session is gone. But the old session may be known only from a copy
+ * that came before the first report itself: then the intents that earlier leaders left may be of
+ * the new one, and only a report that has seen our term tells. */
+static void session_rose(struct bd_core *c, struct bd_machine *m)
+{
+    if (m->fenced)
+        bd_machine_lapse(c, m);
+    m->asked_seq = 0;
+    m->mute = true; /* until it shows that it hears: its lease ran out, answered or not */
+    /* the new session's own lease began at the latest now, whether a check-in is ever answered */
+    m->lapse_at = bd_max(m->lapse_at, bd_lease_end(c, c->now));
+}
+
 /* Takes a report in. False: stale, nothing changed. */
 static bool take_report(struct bd_core *c, struct bd_machine *m, const struct bd_report *r,
                         struct orders *l)
 {
     if (!newer(m, r))
         return false;
-    if (m->session && r->session > m->session) {
-        bd_machine_lapse(c, m);
-        m->asked_seq = 0;
-        m->mute = true; /* until it shows that it hears: its lease ran out, answered or not */
-    }
+    if (m->session && r->session > m->session)
+        session_rose(c, m);
     identify(c, m, r);
     m->session = r->session;
     m->seq = r->seq;
--- a/src/standby.c
+++ b/src/standby.c
@@ -4,13 +4,13 @@
  *
  * What makes it safe: while it is in touch, each follower writes the time of day into its own
  * record, conditional on the leader's key. It stands by from STANDBY_AFTER_S after the sending of
- * the last write that succeeded, for at most the grace: a withdrawal that it cannot see still ends
- * in time. The leader reads these records with the deputies'. A controller whose newest one is old
- * may be standing by: while two of a zone may (or its only one), no lease there counts as over
- * before the last moment at which they can have answered, and a whole lease. A record that is
- * applied late carries its own time. A follower stands by only if another of its zone says, by a
- * frame of this moment, that it is cut off too: so one that crashes, or is cut off alone, delays
- * nothing. */
+ * the last write that may have been carried out (its answer may be lost), for at most the grace
+ * after the last that surely was: a withdrawal that it cannot see still ends in time. The leader
+ * reads these records with the deputies'. A controller whose newest one is old may be standing by:
+ * while two of a zone may (or its only one), no lease there counts as over before the last moment
+ * at which they can have answered, and a whole lease. A record that is applied late carries its own
+ * time. A follower stands by only if another of its zone says, by a frame of this moment, that it
+ * is cut off too: so one that crashes, or is cut off alone, delays nothing. */
 #include "brambledoor/frame.h"
 #include "core_in.h"
 
@@ -29,9 +29,17 @@
     c->confirmed = bd_max(c->confirmed, sent);
 }
 
+void bd_core_offered(struct bd_core *c, struct timespec sent)
+{
+    c->offered = bd_max(c->offered, sent);
+}
+
 bool bd_core_cut(const struct bd_core *c)
 {
-    return c->role == BD_FOLLOWER && bd_between(c->confirmed, c->now) > STANDBY_AFTER_S;
+    /* a record that was written while its answer was lost shows the leader that we are in touch: he
+     * would count with no answers of ours */
+    return c->role == BD_FOLLOWER &&
+           bd_between(bd_max(c->confirmed, c->offered), c->now) > STANDBY_AFTER_S;
 }
 
 /* Whether a controller of our zone is cut off as we are; one that is alone in its zone asks nobody.
--- a/src/tasks.c
+++ b/src/tasks.c
@@ -1,5 +1,6 @@
 /* How a task's state changes, with the sums over jobs, machines and teams that go with it. */
 #include "core_in.h"
+#include <math.h>
 #include <stdio.h>
 
 /* named defaults */
@@ -139,6 +140,8 @@
     const struct bd_held_image *h = held_image(m, s->image);
     if (h)
         return still_s(c, h->ready);
+    if (m->type < 0 || !c->types[m->type].known) /* known by an earlier term's intents alone */
+        return INFINITY;
     return still_s(c, m->fetched_by) + s->image_gb / c->types[m->type].fetch;
 }
 
--- /dev/null
+++ b/tests/meetings.c
@@ -0,0 +1,670 @@
+/* Days on which troubles meet, in simulated time, against the protocol's rules (see sim.h).
+ *
+ *   meetings FILE [SEEDS]     a day from a file, with so many seeds
+ *   meetings random FROM N    days drawn from N seeds
+ *   meetings seed FILE|random N   one of them, told step by step
+ *
+ * A file: lines `at SECONDS TROUBLE ...`; `until SECONDS` ends the day, at least 100 s after the
+ * last trouble; `jobs N` how many come; `cancelled SHARE`. Troubles, FOR in seconds, WHO a
+ * controller's number, `leader` or `any`: outage FOR | slow FOR | refuse WHO FOR | late SHARE FOR |
+ * lost SHARE FOR       state service peers WHO FOR | zones FOR | held FOR network copies SHARE FOR
+ * | next SHARE FOR                                             late reports hang N FOR | deaf N FOR
+ * | mute N FOR | cut N FOR | hold N FOR | die N          machines crash WHO BACK | all BACK
+ * controllers cancel N | burst N                                                            users
+ */
+#include "sim.h"
+#include "small.h"
+#include <math.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define STEP_S 0.02
+#define QUIET_S 110.0 /* after the last trouble all work is to be served */
+#define WAIT_S 90.0
+#define MOST_S 400.0 /* ... and then the day is over */
+#define LOST_S 75.0  /* without an answer a job counts as forgotten */
+
+struct plan {
+    struct trouble {
+        double at;
+        char verb[16], who[16];
+        double a, b;
+    } t[128];
+    int n, jobs;
+    double until, cancelled;
+};
+
+double sim_rnd(struct sim *s)
+{
+    return gsl_rng_uniform(s->rng);
+}
+
+double sim_between(struct sim *s, double a, double b)
+{
+    return a + (b - a) * sim_rnd(s);
+}
+
+double sim_delay(struct sim *s)
+{
+    return sim_rnd(s) < 0.02 ? sim_between(s, 0.05, 0.4) : sim_between(s, 0.001, 0.006);
+}
+
+void sim_note(struct sim *s, const char *fmt, ...)
+{
+    va_list ap;
+    if (!s->loud)
+        return;
+    va_start(ap, fmt);
+    printf("%8.2f ", s->now);
+    vprintf(fmt, ap);
+    printf("\n");
+    va_end(ap);
+}
+
+void sim_broken(struct sim *s, const char *fmt, ...)
+{
+    va_list ap;
+    if (++s->broken > 5)
+        return;
+    va_start(ap, fmt);
+    printf("seed %lu, %.2f s: ", s->seed, s->now);
+    vprintf(fmt, ap);
+    printf("\n");
+    va_end(ap);
+}
+
+struct sim_event *sim_post(struct sim *s, double delay, enum sim_event_kind kind)
+{
+    struct sim_event *e = calloc(1, sizeof *e), **at = &s->queue;
+    if (!e)
+        abort();
+    e->at = s->now + (delay > 0 ? delay : 0);
+    e->order = ++s->order;
+    e->kind = kind;
+    while (*at && (*at)->at <= e->at)
+        at = &(*at)->next;
+    e->next = *at;
+    *at = e;
+    return e;
+}
+
+/* ---- users ---- */
+
+static void ask_node(struct sim *s, int job, int node, enum sim_verb verb)
+{
+    static const char *const shapes[] = {"sweep", "gang", "service"};
+    struct sim_job *j = &s->jobs[job];
+    char text[640];
+    struct sim_event *e = sim_post(s, sim_delay(s), SIM_USER_IN);
+    e->node = node;
+    e->who = job;
+    e->status = verb;
+    e->number = (uint64_t)(s->now * 1e6);
+    if (verb == SIM_WITHDRAW && j->asked_cancel <= 0)
+        j->asked_cancel = s->now;
+    if (verb != SIM_SUBMIT)
+        return;
+    snprintf(text, sizeof text,
+             "{\"id\":\"%s\",\"kin\":\"k\",\"household\":\"%s\",\"shape\":\"%s\",\"rank\":"
+             "\"standard\",\"chores\":%u,\"vcpus\":%.1f,%s\"memGb\":1,\"seed\":\"img\",\"imageGb\":"
+             "1,\"breeds\":null,\"glade\":%s,\"together\":false,\"scatter\":false,\"windfall\":"
+             "false,\"guessS\":8,\"markS\":0,\"stowS\":0,\"dueS\":null}",
+             j->id, j->team ? "b" : "a", shapes[j->shape], j->tasks, j->cpus,
+             j->odd && job % 2 ? "" : "\"accelerators\":0,",
+             j->odd && job % 2 == 0 ? "\"nowhere\"" : "null");
+    e->text = strdup(text);
+}
+
+static int some_node(struct sim *s)
+{
+    int from = (int)(sim_rnd(s) * SIM_NODES);
+    for (int i = 0; i < SIM_NODES; i++) {
+        int k = (from + i) % SIM_NODES;
+        if (s->nodes[k].core && bd_core_up(s->nodes[k].core))
+            return k;
+    }
+    return from;
+}
+
+/* Right after an answer that matters: all nodes, and the submission once more. */
+static void look_closely(struct sim *s, int job)
+{
+    for (int i = 0; i < SIM_NODES; i++)
+        ask_node(s, job, i, SIM_ASK);
+    if (sim_rnd(s) < 0.5)
+        ask_node(s, job, some_node(s), SIM_SUBMIT);
+}
+
+static void user_wake(struct sim *s, struct sim_event *e)
+{
+    struct sim_job *j = &s->jobs[e->who];
+    bool over = j->done_at > 0 || j->cancelled_at > 0;
+    if (j->accepted_at <= 0)
+        ask_node(s, e->who, some_node(s), SIM_SUBMIT);
+    else if (j->withdraw_at > 0 && s->now >= j->withdraw_at && !over)
+        ask_node(s, e->who, some_node(s), SIM_WITHDRAW);
+    else
+        ask_node(s, e->who, some_node(s), SIM_ASK);
+    double last = j->answered_at > s->trouble_ends ? j->answered_at : s->trouble_ends;
+    if (j->accepted_at > 0 && s->now - last > LOST_S)
+        sim_broken(s, "forgotten: no question about %s is answered for %.0f s", j->id, LOST_S);
+    if (j->odd && s->now > s->trouble_ends)
+        return;
+    sim_post(s, over ? sim_between(s, 5, 15) : sim_between(s, 1, 4), SIM_USER_WAKE)->who = e->who;
+}
+
+static void told(struct sim *s, struct sim_event *e, const char *mood)
+{
+    struct sim_job *j = &s->jobs[e->who];
+    double sent = (double)e->number / 1e6;
+    bool first = j->accepted_at <= 0;
+    if (first)
+        j->accepted_at = s->now;
+    j->answered_at = s->now;
+    if (strcmp(mood, "done") == 0) {
+        for (uint32_t i = 0; i < j->tasks; i++)
+            if (!j->done[i])
+                sim_broken(s, "not_done: %s is called done, task %u is not", j->id, i);
+        first = first || j->done_at <= 0;
+        if (j->cancelled_at > 0 && sent > j->cancelled_at)
+            sim_broken(s, "went_back: %s was cancelled, now done", j->id);
+        j->done_at = j->done_at > 0 ? j->done_at : s->now;
+    } else if (strcmp(mood, "cancelled") == 0) {
+        if (j->asked_cancel <= 0)
+            sim_broken(s, "went_back: %s is called cancelled, nobody asked for it", j->id);
+        if (j->done_at > 0 && sent > j->done_at)
+            sim_broken(s, "went_back: %s was done, now cancelled", j->id);
+        first = first || j->cancelled_at <= 0;
+        if (j->cancelled_at <= 0)
+            sim_note(s, "%s is cancelled", j->id);
+        j->cancelled_at = j->cancelled_at > 0 ? j->cancelled_at : s->now;
+    } else if ((j->done_at > 0 && sent > j->done_at) ||
+               (j->cancelled_at > 0 && sent > j->cancelled_at)) {
+        sim_broken(s, "went_back: %s was %s, now %s", j->id, j->done_at > 0 ? "done" : "cancelled",
+                   mood);
+    }
+    if (first)
+        look_closely(s, e->who);
+    if (first && j->withdraw_at < 0) { /* some cancel at once */
+        j->withdraw_at = s->now;
+        ask_node(s, e->who, some_node(s), SIM_WITHDRAW);
+    }
+}
+
+static void user_back(struct sim *s, struct sim_event *e)
+{
+    struct sim_job *j = &s->jobs[e->who];
+    bool known = j->accepted_at > 0 && (double)e->number / 1e6 > j->accepted_at;
+    json_t *o = e->text ? json_loads(e->text, 0, NULL) : NULL;
+    const char *mood = json_string_value(json_object_get(o, "mood"));
+    if (e->status == 200 || e->status == 201) {
+        if (j->odd)
+            sim_broken(s, "accepted: %s lacks a field, or has no zone", j->id);
+        told(s, e, mood ? mood : "");
+    } else if (e->status == 404 || e->status == 400 || e->status == 422) {
+        if (known)
+            sim_broken(s, "forgotten: %s gets %ld", j->id, e->status);
+        if (!j->odd && e->status != 404)
+            sim_broken(s, "refused: %s gets %ld: %s", j->id, e->status, e->text);
+    }
+    json_decref(o);
+}
+
+static void new_job(struct sim *s, const struct plan *p, double at)
+{
+    if (s->njobs == SIM_JOBS)
+        return;
+    int n = s->njobs++;
+    struct sim_job *j = &s->jobs[n];
+    memset(j, 0, sizeof *j);
+    snprintf(j->id, sizeof j->id, "job-%d", n);
+    double kind = sim_rnd(s);
+    j->shape = n < 3 ? BD_SERVICE : kind < 0.2 ? BD_GANG : BD_ARRAY;
+    j->team = n % 2;
+    j->tasks = j->shape == BD_ARRAY ? 1 + (uint32_t)(sim_rnd(s) * 5) : 2;
+    j->cpus = j->shape == BD_SERVICE ? 1 : 1 + (int)(sim_rnd(s) * 3);
+    j->run_s = sim_rnd(s) < 0.15 ? sim_between(s, 30, 60) : sim_between(s, 1, 12);
+    j->odd = n > 3 && n % 17 == 0;
+    if (sim_rnd(s) < p->cancelled)
+        j->withdraw_at = sim_rnd(s) < 0.2 ? -1 : s->now + at + sim_between(s, 0.1, 40);
+    for (int i = 0; i < SIM_TASKS; i++)
+        j->machine[i] = -1;
+    sim_post(s, at, SIM_USER_WAKE)->who = n;
+}
+
+/* ---- troubles ---- */
+
+static int who_is(struct sim *s, const char *who)
+{
+    for (int i = 0; strcmp(who, "leader") == 0 && i < SIM_NODES; i++)
+        if (s->nodes[i].core && bd_core_valid(s->nodes[i].core))
+            return i;
+    return *who >= '0' && *who <= '9' ? atoi(who) : (int)(sim_rnd(s) * SIM_NODES);
+}
+
+static void crash(struct sim *s, int i, double back)
+{
+    if (!s->nodes[i].core)
+        return;
+    sim_node_end(s, i);
+    sim_post(s, back, SIM_NODE_UP)->node = i;
+}
+
+static void machines(struct sim *s, const struct trouble *t)
+{
+    int n = (int)t->a;
+    for (int tries = 0; n > 0 && tries < 100; tries++) {
+        struct sim_worker *w = &s->workers[(int)(sim_rnd(s) * s->nworkers)];
+        double until = s->now + t->b;
+        if (w->gone || s->now < w->up_at || s->now < w->hangs || s->now < w->cut)
+            continue;
+        n--;
+        if (strcmp(t->verb, "hang") == 0)
+            w->hangs = until;
+        else if (strcmp(t->verb, "deaf") == 0)
+            w->deaf = until;
+        else if (strcmp(t->verb, "mute") == 0)
+            w->mute = until;
+        else if (strcmp(t->verb, "die") == 0)
+            sim_worker_gone(s, w);
+        else {
+            w->cut = until;
+            w->holds = strcmp(t->verb, "hold") == 0;
+        }
+        sim_note(s, "%s %s until %.1f", w->id, t->verb, until);
+    }
+}
+
+/* Jobs that run and have long to go are called off at once. */
+static void cancel_some(struct sim *s, int n)
+{
+    for (int i = 0; i < s->njobs && n > 0; i++) {
+        struct sim_job *j = &s->jobs[i];
+        if (j->accepted_at <= 0 || j->done_at > 0 || j->asked_cancel > 0 || j->on == 0)
+            continue;
+        j->withdraw_at = s->now;
+        ask_node(s, i, some_node(s), SIM_WITHDRAW);
+        n--;
+    }
+}
+
+static void trouble(struct sim *s, const struct plan *p, const struct trouble *t)
+{
+    double until = s->now + t->a;
+    sim_note(s, "trouble: %s %s %.2f %.2f", t->verb, t->who, t->a, t->b);
+    if (strcmp(t->verb, "outage") == 0)
+        s->outage = until;
+    else if (strcmp(t->verb, "slow") == 0)
+        s->slow = until;
+    else if (strcmp(t->verb, "refuse") == 0)
+        s->refuses[who_is(s, t->who)] = until;
+    else if (strcmp(t->verb, "peers") == 0)
+        s->peers_cut[who_is(s, t->who)] = until;
+    else if (strcmp(t->verb, "alone") == 0) {
+        int i = who_is(s, t->who);
+        s->peers_cut[i] = s->refuses[i] = until;
+    } else if (strcmp(t->verb, "zones") == 0)
+        s->zones_cut = until;
+    else if (strcmp(t->verb, "held") == 0)
+        s->held_up = until;
+    else if (strcmp(t->verb, "late") == 0) {
+        s->late_share = t->a;
+        s->late_until = s->now + t->b;
+    } else if (strcmp(t->verb, "lost") == 0) {
+        s->lost_share = t->a;
+        s->lost_until = s->now + t->b;
+    } else if (strcmp(t->verb, "copies") == 0 || strcmp(t->verb, "next") == 0) {
+        s->copies_share = t->a;
+        s->copies_until = s->now + t->b;
+        s->copies_for_next = *t->verb == 'n';
+    } else if (strcmp(t->verb, "crash") == 0)
+        crash(s, who_is(s, t->who), t->a);
+    else if (strcmp(t->verb, "all") == 0) {
+        for (int i = 0; i < SIM_NODES; i++)
+            crash(s, i, t->a * sim_between(s, 0.7, 1.3));
+    } else if (strcmp(t->verb, "cancel") == 0)
+        cancel_some(s, (int)t->a);
+    else if (strcmp(t->verb, "burst") == 0) {
+        for (int i = 0; i < (int)t->a; i++)
+            new_job(s, p, sim_between(s, 0, 5));
+    } else
+        machines(s, t);
+}
+
+/* The state service's leases have their full time again after an outage. */
+static void outage_over(struct sim *s)
+{
+    for (int i = 0; i < s->ngrants; i++)
+        s->grant[i].ends = s->now + s->grant[i].ttl;
+}
+
+/* ---- a day ---- */
+
+static void settings(struct sim *s, int i)
+{
+    struct bd_settings *set = &s->nodes[i].set;
+    small_settings(set);
+    snprintf(set->node, sizeof set->node, "node-%d", i);
+    set->leader_ttl = bd_secs(2);
+    set->clock_error = bd_secs(0.005);
+    set->list_lag = bd_secs(3);
+    set->ram_mb = 64;
+    set->max_sockets = 500;
+    set->cpu = 0.5;
+    set->nodes = SIM_NODES;
+    set->nzones = 2;
+    snprintf(set->zones[0], BD_NAME, "a");
+    snprintf(set->zones[1], BD_NAME, "b");
+    snprintf(set->zone, BD_NAME, "%s", i % 2 ? "b" : "a");
+    for (int k = 0; k < SIM_NODES; k++) {
+        if (k == i)
+            continue;
+        struct bd_peer *q = &set->peers[set->npeers++];
+        snprintf(q->name, sizeof q->name, "node-%d", k);
+        snprintf(q->zone, sizeof q->zone, "%s", k % 2 ? "b" : "a");
+    }
+    set->nteams = 2;
+    for (int k = 0; k < 2; k++) {
+        snprintf(set->teams[k].name, BD_NAME, "%s", k ? "b" : "a");
+        set->teams[k].cpus = 4;
+        set->teams[k].cpus_max = s->team_max[k];
+    }
+    s->nodes[i].log = (struct bd_log){BD_ERROR, s->nodes[i].set.node};
+}
+
+static void begin(struct sim *s, const struct plan *p, unsigned long seed)
+{
+    memset(s, 0, sizeof *s);
+    s->seed = seed;
+    s->rng = gsl_rng_alloc(gsl_rng_taus2);
+    if (!s->rng)
+        abort();
+    gsl_rng_set(s->rng, seed * 7919 + 1);
+    s->team_max[0] = 20;
+    s->team_max[1] = 16;
+    for (int i = 0; i < SIM_NODES; i++) {
+        settings(s, i);
+        sim_node_start(s, i);
+    }
+    for (int i = 0; i < 6; i++)
+        (void)sim_rent(s, i % 2 ? "b" : "a", 0.1);
+    for (int i = 0; i < p->n; i++) {
+        const struct trouble *t = &p->t[i];
+        bool shared = strcmp(t->verb, "late") == 0 || strcmp(t->verb, "lost") == 0 ||
+                      strcmp(t->verb, "copies") == 0 || strcmp(t->verb, "next") == 0;
+        double lasts = shared || t->b > 0 ? t->b : t->a;
+        if (strcmp(t->verb, "cancel") == 0 || strcmp(t->verb, "burst") == 0)
+            lasts = 5;
+        if (strcmp(t->verb, "copies") == 0)
+            lasts += 25; /* the last copy's way */
+        s->trouble_ends = fmax(s->trouble_ends, t->at + lasts);
+        sim_post(s, t->at, SIM_FAULT)->who = i;
+    }
+    s->ends = fmax(p->until, s->trouble_ends + QUIET_S);
+    for (int i = 0; i < p->jobs; i++)
+        new_job(s, p, i < 6 ? sim_between(s, 2, 6) : sim_between(s, 3, s->trouble_ends));
+}
+
+static void event(struct sim *s, const struct plan *p, struct sim_event *e)
+{
+    switch (e->kind) {
+    case SIM_STATE_RUN:
+    case SIM_STATE_BACK:
+    case SIM_STATE_GIVEN_UP:
+        sim_state_event(s, e);
+        break;
+    case SIM_DO_IN:
+    case SIM_REPORT_BACK:
+    case SIM_REPORT_GIVEN_UP:
+        sim_worker_event(s, e);
+        break;
+    case SIM_USER_WAKE:
+        user_wake(s, e);
+        break;
+    case SIM_USER_BACK:
+        user_back(s, e);
+        break;
+    case SIM_FAULT:
+        trouble(s, p, &p->t[e->who]);
+        break;
+    default:
+        sim_node_event(s, e);
+    }
+    s->events++;
+}
+
+/* Once the troubles are over none waits while a machine that fits has room and its team may. */
+static void waits(struct sim *s, struct sim_job *j)
+{
+    uint32_t left = 0, missing = 0;
+    for (uint32_t i = 0; i < j->tasks; i++) {
+        left += !j->done[i];
+        missing += !j->done[i] && j->machine[i] < 0;
+    }
+    double need = j->cpus * (j->shape == BD_ARRAY ? 1 : missing);
+    bool could = j->accepted_at > 0 && j->asked_cancel <= 0 && left > 0 && missing > 0 &&
+                 s->now > s->trouble_ends &&
+                 s->team_use[j->team] + need <= s->team_max[j->team] + 1e-6;
+    if (!could)
+        j->room_since = 0;
+    else if (j->room_since <= 0)
+        j->room_since = s->now;
+    else if (s->now - j->room_since > WAIT_S)
+        sim_broken(s, "waits: %s has room for %.0f s", j->id, WAIT_S);
+}
+
+static bool all_served(const struct sim *s)
+{
+    for (int i = 0; i < s->njobs; i++) {
+        const struct sim_job *j = &s->jobs[i];
+        if (!j->odd && j->asked_cancel <= 0 &&
+            (j->shape == BD_SERVICE ? j->on < (int)j->tasks : j->done_at <= 0))
+            return false;
+    }
+    return true;
+}
+
+static void rules(struct sim *s)
+{
+    for (int i = 0; i < s->njobs; i++) {
+        struct sim_job *j = &s->jobs[i];
+        waits(s, j);
+        if (j->cancelled_at > 0 && j->on > 0 && s->now > j->cancelled_at + 35)
+            sim_broken(s, "ran_cancelled: %s is still on %d machines", j->id, j->on);
+    }
+}
+
+static void at_the_end(struct sim *s)
+{
+    for (int i = 0; i < s->njobs; i++) {
+        struct sim_job *j = &s->jobs[i];
+        if (j->odd || j->asked_cancel > 0)
+            continue;
+        if (j->accepted_at <= 0)
+            sim_broken(s, "not accepted: %s", j->id);
+        else if (j->shape == BD_SERVICE && j->on < (int)j->tasks)
+            sim_broken(s, "waits: %s has %d of %u replicas", j->id, j->on, j->tasks);
+        else if (j->shape != BD_SERVICE && j->done_at <= 0)
+            sim_broken(s, "not served: %s (%u tasks of %.0f, on %d)", j->id, j->tasks, j->cpus,
+                       j->on);
+    }
+}
+
+static void finish(struct sim *s)
+{
+    for (int i = 0; i < SIM_NODES; i++)
+        sim_node_end(s, i);
+    while (s->queue) {
+        struct sim_event *e = s->queue;
+        s->queue = e->next;
+        if (e->kind == SIM_STATE_BACK)
+            json_decref(e->data);
+        if (e->kind == SIM_MESH)
+            free(e->data);
+        if (e->kind == SIM_DO_IN || e->kind == SIM_DO_BACK || e->kind == SIM_DO_GIVEN_UP) {
+            struct sim_try *t = e->data;
+            if (--t->refs == 0)
+                free(t);
+        }
+        if (e->call)
+            sim_call_drop(e->call);
+        free(e->text);
+        free(e);
+    }
+    while (s->requests) {
+        struct sim_request *q = s->requests;
+        s->requests = q->next;
+        free(q);
+    }
+    for (int i = 0; i < s->nkept; i++)
+        free(s->kept[i]);
+    sim_state_free(s);
+    gsl_rng_free(s->rng);
+}
+
+static int play(const struct plan *p, unsigned long seed, bool loud, bool debug)
+{
+    struct sim *s = malloc(sizeof *s);
+    bool out = false;
+    if (!s)
+        abort();
+    begin(s, p, seed);
+    s->loud = loud;
+    for (int i = 0; debug && i < SIM_NODES; i++)
+        s->nodes[i].log.level = BD_DEBUG;
+    while (s->broken <= 5 && (s->now < s->ends || (s->now < s->ends + MOST_S && !all_served(s)))) {
+        s->now += STEP_S;
+        if (out && s->now >= s->outage)
+            outage_over(s);
+        out = s->now < s->outage;
+        sim_state_tick(s);
+        while (s->queue && s->queue->at <= s->now) {
+            struct sim_event *e = s->queue;
+            s->queue = e->next;
+            event(s, p, e);
+            free(e->text);
+            free(e);
+        }
+        sim_workers_tick(s);
+        rules(s);
+    }
+    if (s->broken == 0)
+        at_the_end(s);
+    int broken = s->broken;
+    printf("%s seed %lu: %d jobs, %d starts, %d terms, %llu events, %d started long after a "
+           "cancellation\n",
+           broken ? "FAIL" : "ok  ", seed, s->njobs, s->starts, s->terms,
+           (unsigned long long)s->events, s->late_starts);
+    finish(s);
+    free(s);
+    return broken;
+}
+
+/* ---- plans ---- */
+
+static void drawn(struct plan *p, unsigned long seed)
+{
+    static const char *const verbs[] = {"outage", "slow",  "refuse", "late",  "lost",   "peers",
+                                        "zones",  "held",  "copies", "next",  "hang",   "deaf",
+                                        "mute",   "cut",   "hold",   "die",   "crash",  "all",
+                                        "cancel", "burst", "alone",  "crash", "cancel", "hang"};
+    const int n = (int)(sizeof verbs / sizeof *verbs);
+    gsl_rng *r = gsl_rng_alloc(gsl_rng_taus2);
+    if (!r)
+        abort();
+    gsl_rng_set(r, seed * 104729 + 5);
+    memset(p, 0, sizeof *p);
+    p->jobs = 45;
+    p->cancelled = 0.3;
+    double at = 12;
+    while (at < 130 && p->n < 40) {
+        struct trouble *t = &p->t[p->n++];
+        const char *v = verbs[gsl_rng_uniform_int(r, (unsigned long)n)];
+        double u = gsl_rng_uniform(r), w = gsl_rng_uniform(r);
+        t->at = at;
+        snprintf(t->verb, sizeof t->verb, "%s", v);
+        snprintf(t->who, sizeof t->who, "%s", w < 0.7 ? "leader" : "any");
+        bool shared = *v == 'l' || strcmp(v, "copies") == 0 || strcmp(v, "next") == 0;
+        bool machine = strchr("hdm", *v) || strcmp(v, "cut") == 0;
+        if (strcmp(v, "held") == 0)
+            machine = false;
+        t->a = shared ? 0.1 + 0.6 * u : machine ? 1 + floor(2 * u) : 2 + 20 * u;
+        t->b = shared ? 10 + 20 * w : machine ? 1 + 14 * w : 0;
+        if (strcmp(v, "crash") == 0 || strcmp(v, "all") == 0)
+            t->a = w < 0.5 ? 0.2 + u : 2 + 3 * u;
+        if (strcmp(v, "outage") == 0 && w < 0.3)
+            t->a = 36 + 10 * u;
+        if (strcmp(v, "cancel") == 0 || strcmp(v, "burst") == 0)
+            t->a = 2 + floor(5 * u);
+        at += gsl_rng_uniform(r) < 0.5 ? 3 * gsl_rng_uniform(r) : 14 * gsl_rng_uniform(r);
+    }
+    gsl_rng_free(r);
+}
+
+static bool has_who(const char *verb)
+{
+    return strcmp(verb, "refuse") == 0 || strcmp(verb, "peers") == 0 ||
+           strcmp(verb, "crash") == 0 || strcmp(verb, "alone") == 0;
+}
+
+static bool read_plan(struct plan *p, const char *path)
+{
+    char line[256];
+    int at_line = 0;
+    FILE *f = fopen(path, "r");
+    memset(p, 0, sizeof *p);
+    p->jobs = 40;
+    p->cancelled = 0.25;
+    bool good = f != NULL;
+    while (f && good && fgets(line, sizeof line, f)) {
+        struct trouble *t = &p->t[p->n];
+        at_line++;
+        if (line[0] == '#' || line[strspn(line, " \n")] == '\0')
+            continue;
+        if (sscanf(line, "until %lf", &p->until) == 1 || sscanf(line, "jobs %d", &p->jobs) == 1 ||
+            sscanf(line, "cancelled %lf", &p->cancelled) == 1)
+            continue;
+        char rest[128] = "";
+        good = p->n < 128 && sscanf(line, "at %lf %15s %127[^\n]", &t->at, t->verb, rest) >= 2;
+        if (good && has_who(t->verb))
+            good = sscanf(rest, "%15s %lf", t->who, &t->a) == 2;
+        else if (good)
+            good = sscanf(rest, "%lf %lf", &t->a, &t->b) >= 1;
+        p->n++;
+    }
+    if (!good)
+        fprintf(stderr, "%s:%d: not a day\n", path, at_line);
+    if (f)
+        (void)fclose(f);
+    return good && p->n > 0;
+}
+
+int main(int argc, char **argv)
+{
+    static struct plan p;
+    int failed = 0;
+    (void)setvbuf(stdout, NULL, _IONBF, 0); /* in step with the log */
+    if (argc == 4 && strcmp(argv[1], "random") == 0) {
+        unsigned long from = strtoul(argv[2], NULL, 10), n = strtoul(argv[3], NULL, 10);
+        for (unsigned long i = from; i < from + n; i++) {
+            drawn(&p, i);
+            failed += play(&p, i, false, false) != 0;
+        }
+    } else if (argc >= 4 && strcmp(argv[1], "seed") == 0) {
+        unsigned long seed = strtoul(argv[3], NULL, 10);
+        if (strcmp(argv[2], "random") == 0)
+            drawn(&p, seed);
+        else if (!read_plan(&p, argv[2]))
+            return 2;
+        failed += play(&p, seed, true, argc > 4) != 0;
+    } else if (argc >= 2 && read_plan(&p, argv[1])) {
+        unsigned long n = argc > 2 ? strtoul(argv[2], NULL, 10) : 3;
+        for (unsigned long i = 1; i <= n; i++)
+            failed += play(&p, i, false, false) != 0;
+    } else {
+        return 2;
+    }
+    return failed ? 1 : 0;
+}
--- a/tests/scenario.c
+++ b/tests/scenario.c
@@ -712,6 +712,8 @@
         bd_core_busy(p->c);
     else if (strcmp(v, "confirmed") == 0)
         bd_core_confirmed(p->c, p->c->now);
+    else if (strcmp(v, "offered") == 0)
+        bd_core_offered(p->c, p->c->now);
     else if (strcmp(v, "renew") == 0)
         bd_core_renewed(p->c, 7, p->c->now);
     else if (strcmp(v, "lose") == 0)
--- /dev/null
+++ b/tests/sim.h
@@ -0,0 +1,226 @@
+/* A day of several controllers' cores in simulated time: a model of the adapters, of the state
+ * service, the cloud, the workers and the users, with troubles at set times. What is real is the
+ * pure core; the protocol's rules are the oracle. One seed, one day, always the same. */
+#ifndef BD_TESTS_SIM_H
+#define BD_TESTS_SIM_H
+#include "brambledoor/core.h"
+#include "brambledoor/frame.h"
+#include "brambledoor/log.h"
+#include "brambledoor/timeutil.h"
+#include <gsl/gsl_rng.h>
+#include <jansson.h>
+
+#define SIM_NODES 4
+#define SIM_MACHINES 48
+#define SIM_JOBS 220
+#define SIM_TASKS 8   /* of a job */
+#define SIM_SLOTS 160 /* what a worker knows */
+#define SIM_SAID 400
+
+enum sim_event_kind {
+    SIM_STATE_RUN,
+    SIM_STATE_BACK,
+    SIM_STATE_GIVEN_UP,
+    SIM_READER,
+    SIM_SEAT,
+    SIM_NODE_TICK,
+    SIM_NODE_UP,
+    SIM_MESH,
+    SIM_REPORT_IN,
+    SIM_REPORT_BACK,
+    SIM_REPORT_GIVEN_UP,
+    SIM_DO_IN,
+    SIM_REPORT_COPY,
+    SIM_DO_BACK,
+    SIM_DO_GIVEN_UP,
+    SIM_CLOUD_BACK,
+    SIM_USER_IN,
+    SIM_USER_BACK,
+    SIM_USER_WAKE,
+    SIM_FAULT
+};
+
+struct sim_call;
+struct sim_request;
+struct sim_event {
+    double at;
+    uint64_t order;
+    enum sim_event_kind kind;
+    int node, who;
+    uint64_t epoch, number;
+    long status;
+    bool flag;
+    char *text;
+    void *data;
+    struct sim_call *call;
+    struct sim_event *next;
+};
+
+struct sim_key {
+    char name[96];
+    json_t *value; /* NULL: free */
+    uint64_t mark, grant;
+};
+
+struct sim_change {
+    char name[96];
+    json_t *value;
+    uint64_t mark;
+};
+
+struct sim_grant {
+    uint64_t id;
+    double ends, ttl;
+};
+
+enum sim_op { SIM_GET, SIM_LIST, SIM_LOOK, SIM_COMMIT, SIM_GRANT, SIM_RENEW };
+
+struct sim_call { /* of a controller to the state service */
+    enum sim_op op;
+    int node, then, refs;
+    uint64_t epoch, number;
+    char key[96];
+    char *body;
+    struct bd_effect *effect;
+    struct timespec sent; /* by the node's own clock */
+    bool over, flag;
+};
+
+struct sim_node {
+    struct bd_settings set;
+    struct bd_log log;
+    struct bd_core *core; /* NULL: not running */
+    uint64_t epoch;
+    double began, clock_rate, clock_from, wall_off;
+    /* reader */
+    uint64_t after;
+    bool list_again, want_barrier, look_out;
+    double next_look, next_deputies;
+    /* seat */
+    bool leading, seat_out, step_down;
+    char nonce[BD_LABEL];
+    uint64_t grant, term;
+    struct timespec granted, touched;
+    struct bd_gain gain;
+    bool gained; /* a gain waits for the replica */
+    /* committer */
+    struct bd_effect *commit;
+    bool unsure;
+    double next_status, next_list;
+};
+
+struct sim_slot { /* a task on a worker */
+    int job;
+    uint32_t task;
+    uint64_t attempt;
+    enum bd_sub sub;
+    enum bd_why why;
+    double until;
+};
+
+struct sim_worker {
+    char id[BD_LABEL], zone[BD_LABEL], type[BD_LABEL];
+    bool used, gone;
+    double rented_at, up_at, answered, next_report;
+    uint64_t session, tally, seal, asked; /* asked: the number of the check-in under way */
+    bool asking;
+    double asked_at;
+    int node;
+    uint64_t epoch;
+    double hangs, mute, deaf, cut; /* until then */
+    bool holds;                    /* the cut delivers late instead of never */
+    int nslots;
+    struct sim_slot slots[SIM_SLOTS];
+};
+
+struct sim_job {
+    char id[BD_ID];
+    enum bd_shape shape;
+    uint32_t tasks;
+    int team;
+    double cpus, run_s, withdraw_at;                         /* withdraw_at: 0 never */
+    double asked_cancel, accepted_at, done_at, cancelled_at; /* when the user was told; 0 not yet */
+    double answered_at, room_since; /* it waits since then though it could begin; 0: it could not */
+    bool odd;                       /* can never be accepted */
+    bool done[SIM_TASKS];
+    uint64_t attempt[SIM_TASKS]; /* while on a machine */
+    int machine[SIM_TASKS];      /* -1: on none */
+    int on;
+};
+
+struct sim {
+    gsl_rng *rng;
+    unsigned long seed;
+    double now, trouble_ends, ends;
+    uint64_t order, events;
+    struct sim_event *queue;
+    struct sim_request *requests;
+    /* state service */
+    struct sim_key keys[2048];
+    int nkeys;
+    struct sim_change *log;
+    size_t nlog, cap_log;
+    uint64_t ring, grants;
+    struct sim_grant grant[64];
+    int ngrants;
+    double outage, refuses[SIM_NODES], slow, lost_share, late_share; /* until then; shares */
+    double lost_until, late_until;
+    /* network */
+    double peers_cut[SIM_NODES], zones_cut, copies_until, copies_share, held_up;
+    bool copies_for_next;
+    char *kept[256]; /* for the next leader */
+    int nkept;
+    struct sim_node nodes[SIM_NODES];
+    struct sim_worker workers[SIM_MACHINES];
+    int nworkers;
+    struct sim_job jobs[SIM_JOBS];
+    int njobs;
+    double team_max[2], team_use[2];
+    int broken, starts, late_starts, terms;
+    bool loud;
+};
+
+double sim_rnd(struct sim *s);
+double sim_between(struct sim *s, double a, double b);
+void sim_note(struct sim *s, const char *fmt, ...) __attribute__((format(printf, 2, 3)));
+void sim_broken(struct sim *s, const char *fmt, ...) __attribute__((format(printf, 2, 3)));
+struct sim_event *sim_post(struct sim *s, double delay, enum sim_event_kind kind);
+double sim_delay(struct sim *s);
+
+/* state service, sim_state.c */
+void sim_state_call(struct sim *s, struct sim_call *c, double timeout);
+void sim_state_event(struct sim *s, struct sim_event *e);
+void sim_state_tick(struct sim *s);
+void sim_call_drop(struct sim_call *c);
+void sim_state_free(struct sim *s);
+
+/* controllers, sim_node.c */
+struct sim_request { /* what the core holds of a user's or a worker's request */
+    struct bd_remote head;
+    bool user;
+    int who;
+    uint64_t number;
+    int verb;
+    struct sim_request *next;
+};
+struct sim_try { /* a direct command */
+    bool over, launch;
+    int refs;
+    uint32_t machine;
+    uint64_t seal;
+};
+enum sim_verb { SIM_SUBMIT, SIM_ASK, SIM_WITHDRAW };
+void sim_node_start(struct sim *s, int i);
+void sim_node_end(struct sim *s, int i);
+void sim_node_event(struct sim *s, struct sim_event *e);
+void sim_node_answered(struct sim *s, struct sim_call *c, long status, json_t *o);
+bool sim_reaches(const struct sim *s, int node, const struct sim_worker *w);
+
+/* workers and cloud, sim_work.c */
+int sim_rent(struct sim *s, const char *zone, double boot);
+void sim_worker_event(struct sim *s, struct sim_event *e);
+void sim_copies_now(struct sim *s); /* a new leader begins */
+void sim_workers_tick(struct sim *s);
+void sim_worker_gone(struct sim *s, struct sim_worker *w);
+struct sim_job *sim_job_named(struct sim *s, const char *id);
+#endif
--- /dev/null
+++ b/tests/sim_node.c
@@ -0,0 +1,857 @@
+/* The adapters of the simulated controllers: what leader.c, store.c, cloud.c, dispatch.c, mesh.c
+ * and owner.c do around the core, as events. */
+#include "sim.h"
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define TTL_S 2.0
+
+enum then { /* what an answer of the state service is for */
+            THEN_LIST,
+            THEN_LOOK,
+            THEN_DEPUTIES,
+            THEN_SEE,
+            THEN_TOUCH,
+            THEN_GRANT,
+            THEN_ACQUIRE,
+            THEN_OURS,
+            THEN_WITNESS,
+            THEN_RECEIPTS,
+            THEN_INTENTS,
+            THEN_RENEW,
+            THEN_COMMIT,
+            THEN_WITNESSED,
+            THEN_USER,
+            THEN_DEPUTY,
+            THEN_DEPUTY_MARK,
+            THEN_LOOKUP
+};
+
+static struct timespec steady(const struct sim *s, const struct sim_node *n)
+{
+    return bd_secs(n->clock_from + (s->now - n->began) * n->clock_rate);
+}
+
+static double wall_of(const struct sim *s, const struct sim_node *n)
+{
+    return 1e6 + s->now + n->wall_off;
+}
+
+static void clock_core(struct sim *s, struct sim_node *n)
+{
+    bd_core_time(n->core, steady(s, n), wall_of(s, n));
+}
+
+static struct sim_call *call(struct sim *s, struct sim_node *n, enum sim_op op, enum then then,
+                             const char *key, char *body, double timeout)
+{
+    struct sim_call *c = calloc(1, sizeof *c);
+    if (!c)
+        abort();
+    c->op = op;
+    c->then = (int)then;
+    c->node = (int)(n - s->nodes);
+    c->epoch = n->epoch;
+    snprintf(c->key, sizeof c->key, "%s", key ? key : "");
+    c->body = body;
+    c->sent = steady(s, n);
+    sim_state_call(s, c, timeout);
+    return c;
+}
+
+static struct sim_event *wake(struct sim *s, struct sim_node *n, double delay,
+                              enum sim_event_kind kind)
+{
+    struct sim_event *e = sim_post(s, delay, kind);
+    e->node = (int)(n - s->nodes);
+    e->epoch = n->epoch;
+    return e;
+}
+
+/* ---- effects ---- */
+
+static void reply(struct sim *s, struct sim_node *n, struct bd_effect *e)
+{
+    struct sim_request *q = e->request;
+    if (!q)
+        return;
+    struct sim_event *b = wake(s, n, sim_delay(s), q->user ? SIM_USER_BACK : SIM_REPORT_BACK);
+    b->who = q->who;
+    b->number = q->number;
+    b->status = e->status;
+    b->flag = q->verb == SIM_WITHDRAW;
+    b->text = e->body;
+    e->body = NULL;
+}
+
+static struct sim_event *to_peer(struct sim *s, struct sim_node *n, int peer,
+                                 enum bd_frame_type type, struct bd_effect *e)
+{
+    int to = peer + (peer >= (int)(n - s->nodes)); /* the settings leave ourselves out */
+    struct sim_event *m = wake(s, n, sim_delay(s), SIM_MESH);
+    struct bd_frame *f = calloc(1, sizeof *f);
+    if (!f)
+        abort();
+    m->who = to;
+    m->epoch = s->nodes[to].epoch;
+    m->data = f;
+    f->type = type;
+    snprintf(f->name, sizeof f->name, "%s", n->set.node);
+    if (e) {
+        f->id = e->seal;
+        f->status = (uint16_t)e->status;
+        m->text = e->body;
+        e->body = NULL;
+    }
+    return m;
+}
+
+static void direct(struct sim *s, struct sim_node *n, struct bd_effect *e)
+{
+    struct sim_try *t = calloc(1, sizeof *t);
+    if (!t)
+        abort();
+    *t = (struct sim_try){.refs = 2, .machine = e->machine, .seal = e->seal, .launch = e->launch};
+    bool held = s->now < s->held_up && sim_rnd(s) < 0.3;
+    struct sim_event *d = wake(s, n, sim_delay(s) + (held ? sim_between(s, 0.5, 6) : 0), SIM_DO_IN);
+    d->who = atoi(e->addr + 2); /* "w-N" */
+    d->text = e->body;
+    d->data = t;
+    e->body = NULL;
+    struct sim_event *g = wake(s, n, 1.5, SIM_DO_GIVEN_UP);
+    g->data = t;
+}
+
+static void cloud(struct sim *s, struct sim_node *n, struct bd_effect *e)
+{
+    struct sim_event *b = wake(s, n, sim_between(s, 0.1, 0.4), SIM_CLOUD_BACK);
+    b->flag = e->kind == BD_E_RENT;
+    b->text = e->body;
+    e->body = NULL;
+}
+
+static void next_commit(struct sim *s, struct sim_node *n)
+{
+    (void)call(s, n, SIM_COMMIT, THEN_COMMIT, NULL, strdup(n->commit->body), 1.5);
+}
+
+static void perform(struct sim *s, struct sim_node *n, struct bd_effect *e)
+{
+    struct sim_call *c;
+    switch (e->kind) {
+    case BD_E_REPLY:
+        reply(s, n, e);
+        break;
+    case BD_E_BARRIER:
+        n->want_barrier = true;
+        wake(s, n, 0.01, SIM_READER);
+        break;
+    case BD_E_LOST:
+        n->step_down = true;
+        break;
+    case BD_E_FORWARD:
+    case BD_E_ANSWER:
+        (void)to_peer(s, n, (int)e->machine,
+                      e->kind == BD_E_FORWARD ? BD_FRAME_REPORT : BD_FRAME_ANSWER, e);
+        break;
+    case BD_E_DEPUTY:
+        c = e->body ? call(s, n, SIM_COMMIT, THEN_DEPUTY, NULL, strdup(e->body), 1.5)
+                    : call(s, n, SIM_GET, THEN_DEPUTY_MARK, e->key, NULL, 1.5);
+        (void)c;
+        break;
+    case BD_E_USER_COMMIT:
+        c = call(s, n, SIM_COMMIT, THEN_USER, NULL, strdup(e->body), 2.5);
+        c->effect = e;
+        return;
+    case BD_E_LOOKUP: {
+        char key[BD_LABEL + 2];
+        snprintf(key, sizeof key, "j/%.60s", e->key);
+        c = call(s, n, SIM_GET, THEN_LOOKUP, key, NULL, 1.5);
+        c->effect = e;
+        return;
+    }
+    case BD_E_COMMIT:
+        if (n->commit)
+            bd_effect_free(n->commit);
+        n->commit = e;
+        n->unsure = false;
+        next_commit(s, n);
+        return;
+    case BD_E_DO:
+        direct(s, n, e);
+        break;
+    case BD_E_RENT:
+    case BD_E_RETURN:
+        cloud(s, n, e);
+        break;
+    }
+    bd_effect_free(e);
+}
+
+static void take_gain(struct sim *s, struct sim_node *n)
+{
+    if (!n->gained || !n->core->replica_ready || n->core->ring < n->gain.term)
+        return;
+    n->gained = false;
+    n->gain.nonce = n->nonce;
+    bd_core_gained(n->core, &n->gain);
+    json_decref(n->gain.receipts);
+    json_decref(n->gain.intents);
+    n->gain.receipts = n->gain.intents = NULL;
+    s->terms++;
+    sim_copies_now(s);
+    sim_note(s, "%s leads, term %llu", n->set.node, (unsigned long long)n->core->term);
+}
+
+static void say_status(struct sim *s, struct sim_node *n)
+{
+    struct bd_core *c = n->core;
+    if (s->now < n->next_status)
+        return;
+    n->next_status = s->now + 0.3;
+    double age = bd_between(c->fresh, c->now);
+    uint8_t flags = BD_PEER_DEPS;
+    flags |= c->role == BD_LEADER ? BD_PEER_LEADS : 0;
+    flags |= bd_core_hears_leader(c) ? BD_PEER_HEARS : 0;
+    flags |= c->role == BD_LEADER && c->deaf ? BD_PEER_DEAF : 0;
+    flags |= age < 1.0 && c->replica_ready ? BD_PEER_STATE : 0;
+    flags |= bd_core_cut(c) ? BD_PEER_CUT : 0;
+    for (int i = 0; i < n->set.npeers; i++) {
+        struct bd_frame *f = to_peer(s, n, i, BD_FRAME_STATUS, NULL)->data;
+        f->term = c->role == BD_LEADER ? c->term : 0;
+        f->flags = flags;
+        f->age_ms = age > 1e6 ? 1000000000u : (uint32_t)(age * 1000);
+        f->at_ms = (uint64_t)(c->wall * 1000);
+    }
+}
+
+static void settle(struct sim *s, struct sim_node *n)
+{
+    take_gain(s, n);
+    bd_core_tick(n->core);
+    struct bd_effect *e = bd_core_effects(n->core);
+    while (e) {
+        struct bd_effect *next = e->next;
+        perform(s, n, e);
+        e = next ? next : bd_core_effects(n->core);
+    }
+    say_status(s, n);
+}
+
+/* ---- reader ---- */
+
+static void read_next(struct sim *s, struct sim_node *n)
+{
+    if (n->look_out)
+        return;
+    n->look_out = true;
+    if (n->list_again) {
+        (void)call(s, n, SIM_LIST, THEN_LIST, "j/", NULL, 1.5);
+        return;
+    }
+    if (n->core->role == BD_LEADER && s->now > n->next_deputies) {
+        n->next_deputies = s->now + 0.7;
+        (void)call(s, n, SIM_LIST, THEN_DEPUTIES, "p/", NULL, 1.5);
+        return;
+    }
+    struct sim_call *c = call(s, n, SIM_LOOK, THEN_LOOK, NULL, NULL, 1.5);
+    c->number = n->after;
+    c->flag = n->want_barrier;
+    n->want_barrier = false;
+}
+
+static void changes(struct sim_node *n, json_t *list)
+{
+    struct bd_change ch;
+    json_t *v;
+    size_t i;
+    json_array_foreach(list, i, v)
+    {
+        if (bd_wire_change(v, &ch))
+            bd_core_change(n->core, &ch);
+    }
+}
+
+static void looked(struct sim *s, struct sim_node *n, struct sim_call *c, long status, json_t *o)
+{
+    bool ignored;
+    n->look_out = false;
+    if (c->then == THEN_LIST && status == 200) {
+        changes(n, bd_wire_pairs(o, &ignored));
+        bd_core_relisted(n->core, bd_wire_ring(o), c->sent);
+        n->after = n->core->ring;
+        n->list_again = false;
+    } else if (c->then == THEN_LOOK) {
+        if (status == 200)
+            changes(n, bd_wire_log(o));
+        bd_core_followed(n->core, c->number, bd_wire_ring(o), c->sent, c->flag, status == 200);
+        if (status == 200 && bd_wire_ring(o) > n->after)
+            n->after = bd_wire_ring(o);
+    } else if (c->then == THEN_DEPUTIES && status == 200) {
+        if (s->loud && getenv("SIM_DEPUTIES")) {
+            char *text = json_dumps(bd_wire_pairs(o, &ignored), JSON_COMPACT);
+            sim_note(s, "%s sees %s", n->set.node, text);
+            free(text);
+        }
+        bd_core_deputies(n->core, bd_wire_pairs(o, &ignored), c->sent);
+    }
+    wake(s, n, status == 200 ? (n->want_barrier ? 0.04 : 0.2) : 0.25, SIM_READER);
+}
+
+/* ---- seat ---- */
+
+static void seat_again(struct sim *s, struct sim_node *n, double delay)
+{
+    n->seat_out = false;
+    wake(s, n, delay, SIM_SEAT);
+}
+
+static void seat_next(struct sim *s, struct sim_node *n)
+{
+    if (n->seat_out)
+        return;
+    n->seat_out = true;
+    if (n->leading && n->step_down)
+        n->leading = false;
+    n->step_down = false;
+    if (n->leading) {
+        struct sim_call *c = call(s, n, SIM_RENEW, THEN_RENEW, NULL, NULL, TTL_S / 3);
+        c->number = n->grant;
+        return;
+    }
+    (void)call(s, n, SIM_GET, THEN_SEE, "leader", NULL, TTL_S / 3);
+}
+
+static void get_grant(struct sim *s, struct sim_node *n, uint64_t mark)
+{
+    snprintf(n->nonce, sizeof n->nonce, "%d-%llu-%llu", (int)(n - s->nodes),
+             (unsigned long long)n->epoch, (unsigned long long)s->order);
+    n->granted = steady(s, n);
+    struct sim_call *c = call(s, n, SIM_GRANT, THEN_GRANT, NULL, NULL, TTL_S / 3);
+    c->number = mark;
+}
+
+static void touch(struct sim *s, struct sim_node *n, uint64_t mark)
+{
+    struct bd_txn t;
+    char key[BD_LABEL + 8];
+    if (bd_between(n->touched, steady(s, n)) < 0.8 || !bd_txn_start(&t))
+        return;
+    n->touched = steady(s, n);
+    snprintf(key, sizeof key, "p/%.50s/at", n->set.node);
+    bd_txn_if(&t, "leader", mark);
+    bd_txn_set(&t, key, json_pack("{s:f}", "at", wall_of(s, n)), 0);
+    bd_core_offered(n->core, n->touched);
+    (void)call(s, n, SIM_COMMIT, THEN_TOUCH, NULL, bd_txn_end(&t), TTL_S / 3);
+}
+
+static void saw(struct sim *s, struct sim_node *n, struct sim_call *c, long status, json_t *o)
+{
+    struct bd_change ch;
+    uint64_t grant;
+    bool told = n->core->role == BD_FOLLOWER && !n->gained;
+    if (status == 404) {
+        if (told)
+            bd_core_leader_is(n->core, "", 0, c->sent, false);
+        get_grant(s, n, 0);
+        return;
+    }
+    if (status == 200 && bd_wire_pair(o, &ch, &grant)) {
+        const char *node = json_string_value(json_object_get(ch.value, "node"));
+        bool away = false;
+        json_t *v;
+        size_t i;
+        json_array_foreach(json_object_get(ch.value, "away"), i, v)
+        {
+            away = away || strcmp(json_string_value(v), n->set.node) == 0;
+        }
+        if (told)
+            bd_core_leader_is(n->core, node, ch.mark, c->sent, away);
+        if (strcmp(node, n->set.node) == 0) {
+            get_grant(s, n, ch.mark);
+            return;
+        }
+        touch(s, n, ch.mark);
+    }
+    seat_again(s, n, sim_between(s, 0.2, 0.4));
+}
+
+static void got_grant(struct sim *s, struct sim_node *n, struct sim_call *c, long status, json_t *o)
+{
+    struct bd_txn t;
+    n->grant = status == 200 ? bd_wire_grant(o) : 0;
+    if (!n->grant || !bd_txn_start(&t)) {
+        seat_again(s, n, 0.3);
+        return;
+    }
+    bd_txn_if(&t, "leader", c->number);
+    bd_txn_set(&t, "leader", json_pack("{s:s,s:s}", "node", n->set.node, "nonce", n->nonce),
+               n->grant);
+    (void)call(s, n, SIM_COMMIT, THEN_ACQUIRE, NULL, bd_txn_end(&t), TTL_S / 3);
+}
+
+static void acquired(struct sim *s, struct sim_node *n, uint64_t term)
+{
+    memset(&n->gain, 0, sizeof n->gain);
+    n->gain.term = term;
+    n->gain.grant = n->grant;
+    (void)call(s, n, SIM_GET, THEN_WITNESS, "w", NULL, 1.5);
+}
+
+static void seat_answer(struct sim *s, struct sim_node *n, struct sim_call *c, long status,
+                        json_t *o)
+{
+    struct bd_change ch;
+    uint64_t grant;
+    bool ignored;
+    switch ((enum then)c->then) {
+    case THEN_SEE:
+        saw(s, n, c, status, o);
+        return;
+    case THEN_GRANT:
+        got_grant(s, n, c, status, o);
+        return;
+    case THEN_ACQUIRE:
+        if (status == 200)
+            acquired(s, n, bd_wire_ring(o));
+        else if (status == 409 || status == 400)
+            seat_again(s, n, 0.3);
+        else
+            (void)call(s, n, SIM_GET, THEN_OURS, "leader", NULL, TTL_S / 3);
+        return;
+    case THEN_OURS:
+        if (status == 200 && bd_wire_pair(o, &ch, &grant) &&
+            strcmp(json_string_value(json_object_get(ch.value, "nonce")), n->nonce) == 0)
+            acquired(s, n, ch.mark);
+        else
+            seat_again(s, n, 0.3);
+        return;
+    case THEN_WITNESS:
+        if (status == 200 && bd_wire_pair(o, &ch, &grant))
+            n->gain.witness_mark = ch.mark;
+        break;
+    case THEN_RECEIPTS:
+        n->gain.receipts = status == 200 ? json_incref(bd_wire_pairs(o, &ignored)) : NULL;
+        break;
+    case THEN_INTENTS:
+        n->gain.intents = status == 200 ? json_incref(bd_wire_pairs(o, &ignored)) : NULL;
+        break;
+    default:
+        return;
+    }
+    bool ok = status == 200 || (status == 404 && c->then == THEN_WITNESS);
+    if (!ok) { /* the term is given up: the key ends with its grant */
+        json_decref(n->gain.receipts);
+        json_decref(n->gain.intents);
+        n->gain.receipts = n->gain.intents = NULL;
+        seat_again(s, n, 0.3);
+    } else if (c->then == THEN_WITNESS) {
+        (void)call(s, n, SIM_LIST, THEN_RECEIPTS, "r/", NULL, 1.5);
+    } else if (c->then == THEN_RECEIPTS) {
+        (void)call(s, n, SIM_LIST, THEN_INTENTS, "i/", NULL, 1.5);
+    } else {
+        n->gain.renewed = n->granted;
+        n->step_down = false;
+        n->leading = n->gained = true;
+        seat_again(s, n, 0);
+    }
+}
+
+static void renewed(struct sim *s, struct sim_node *n, struct sim_call *c, long status)
+{
+    if (status == 404) {
+        n->leading = false;
+        if (n->gained) {
+            json_decref(n->gain.receipts);
+            json_decref(n->gain.intents);
+            n->gained = false;
+        }
+        bd_core_lost(n->core);
+        seat_again(s, n, 0);
+        return;
+    }
+    if (status == 200)
+        bd_core_renewed(n->core, c->number, c->sent);
+    seat_again(s, n, TTL_S / 6);
+}
+
+/* ---- the leader's transactions ---- */
+
+static bool names(json_t *failed, const char *key)
+{
+    json_t *v;
+    size_t i;
+    json_array_foreach(failed, i, v)
+    {
+        if (strcmp(json_string_value(v), key) == 0)
+            return true;
+    }
+    return false;
+}
+
+static void committed(struct sim *s, struct sim_node *n, int outcome, uint64_t ring, json_t *o)
+{
+    struct bd_effect *e = n->commit;
+    struct bd_core *c = n->core;
+    n->commit = NULL;
+    if (strtoull(e->key, NULL, 10) == c->base_term && e->seal == c->witness_n)
+        bd_core_committed(c, outcome, ring, bd_wire_failed(o));
+    bd_effect_free(e);
+    (void)s;
+}
+
+static void commit_answer(struct sim *s, struct sim_node *n, struct sim_call *c, long status,
+                          json_t *o)
+{
+    struct bd_change ch;
+    uint64_t grant;
+    json_t *failed = bd_wire_failed(o);
+    if (!n->commit)
+        return;
+    if (c->then == THEN_WITNESSED) {
+        bool ours = status == 200 && bd_wire_pair(o, &ch, &grant) &&
+                    (uint64_t)json_integer_value(json_object_get(ch.value, "t")) ==
+                        strtoull(n->commit->key, NULL, 10) &&
+                    (uint64_t)json_integer_value(json_object_get(ch.value, "n")) == n->commit->seal;
+        if (ours)
+            committed(s, n, 1, ch.mark, NULL);
+        else if (status == 200 || status == 404)
+            committed(s, n, -1, 0, NULL);
+        else
+            (void)call(s, n, SIM_GET, THEN_WITNESSED, "w", NULL, 1.5);
+    } else if (status == 200) {
+        committed(s, n, 1, bd_wire_ring(o), NULL);
+    } else if (status == 409 && names(failed, "w")) {
+        (void)call(s, n, SIM_GET, THEN_WITNESSED, "w", NULL, 1.5);
+    } else if (status == 409) {
+        committed(s, n, names(failed, "leader") ? -1 : 0, 0, o);
+    } else if (status == 400 || !n->leading) {
+        committed(s, n, -1, 0, NULL);
+    } else {
+        wake(s, n, 0.25, SIM_SEAT)->flag = true; /* the same once more */
+    }
+}
+
+/* ---- events ---- */
+
+void sim_node_answered(struct sim *s, struct sim_call *c, long status, json_t *o)
+{
+    struct sim_node *n = &s->nodes[c->node];
+    struct bd_change ch;
+    uint64_t grant;
+    if (!n->core || n->epoch != c->epoch)
+        return;
+    clock_core(s, n);
+    struct bd_effect *e = c->effect;
+    switch ((enum then)c->then) {
+    case THEN_LIST:
+    case THEN_LOOK:
+    case THEN_DEPUTIES:
+        looked(s, n, c, status, o);
+        break;
+    case THEN_TOUCH:
+        if (status == 200)
+            bd_core_confirmed(n->core, c->sent);
+        break;
+    case THEN_RENEW:
+        renewed(s, n, c, status);
+        break;
+    case THEN_COMMIT:
+    case THEN_WITNESSED:
+        commit_answer(s, n, c, status, o);
+        break;
+    case THEN_USER:
+        bd_core_user_committed(n->core, e->request, e->key, e->body, e->status, status,
+                               bd_wire_ring(o));
+        break;
+    case THEN_DEPUTY:
+        bd_core_deputy_committed(n->core, status, bd_wire_ring(o), c->sent, status == 200);
+        break;
+    case THEN_DEPUTY_MARK: {
+        bool pair = status == 200 && bd_wire_pair(o, &ch, &grant);
+        bd_core_deputy_committed(n->core, 0, pair ? ch.mark : 0, c->sent, status == 404 || pair);
+        break;
+    }
+    case THEN_LOOKUP:
+        status = status == 200 && !bd_wire_pair(o, &ch, &grant) ? 0 : status;
+        bd_core_looked_up(n->core, e->request, e->key, e->status, status,
+                          status == 200 ? &ch : NULL);
+        break;
+    default:
+        seat_answer(s, n, c, status, o);
+    }
+    settle(s, n);
+}
+
+static bool peers_apart(const struct sim *s, int a, int b)
+{
+    return s->now < s->peers_cut[a] || s->now < s->peers_cut[b] ||
+           (s->now < s->zones_cut && strcmp(s->nodes[a].set.zone, s->nodes[b].set.zone) != 0);
+}
+
+static bool read_report(const char *text, struct bd_report *r)
+{
+    json_t *o = text ? json_loads(text, 0, NULL) : NULL;
+    bool ok = o && bd_wire_report(o, r);
+    json_decref(o);
+    return ok;
+}
+
+static void frame_in(struct sim *s, struct sim_event *e)
+{
+    struct sim_node *n = &s->nodes[e->who];
+    struct bd_frame *f = e->data;
+    struct bd_report r;
+    if (n->core && n->epoch == e->epoch && !peers_apart(s, e->node, e->who)) {
+        clock_core(s, n);
+        if (f->type == BD_FRAME_STATUS)
+            bd_core_peer(n->core, f->name, f->term, f->flags, f->age_ms / 1000.0,
+                         (double)f->at_ms / 1000.0);
+        if (f->type == BD_FRAME_REPORT && read_report(e->text, &r)) {
+            bd_core_forwarded(n->core, f->name, f->id, &r, e->text, strlen(e->text));
+            bd_wire_report_drop(&r);
+        }
+        if (f->type == BD_FRAME_ANSWER)
+            bd_core_answered(n->core, f->id, f->status, e->text, e->text ? strlen(e->text) : 0);
+        settle(s, n);
+    }
+    free(f);
+}
+
+/* They live until the day's end: a core that ends leaves some unanswered. */
+static struct sim_request *new_request(struct sim *s, const struct sim_event *e)
+{
+    struct sim_request *q = calloc(1, sizeof *q);
+    if (!q)
+        abort();
+    q->who = e->who;
+    q->number = e->kind == SIM_REPORT_COPY ? UINT64_MAX : e->number; /* nobody hears the answer */
+    q->next = s->requests;
+    s->requests = q;
+    return q;
+}
+
+static void report_in(struct sim *s, struct sim_event *e)
+{
+    struct sim_node *n = &s->nodes[e->node];
+    struct bd_report r;
+    if (!n->core || !read_report(e->text, &r))
+        return;
+    struct sim_request *q = new_request(s, e);
+    clock_core(s, n);
+    bd_core_checkin(n->core, q, &r, e->text, strlen(e->text));
+    bd_wire_report_drop(&r);
+    settle(s, n);
+}
+
+static void did(struct sim *s, struct sim_event *e)
+{
+    struct sim_node *n = &s->nodes[e->node];
+    struct sim_try *t = e->data;
+    struct bd_report r;
+    if (!t->over && n->core && n->epoch == e->epoch) {
+        bool ok = e->kind == SIM_DO_BACK && read_report(e->text, &r);
+        clock_core(s, n);
+        bd_core_did(n->core, t->machine, t->seal, t->launch, ok ? e->status : 0, ok ? &r : NULL);
+        if (ok)
+            bd_wire_report_drop(&r);
+        settle(s, n);
+    }
+    t->over = true;
+    if (--t->refs == 0)
+        free(t);
+}
+
+static void user_in(struct sim *s, struct sim_event *e)
+{
+    struct sim_node *n = &s->nodes[e->node];
+    struct sim_job *j = &s->jobs[e->who];
+    if (!n->core)
+        return;
+    struct sim_request *q = new_request(s, e);
+    q->user = true;
+    q->verb = (int)e->status;
+    clock_core(s, n);
+    if (e->status == SIM_SUBMIT)
+        bd_core_submit(n->core, q, e->text, strlen(e->text));
+    else if (e->status == SIM_WITHDRAW)
+        bd_core_withdraw(n->core, q, j->id);
+    else
+        bd_core_get(n->core, q, j->id);
+    settle(s, n);
+}
+
+static void cloud_back(struct sim *s, struct sim_event *e)
+{
+    struct sim_node *n = &s->nodes[e->node];
+    json_t *o = json_loads(e->text, 0, NULL), *v;
+    char names_of[8][BD_LABEL];
+    size_t i;
+    int count = 0;
+    if (e->flag) {
+        int many = (int)json_integer_value(json_object_get(o, "howMany"));
+        while (count < many && count < 2) {
+            /* up within two seconds, or late */
+            int w = sim_rent(s, json_string_value(json_object_get(o, "glade")),
+                             sim_rnd(s) < 0.6 ? sim_between(s, 0.3, 2) : sim_between(s, 5, 15));
+            if (w < 0)
+                break;
+            snprintf(names_of[count++], BD_LABEL, "%s", s->workers[w].id);
+        }
+    } else {
+        json_array_foreach(json_object_get(o, "hearths"), i, v)
+        {
+            for (int w = 0; w < s->nworkers; w++)
+                if (strcmp(s->workers[w].id, json_string_value(v)) == 0)
+                    sim_worker_gone(s, &s->workers[w]);
+        }
+    }
+    if (n->core && n->epoch == e->epoch) {
+        clock_core(s, n);
+        if (e->flag) {
+            bd_core_rented(n->core, json_string_value(json_object_get(o, "plea")),
+                           count ? 200 : 503, names_of, count);
+        } else {
+            char(*back)[BD_LABEL] = calloc(128, sizeof *back);
+            int k = bd_wire_rented(o, back, 128);
+            bd_core_returned(n->core, back, k, true);
+            free(back);
+        }
+        settle(s, n);
+    }
+    json_decref(o);
+}
+
+static void list_machines(struct sim *s, struct sim_node *n)
+{
+    struct bd_cloud_machine *l = calloc(SIM_MACHINES, sizeof *l);
+    size_t k = 0;
+    if (!l)
+        abort();
+    for (int i = 0; i < s->nworkers; i++) {
+        struct sim_worker *w = &s->workers[i];
+        if (w->gone || s->now - w->rented_at < 3) /* the list lags */
+            continue;
+        snprintf(l[k].id, BD_LABEL, "%s", w->id);
+        snprintf(l[k].addr, BD_LABEL, "w-%d", i);
+        snprintf(l[k].type, BD_LABEL, "%s", w->type);
+        snprintf(l[k].zone, BD_LABEL, "%s", w->zone);
+        l[k].mood = s->now < w->up_at ? BD_BOOTING : BD_UP;
+        l[k++].age = s->now - w->rented_at;
+    }
+    bd_core_machines(n->core, l, k, bd_sub(n->core->now, bd_secs(0.1)));
+    free(l);
+}
+
+static void node_tick(struct sim *s, struct sim_node *n)
+{
+    clock_core(s, n);
+    if (n->core->role == BD_LEADER && s->now > n->next_list) {
+        n->next_list = s->now + 2;
+        list_machines(s, n);
+    }
+    settle(s, n);
+    wake(s, n, 0.05, SIM_NODE_TICK);
+}
+
+void sim_node_event(struct sim *s, struct sim_event *e)
+{
+    struct sim_node *n = &s->nodes[e->node];
+    bool ours = n->core && n->epoch == e->epoch;
+    switch (e->kind) {
+    case SIM_READER:
+        if (ours)
+            read_next(s, n);
+        break;
+    case SIM_SEAT:
+        if (ours && e->flag && n->commit)
+            next_commit(s, n);
+        else if (ours && !e->flag)
+            seat_next(s, n);
+        break;
+    case SIM_NODE_TICK:
+        if (ours)
+            node_tick(s, n);
+        break;
+    case SIM_NODE_UP:
+        if (!n->core)
+            sim_node_start(s, e->node);
+        break;
+    case SIM_MESH:
+        frame_in(s, e);
+        break;
+    case SIM_REPORT_IN:
+    case SIM_REPORT_COPY:
+        report_in(s, e);
+        break;
+    case SIM_DO_BACK:
+    case SIM_DO_GIVEN_UP:
+        did(s, e);
+        break;
+    case SIM_USER_IN:
+        user_in(s, e);
+        break;
+    case SIM_CLOUD_BACK:
+        cloud_back(s, e);
+        break;
+    default:
+        break;
+    }
+}
+
+void sim_node_start(struct sim *s, int i)
+{
+    struct sim_node *n = &s->nodes[i];
+    uint64_t epoch = n->epoch + 1;
+    struct bd_settings set = n->set;
+    struct bd_log log = n->log;
+    memset(n, 0, sizeof *n);
+    n->set = set;
+    n->log = log;
+    n->epoch = epoch;
+    n->began = s->now;
+    n->clock_rate = 1 + sim_between(s, -0.0005, 0.0005);
+    n->clock_from = sim_between(s, 1000, 5000);
+    n->wall_off = sim_between(s, -0.005, 0.005);
+    n->list_again = true;
+    n->core = bd_core_new(&n->set, &n->log);
+    if (!n->core)
+        abort();
+    clock_core(s, n);
+    bd_core_seed(n->core, (uint64_t)(sim_rnd(s) * 1e15));
+    struct bd_type_text t = {.label = "small",
+                             .cpus = 8,
+                             .mem = 64,
+                             .price = 1,
+                             .spot_price = 0.3,
+                             .boot = 8,
+                             .fetch = 1,
+                             .cache_gb = 50,
+                             .nzones = 2};
+    snprintf(t.zones[0], BD_LABEL, "a");
+    snprintf(t.zones[1], BD_LABEL, "b");
+    bd_core_types(n->core, &t, 1);
+    wake(s, n, 0.01, SIM_READER);
+    wake(s, n, 0.02, SIM_SEAT);
+    wake(s, n, 0.03, SIM_NODE_TICK);
+}
+
+void sim_node_end(struct sim *s, int i)
+{
+    struct sim_node *n = &s->nodes[i];
+    if (!n->core)
+        return;
+    if (n->gained) {
+        json_decref(n->gain.receipts);
+        json_decref(n->gain.intents);
+        n->gained = false;
+    }
+    if (n->commit)
+        bd_effect_free(n->commit);
+    n->commit = NULL;
+    bd_core_free(n->core);
+    n->core = NULL;
+    n->epoch++;
+    sim_note(s, "%s ends", n->set.node);
+}
--- /dev/null
+++ b/tests/sim_work.c
@@ -0,0 +1,455 @@
+/* Workers, as the protocol has them: sessions, numbers, seals, leases, gangs that start and end
+ * together. What starts or stays here is held against the rules. */
+#include "sim.h"
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define LEASE_S 10.0
+#define REPORT_S 2.0
+#define GANG_WAIT_S 30.0
+#define CANCEL_S 35.0
+#define FETCH_S 0.6
+
+static const char *const subs[] = {"pulling", "gathering", "running", "saving", "exited"};
+static const char *const whys[] = {"",      "done",    "stopped", "peers",  "alone",
+                                   "error", "no_room", "busy",    "unknown"};
+
+struct sim_job *sim_job_named(struct sim *s, const char *id)
+{
+    int i = id && strncmp(id, "job-", 4) == 0 ? atoi(id + 4) : -1;
+    return i >= 0 && i < s->njobs ? &s->jobs[i] : NULL;
+}
+
+int sim_rent(struct sim *s, const char *zone, double boot)
+{
+    if (s->nworkers == SIM_MACHINES)
+        return -1;
+    int up = 0;
+    for (int i = 0; i < s->nworkers; i++)
+        up += !s->workers[i].gone;
+    if (up >= 9)
+        return -1;
+    struct sim_worker *w = &s->workers[s->nworkers];
+    memset(w, 0, sizeof *w);
+    snprintf(w->id, sizeof w->id, "vm-%d", s->nworkers);
+    snprintf(w->zone, sizeof w->zone, "%s", zone);
+    snprintf(w->type, sizeof w->type, "small");
+    w->used = true;
+    w->rented_at = s->now;
+    w->up_at = w->answered = s->now + boot;
+    w->next_report = w->up_at + sim_between(s, 0, 0.5);
+    w->session = 1;
+    w->node = (int)(sim_rnd(s) * SIM_NODES);
+    return s->nworkers++;
+}
+
+/* ---- the rules ---- */
+
+static void note_use(struct sim *s, int team)
+{
+    for (int i = 0; i < s->njobs; i++)
+        for (uint32_t k = 0; s->jobs[i].team == team && k < s->jobs[i].tasks; k++)
+            if (s->jobs[i].machine[k] >= 0)
+                sim_note(s, "in use: %s/%u on vm-%d, %.0f", s->jobs[i].id, k, s->jobs[i].machine[k],
+                         s->jobs[i].cpus);
+}
+
+static void on_machine(struct sim *s, struct sim_worker *w, struct sim_slot *t)
+{
+    struct sim_job *j = &s->jobs[t->job];
+    int at = (int)(w - s->workers);
+    s->starts++;
+    sim_note(s, "%s/%u begins on %s", j->id, t->task, w->id);
+    if (j->machine[t->task] >= 0)
+        sim_broken(s, "ran_twice: %s/%u starts on %s while on vm-%d", j->id, t->task, w->id,
+                   j->machine[t->task]);
+    if (j->cancelled_at > 0 && s->now > j->cancelled_at + CANCEL_S)
+        sim_broken(s, "ran_cancelled: %s/%u starts on %s, %.1f s after", j->id, t->task, w->id,
+                   s->now - j->cancelled_at);
+    if (j->cancelled_at > 0 && s->now > j->cancelled_at + LEASE_S + 2)
+        s->late_starts++;
+    j->machine[t->task] = at;
+    j->attempt[t->task] = t->attempt;
+    j->on++;
+    s->team_use[j->team] += j->cpus;
+    if (s->team_use[j->team] <= s->team_max[j->team] + 1e-6)
+        return;
+    note_use(s, j->team);
+    sim_broken(s, "quota: team %d uses %.0f with %s/%u on %s", j->team, s->team_use[j->team], j->id,
+               t->task, w->id);
+}
+
+static void off_machine(struct sim *s, struct sim_worker *w, struct sim_slot *t)
+{
+    struct sim_job *j = &s->jobs[t->job];
+    int at = (int)(w - s->workers);
+    if (t->sub != BD_GATHERING && t->sub != BD_RUNNING && t->sub != BD_SAVING)
+        return;
+    if (j->machine[t->task] == at)
+        j->machine[t->task] = -1;
+    j->on--;
+    s->team_use[j->team] -= j->cpus;
+}
+
+static void exits(struct sim *s, struct sim_worker *w, struct sim_slot *t, enum bd_why why)
+{
+    off_machine(s, w, t);
+    t->sub = BD_EXITED;
+    t->why = why;
+    sim_note(s, "%s/%u exits on %s: %s", s->jobs[t->job].id, t->task, w->id, whys[why]);
+    if (why == BD_WHY_DONE) {
+        struct sim_job *j = &s->jobs[t->job];
+        for (uint32_t k = 0; k < j->tasks; k++) /* a gang's tasks complete together */
+            if (k == t->task || j->shape == BD_GANG)
+                j->done[k] = true;
+    }
+    if (w->next_report > s->now + 0.3)
+        w->next_report = s->now + 0.3;
+}
+
+static void kill_all(struct sim *s, struct sim_worker *w)
+{
+    for (int i = 0; i < w->nslots; i++)
+        off_machine(s, w, &w->slots[i]);
+    w->nslots = 0;
+}
+
+void sim_worker_gone(struct sim *s, struct sim_worker *w)
+{
+    if (w->gone)
+        return;
+    kill_all(s, w);
+    w->gone = true;
+}
+
+/* ---- commands ---- */
+
+static struct sim_slot *slot_of(struct sim_worker *w, int job, uint32_t task, uint64_t attempt)
+{
+    for (int i = 0; i < w->nslots; i++)
+        if (w->slots[i].job == job && w->slots[i].task == task &&
+            (!attempt || w->slots[i].attempt == attempt))
+            return &w->slots[i];
+    return NULL;
+}
+
+static bool task_of(struct sim *s, json_t *v, int *job, uint32_t *task)
+{
+    char id[BD_ID];
+    if (!bd_wire_task_name(json_string_value(json_object_get(v, "chore")), id, task))
+        return false;
+    struct sim_job *j = sim_job_named(s, id);
+    *job = j ? (int)(j - s->jobs) : -1;
+    return j != NULL && *task < SIM_TASKS;
+}
+
+static double used(struct sim *s, const struct sim_worker *w)
+{
+    double sum = 0;
+    for (int i = 0; i < w->nslots; i++)
+        if (w->slots[i].sub != BD_EXITED)
+            sum += s->jobs[w->slots[i].job].cpus;
+    return sum;
+}
+
+static void launch(struct sim *s, struct sim_worker *w, int job, uint32_t task, uint64_t attempt)
+{
+    if (slot_of(w, job, task, attempt))
+        return;
+    if (w->nslots == SIM_SLOTS)
+        abort();
+    struct sim_slot *old = NULL;
+    for (int i = 0; i < w->nslots; i++)
+        if (w->slots[i].job == job && w->slots[i].task == task && w->slots[i].sub != BD_EXITED)
+            old = &w->slots[i];
+    struct sim_slot *t = &w->slots[w->nslots++];
+    *t = (struct sim_slot){job, task, attempt, BD_FETCHING, BD_WHY_NONE, s->now + FETCH_S};
+    if (old) {
+        t->sub = BD_EXITED;
+        t->why = BD_WHY_BUSY;
+    } else if (used(s, w) > 8 + 1e-6) {
+        t->sub = BD_EXITED;
+        t->why = BD_WHY_NO_ROOM;
+    }
+    if (w->next_report > s->now + 0.4)
+        w->next_report = s->now + 0.4;
+}
+
+static void obey(struct sim *s, struct sim_worker *w, json_t *o)
+{
+    json_t *v;
+    size_t i;
+    json_array_foreach(json_object_get(o, "bids"), i, v)
+    {
+        int job;
+        uint32_t task;
+        const char *verb = json_string_value(json_object_get(v, "verb"));
+        uint64_t attempt = (uint64_t)json_integer_value(json_object_get(v, "try"));
+        if (!task_of(s, v, &job, &task))
+            continue;
+        struct sim_slot *t = slot_of(w, job, task, attempt);
+        if (strcmp(verb, "launch") == 0)
+            launch(s, w, job, task, attempt);
+        else if (strcmp(verb, "halt") == 0 && t && t->sub != BD_EXITED)
+            exits(s, w, t, BD_WHY_STOPPED);
+        else if (strcmp(verb, "forget") == 0 && t && t->sub == BD_EXITED)
+            *t = w->slots[--w->nslots];
+    }
+}
+
+static char *report_text(struct sim *s, struct sim_worker *w)
+{
+    char name[BD_LABEL], addr[24];
+    snprintf(addr, sizeof addr, "w-%d", (int)(w - s->workers));
+    json_t *list = json_array();
+    for (int i = 0; i < w->nslots; i++) {
+        struct sim_slot *t = &w->slots[i];
+        snprintf(name, sizeof name, "%.30s/%u", s->jobs[t->job].id, t->task);
+        json_t *v = json_pack("{s:s,s:I,s:s}", "chore", name, "try", (json_int_t)t->attempt, "mood",
+                              subs[t->sub]);
+        if (t->sub == BD_EXITED)
+            json_object_set_new(v, "cause", json_string(whys[t->why]));
+        json_array_append_new(list, v);
+    }
+    json_t *o = json_pack("{s:s,s:s,s:s,s:s,s:b,s:I,s:I,s:I,s:n,s:o}", "hearth", w->id, "endpoint",
+                          addr, "breed", w->type, "glade", w->zone, "windfall", 0, "tenancy",
+                          (json_int_t)w->session, "tally", (json_int_t)++w->tally, "seal",
+                          (json_int_t)w->seal, "warningS", "chores", list);
+    char *text = json_dumps(o, JSON_COMPACT);
+    json_decref(o);
+    return text;
+}
+
+/* ---- reports ---- */
+
+bool sim_reaches(const struct sim *s, int node, const struct sim_worker *w)
+{
+    return !w->gone && s->now >= w->cut &&
+           !(s->now < s->zones_cut && strcmp(s->nodes[node].set.zone, w->zone) != 0);
+}
+
+static void copy_later(struct sim *s, const char *text, int node, int who)
+{
+    if (s->now >= s->copies_until || sim_rnd(s) >= s->copies_share)
+        return;
+    if (s->copies_for_next) { /* every controller gets it as a new leader begins */
+        if (s->nkept < (int)(sizeof s->kept / sizeof *s->kept))
+            s->kept[s->nkept++] = strdup(text);
+        return;
+    }
+    struct sim_event *e = sim_post(s, sim_between(s, 2, 25), SIM_REPORT_COPY);
+    e->node = node;
+    e->who = who;
+    e->text = strdup(text);
+}
+
+void sim_copies_now(struct sim *s)
+{
+    for (int k = 0; k < s->nkept; k++) {
+        for (int i = 0; i < SIM_NODES; i++) {
+            struct sim_event *e = sim_post(s, sim_between(s, 0, 0.3), SIM_REPORT_COPY);
+            e->node = i;
+            e->text = strdup(s->kept[k]);
+        }
+        free(s->kept[k]);
+    }
+    s->nkept = 0;
+}
+
+static void send_report(struct sim *s, struct sim_worker *w)
+{
+    int who = (int)(w - s->workers);
+    char *text = report_text(s, w);
+    bool there = sim_reaches(s, w->node, w) && s->now >= w->mute;
+    w->asking = true;
+    w->asked = w->tally;
+    w->asked_at = s->now;
+    if (there) {
+        struct sim_event *e = sim_post(s, sim_delay(s), SIM_REPORT_IN);
+        e->node = w->node;
+        e->who = who;
+        e->number = w->tally;
+        e->text = strdup(text);
+        copy_later(s, text, w->node, who);
+    } else if (w->holds && s->now < w->cut) {
+        struct sim_event *e = sim_post(s, w->cut - s->now + 0.1, SIM_REPORT_COPY);
+        e->node = w->node;
+        e->who = who;
+        e->text = strdup(text);
+    }
+    bool refused = there && !s->nodes[w->node].core;
+    struct sim_event *g = sim_post(s, refused ? 0.01 : 4.0, SIM_REPORT_GIVEN_UP);
+    g->who = who;
+    g->number = w->tally;
+    free(text);
+}
+
+static void next_node(struct sim *s, struct sim_worker *w, double pause)
+{
+    w->asking = false;
+    w->node = (w->node + 1) % SIM_NODES;
+    w->next_report = s->now + pause;
+}
+
+static void answered(struct sim *s, struct sim_worker *w, struct sim_event *e)
+{
+    json_t *o = e->text ? json_loads(e->text, 0, NULL) : NULL;
+    bool deaf = s->now < w->deaf || !sim_reaches(s, e->node, w);
+    if (w->gone || !w->asking || w->asked != e->number || deaf || s->now < w->hangs) {
+        json_decref(o);
+        return; /* given up, or lost on the way */
+    }
+    if (e->status == 421) {
+        const char *to = json_string_value(json_object_get(o, "steward"));
+        int node = to ? atoi(to + 5) : w->node; /* "node-N" */
+        if (to && node != w->node) {
+            w->asking = false;
+            w->node = node;
+            w->next_report = s->now + 0.1;
+        } else {
+            next_node(s, w, 1);
+        }
+    } else if (e->status != 200) {
+        next_node(s, w, 1);
+    } else {
+        uint64_t seal = (uint64_t)json_integer_value(json_object_get(o, "seal"));
+        w->asking = false;
+        w->next_report = w->asked_at + REPORT_S * sim_between(s, 0.75, 1.25);
+        if (seal >= w->seal) {
+            if (seal > w->seal && w->next_report > s->now + 0.5)
+                w->next_report = s->now + 0.5;
+            w->seal = seal;
+            w->answered = w->asked_at;
+            sim_note(s, "%s is answered by node-%d, seal %llu", w->id, e->node,
+                     (unsigned long long)seal);
+            obey(s, w, o);
+        }
+    }
+    json_decref(o);
+}
+
+/* ---- direct commands ---- */
+
+static void do_in(struct sim *s, struct sim_event *e)
+{
+    struct sim_worker *w = &s->workers[e->who];
+    struct sim_try *t = e->data;
+    json_t *o = json_loads(e->text, 0, NULL);
+    bool there = sim_reaches(s, e->node, w) && s->now >= w->deaf;
+    bool late = (!there && w->holds && s->now < w->cut) || (there && s->now < w->hangs);
+    if (late && !w->gone) { /* executed when the cut ends, or the machine goes on */
+        struct sim_event *again =
+            sim_post(s, (there ? w->hangs : w->cut) - s->now + 0.05, SIM_DO_IN);
+        again->node = e->node;
+        again->epoch = e->epoch;
+        again->who = e->who;
+        again->text = strdup(e->text);
+        again->data = t;
+        t->refs++;
+    } else if (there && w->used && s->now >= w->up_at) {
+        uint64_t seal = (uint64_t)json_integer_value(json_object_get(o, "seal"));
+        uint64_t session = (uint64_t)json_integer_value(json_object_get(o, "tenancy"));
+        bool good = seal >= w->seal && session == w->session;
+        if (good) {
+            w->seal = seal;
+            obey(s, w, o);
+        }
+        bool held = s->now < s->held_up && sim_rnd(s) < 0.3;
+        struct sim_event *b =
+            sim_post(s, sim_delay(s) + (held ? sim_between(s, 0.3, 4) : 0), SIM_DO_BACK);
+        b->node = e->node;
+        b->epoch = e->epoch;
+        b->who = e->who;
+        b->status = good ? 200 : 409;
+        b->text = report_text(s, w);
+        b->data = t;
+        t->refs++;
+    }
+    json_decref(o);
+    if (--t->refs == 0)
+        free(t);
+}
+
+void sim_worker_event(struct sim *s, struct sim_event *e)
+{
+    struct sim_worker *w = &s->workers[e->who];
+    if (e->kind == SIM_DO_IN)
+        do_in(s, e);
+    else if (e->kind == SIM_REPORT_BACK)
+        answered(s, w, e);
+    else if (e->kind == SIM_REPORT_GIVEN_UP && w->asking && w->asked == e->number)
+        next_node(s, w, 1);
+}
+
+/* ---- time ---- */
+
+/* Whether all tasks of the attempt wait for each other or run; on a machine that hangs none does.
+ */
+static bool together(struct sim *s, int job, uint64_t attempt)
+{
+    uint32_t n = 0;
+    for (int i = 0; i < s->nworkers; i++) {
+        struct sim_worker *w = &s->workers[i];
+        for (int k = 0; !w->gone && s->now >= w->hangs && k < w->nslots; k++) {
+            struct sim_slot *t = &w->slots[k];
+            if (t->job == job && t->attempt == attempt)
+                n += t->sub == BD_RUNNING || t->sub == BD_GATHERING;
+        }
+    }
+    return n == s->jobs[job].tasks;
+}
+
+static void run_slot(struct sim *s, struct sim_worker *w, struct sim_slot *t)
+{
+    struct sim_job *j = &s->jobs[t->job];
+    if (t->sub == BD_FETCHING && s->now >= t->until) {
+        bool gang = j->shape == BD_GANG && j->tasks > 1;
+        if (j->done[t->task]) { /* its result is kept */
+            exits(s, w, t, BD_WHY_DONE);
+            return;
+        }
+        on_machine(s, w, t);
+        t->sub = gang ? BD_GATHERING : BD_RUNNING;
+        t->until = s->now + (gang ? GANG_WAIT_S : j->run_s);
+        if (w->next_report > s->now + 0.4)
+            w->next_report = s->now + 0.4;
+    }
+    if ((t->sub == BD_GATHERING || t->sub == BD_RUNNING) && j->done[t->task]) {
+        exits(s, w, t, BD_WHY_DONE);
+    } else if (t->sub == BD_GATHERING && together(s, t->job, t->attempt)) {
+        t->sub = BD_RUNNING;
+        t->until = s->now + j->run_s;
+    } else if (t->sub == BD_GATHERING && s->now >= t->until) {
+        exits(s, w, t, BD_WHY_ALONE);
+    } else if (t->sub == BD_RUNNING && j->shape == BD_GANG && j->tasks > 1 &&
+               !together(s, t->job, t->attempt)) {
+        exits(s, w, t, BD_WHY_PEERS);
+    } else if (t->sub == BD_RUNNING && j->shape != BD_SERVICE && s->now >= t->until) {
+        exits(s, w, t, BD_WHY_DONE);
+    }
+}
+
+void sim_workers_tick(struct sim *s)
+{
+    for (int i = 0; i < s->nworkers; i++) {
+        struct sim_worker *w = &s->workers[i];
+        if (w->gone || s->now < w->up_at)
+            continue;
+        if (s->now - w->answered > LEASE_S) {
+            sim_note(s, "%s: its lease is over, %d tasks", w->id, w->nslots);
+            kill_all(s, w);
+            w->session++;
+            w->answered = s->now;
+            w->asked = 0; /* responses to an earlier session's reports are dropped */
+            if (w->asking)
+                next_node(s, w, 1);
+        }
+        if (s->now < w->hangs)
+            continue;
+        for (int k = 0; k < w->nslots; k++)
+            run_slot(s, w, &w->slots[k]);
+        if (!w->asking && s->now >= w->next_report)
+            send_report(s, w);
+    }
+}
