Answers bounded by what is known of withdrawals; a held launch keeps its place

One bound for whoever answers (grace.c): the sending of the newest answered look, plus the grace. Nothing is launched on a view older than 2 s. cancel_s less than a second longer than lease_s is refused at the start. Cause 2: a launch in the answer to a check-in was taken as excluded by the next direct answer that did not show it, while the answer itself was still under way: quota passed, a start 3.6 s after a cancellation. Cause 3: submissions that were refused filled the tables of zones and types with their names; a zone too many then meant any zone. They are judged without being remembered. Gangs and services to be spread that can be in one zone only get 422. Also: machines that answer directly but reach nobody get nothing new; a final record is kept by its end, not by its submission.

--- a/include/brambledoor/core.h
+++ b/include/brambledoor/core.h
@@ -30,6 +30,7 @@
     BD_F_EXITED = 8,  /* exited, but held until the late launch is excluded */
     BD_F_SENT = 16,   /* a launch was sent in any form */
     BD_F_FORCE = 32,  /* halt without grace */
+    BD_F_TOLD = 64,   /* launched in the answer to the newest check-in: it may still be under way */
     BD_F_SHOWN = 128  /* in the report being read */
 };
 
@@ -145,6 +146,7 @@
     struct timespec lapse_at; /* from here on nothing of the last session runs */
     struct timespec steady;   /* since then it has been heard without a gap */
     struct timespec heard, known_at, idle_since, refuse_until;
+    struct timespec asked; /* its newest check-in: a direct answer is heard, but renews nothing */
     double age_at_known;
     double notice_left; /* < 0: none */
     bool do_busy;       /* one direct command at a time */
--- a/src/accept.c
+++ b/src/accept.c
@@ -12,10 +12,10 @@
 #define TXN_BYTES 50000u  /* of a transaction of parts */
 #define LOOKUPS_EXTRA 16u /* beyond one for each name a submission is sent away */
 
-static bool fits_type(const struct bd_type *t, const struct bd_spec *s)
+static bool fits_type(const struct bd_type *t, const struct bd_spec_text *s, int zone)
 {
     return t->known && s->cpus <= t->cpus + 1e-9 && s->gpus <= t->gpus + 1e-9 &&
-           s->mem <= t->mem + 1e-9 && (s->zone < 0 || (t->zones >> s->zone & 1));
+           s->mem <= t->mem + 1e-9 && (zone < 0 || (t->zones >> zone & 1));
 }
 
 static bool over(double max, double use)
@@ -23,19 +23,42 @@
     return max > 0 && use > max + 1e-9;
 }
 
-/* Whether the job could run at all, on an empty fleet. */
-static bool can_run(const struct bd_core *c, const struct bd_spec *s, uint32_t tasks)
+static bool names_type(const struct bd_spec_text *s, const char *label)
 {
-    if (s->team < 0)
+    for (int i = 0; i < s->ntypes; i++)
+        if (strcmp(s->types[i], label) == 0)
+            return true;
+    return s->ntypes < 0;
+}
+
+/* Where the job's tasks could be, by zones. */
+static uint32_t zones_for(const struct bd_core *c, const struct bd_spec_text *s)
+{
+    uint32_t zones = 0;
+    int only = bd_zone_find(c, s->zone);
+    if (*s->zone && only < 0)
+        return 0;
+    for (int i = 0; i < c->ntypes; i++)
+        if (names_type(s, c->types[i].label) && fits_type(&c->types[i], s, only))
+            zones |= c->types[i].zones & (only < 0 ? UINT32_MAX : 1u << only);
+    return zones;
+}
+
+/* Whether the job could run at all, on an empty fleet. Nothing is remembered of one that can't: bad
+ * names must not fill our tables. */
+static bool can_run(const struct bd_core *c, const struct bd_spec_text *s)
+{
+    int team = bd_team_index(c, s->team);
+    if (team < 0)
         return false;
-    const struct bd_team_limits *t = &c->set->teams[s->team];
-    double n = s->shape == BD_ARRAY ? 1 : tasks;
+    const struct bd_team_limits *t = &c->set->teams[team];
+    bool at_once = s->shape != BD_ARRAY && s->tasks > 1;
+    double n = s->shape == BD_ARRAY ? 1 : s->tasks;
     if (over(t->cpus_max, s->cpus * n) || over(t->gpus_max, s->gpus * n))
         return false;
-    for (int i = 0; i < c->ntypes; i++)
-        if (bd_type_allowed(s, i) && fits_type(&c->types[i], s))
-            return true;
-    return false;
+    uint32_t zones = zones_for(c, s);
+    bool one_zone = s->together || (zones & (zones - 1)) == 0;
+    return zones != 0 && !(at_once && s->scatter && one_zone);
 }
 
 static char *transaction(const char *id, uint64_t mark, const char *key, json_t *value)
@@ -344,12 +367,7 @@
         bd_core_get(c, request, id);
         return;
     }
-    struct bd_spec s;
-    bool wrong = false;
-    if (!bad && c->types_known) {
-        bd_spec_resolve(c, &r.spec, &s);
-        wrong = !can_run(c, &s, r.spec.tasks);
-    }
+    bool wrong = !bad && c->types_known && !can_run(c, &r.spec);
     /* an id that another node may have accepted must not get 400 or 422 */
     if ((bad || wrong) && *id) {
         (void)bd_wait_barrier(c, request, id, bad ? BD_WAIT_BAD : BD_WAIT_NEVER);
--- a/src/core.c
+++ b/src/core.c
@@ -190,11 +190,19 @@
     return c->ntypes++;
 }
 
-int bd_zone_index(struct bd_core *c, const char *name)
+int bd_zone_find(const struct bd_core *c, const char *name)
 {
     for (int i = 0; i < c->nzones; i++)
         if (strcmp(c->zones[i], name) == 0)
             return i;
+    return -1;
+}
+
+int bd_zone_index(struct bd_core *c, const char *name)
+{
+    int known = bd_zone_find(c, name);
+    if (known >= 0)
+        return known;
     if (c->nzones == BD_MAX_ZONES)
         return -1;
     snprintf(c->zones[c->nzones], BD_LABEL, "%s", name);
@@ -223,8 +231,9 @@
     s->team = bd_team_index(c, t->team);
     s->image = bd_intern(&c->images, t->image);
     s->zone = *t->zone ? bd_zone_index(c, t->zone) : -1;
-    s->any_type = t->ntypes < 0;
-    for (int i = 0; i < t->ntypes; i++) {
+    bool nowhere = *t->zone && s->zone < 0; /* a zone too many must not mean any zone */
+    s->any_type = t->ntypes < 0 && !nowhere;
+    for (int i = 0; i < t->ntypes && !nowhere; i++) {
         int k = bd_type_index(c, t->types[i]);
         if (k >= 0)
             s->types |= 1u << k;
@@ -498,7 +507,9 @@
     {
         if (count <= most)
             return;
-        if (j->pinned || c->wall - j->at < FINALS_FRESH_S)
+        /* by its end: what was withdrawn now may still run, and be asked about, however old it is
+         */
+        if (j->pinned || c->wall - fmax(j->at, j->end) < FINALS_FRESH_S)
             continue;
         HASH_DEL(c->jobs, j);
         json_decref(j->record_spec);
@@ -550,27 +561,14 @@
     return c->role == BD_LEADER && bd_before(c->now, c->valid_until);
 }
 
-/* How long after its last sign from the state service a leader may go on answering check-ins.
- * A withdrawal it cannot see must still end within cancel_s, by the workers' leases running out. */
-double bd_grace_s(const struct bd_settings *s)
-{
-    const double margin = 2.0;
-    double ttl = bd_to_secs(s->leader_ttl);
-    double most = bd_to_secs(s->cancel) - bd_to_secs(s->lease) * (1 + DRIFT) - margin;
-    return most > ttl ? most : ttl;
-}
-
 bool bd_core_may_answer(const struct bd_core *c)
 {
-    if (c->role != BD_LEADER)
+    if (c->role != BD_LEADER || !bd_may_renew(c))
         return false;
     if (bd_core_valid(c))
         return true;
-    if (newer_leader(c) >= 0 || cut_alone(c))
-        return false;
-    struct timespec seen = bd_min(c->renewed, c->fresh);
-    double grace = bd_grace_s(c->set) * (1 - DRIFT) - 0.1;
-    return bd_before(c->now, bd_add(seen, bd_secs(grace)));
+    /* a new leader counts with our answers from our last renewal on */
+    return newer_leader(c) < 0 && !cut_alone(c) && bd_in_grace(c, c->renewed);
 }
 
 void bd_core_leader_is(struct bd_core *c, const char *name, uint64_t mark, struct timespec sent,
--- a/src/core_in.h
+++ b/src/core_in.h
@@ -80,6 +80,7 @@
 void bd_reply(struct bd_core *c, void *request, int status, char *body, int retry_after);
 int bd_intern(struct bd_names **table, const char *name);
 int bd_type_index(struct bd_core *c, const char *label);
+int bd_zone_find(const struct bd_core *c, const char *name); /* -1: not known */
 int bd_zone_index(struct bd_core *c, const char *name);
 int bd_team_index(const struct bd_core *c, const char *name);
 struct bd_job *bd_job_find(struct bd_core *c, const char *id);
@@ -145,7 +146,12 @@
 void bd_limits_aside(struct bd_core *c, struct bd_job *j);
 
 void bd_core_step_aside(struct bd_core *c);
+
+/* answering in time: grace.c */
 double bd_grace_s(const struct bd_settings *s);
+bool bd_in_grace(const struct bd_core *c, struct timespec seen);
+bool bd_may_renew(const struct bd_core *c);
+bool bd_may_launch(const struct bd_core *c);
 
 /* prices: which machines a job may take, by how long it has waited */
 enum bd_reach { BD_REACH_SPOT, BD_REACH_CHEAP, BD_REACH_ANY };
--- a/src/deputy.c
+++ b/src/deputy.c
@@ -173,6 +173,12 @@
     e->body = bd_txn_end(&t);
 }
 
+/* The record is written by other means than the records of jobs are read: both must be new. */
+static bool may_answer(const struct bd_core *c)
+{
+    return bd_before(c->now, c->deputy.confirmed_until) && bd_may_renew(c);
+}
+
 /* Halts of what users have withdrawn: nobody's leave is needed for these. */
 static char *orders(struct bd_core *c, const struct bd_report *r, uint64_t term)
 {
@@ -203,7 +209,7 @@
     while (w) {
         struct bd_wait_checkin *next = w->next;
         struct bd_charge *k = charge_of(c, w->report->machine, false);
-        bool ready = k && k->confirmed && bd_before(c->now, c->deputy.confirmed_until);
+        bool ready = k && k->confirmed && may_answer(c);
         bool stands_by = !ready && bd_standby_answers(c, w->report);
         bool waits = (k && !all) || bd_standby_near(c, w->report);
         if (!ready && !stands_by && waits && bd_between(w->asked, c->now) < ASK_S) {
@@ -400,7 +406,7 @@
     if (!k)
         return false;
     k->heard = c->now;
-    if (k->confirmed && d->leader == c->leader_term && bd_before(c->now, d->confirmed_until)) {
+    if (k->confirmed && d->leader == c->leader_term && may_answer(c)) {
         bd_reply(c, request, 200, orders(c, r, d->term), 0);
         return true;
     }
--- /dev/null
+++ b/src/grace.c
@@ -0,0 +1,46 @@
+/* How long check-ins may be answered, and so workers' leases renewed, on what is known of
+ * withdrawals. Whoever answers (a valid leader, one in its grace, a deputy, a controller standing
+ * by; directly, forwarded or relayed) keeps to one bound:
+ *
+ *   A withdrawal that our view does not show was confirmed after the newest look at the records
+ * that was answered was *sent*: at t > seen. An answer is given until seen + grace at the latest.
+ * The lease that it renews counts from the report's own sending, which came before, and is over
+ *   lease_s and the clocks' drift later: before seen + cancel_s - margin < t + cancel_s.
+ *
+ * A write that succeeded, a renewal of the grant, a frame of another controller: none of these
+ * proves what was withdrawn. A leader whose renewals are served while its looks are not falls
+ * silent as one that is cut off does. */
+#include "core_in.h"
+
+/* named defaults */
+#define MARGIN_S 2.0     /* for what is on its way; */
+#define MARGIN_SHARE 0.5 /* ... no more than this share where cancel_s is short */
+#define KNOWN_S 2.0      /* nothing is started on a view that is older */
+#define TIMER_S 0.1
+
+/* How long after the sending of the last answered look answers may be given. A new leader reckons
+ * with it too: all controllers must come to the same figure. */
+double bd_grace_s(const struct bd_settings *s)
+{
+    double room = bd_to_secs(s->cancel) - bd_to_secs(s->lease) * (1 + DRIFT);
+    double margin = room * MARGIN_SHARE < MARGIN_S ? room * MARGIN_SHARE : MARGIN_S;
+    return room > 0 ? room - margin : 0;
+}
+
+bool bd_in_grace(const struct bd_core *c, struct timespec seen)
+{
+    double s = bd_grace_s(c->set) * (1 - DRIFT) - TIMER_S;
+    return !bd_is_zero(seen) && bd_before(c->now, bd_add(seen, bd_secs(s)));
+}
+
+/* Whether a withdrawal that we do not know of still ends in time if we answer now. */
+bool bd_may_renew(const struct bd_core *c)
+{
+    return bd_in_grace(c, c->fresh);
+}
+
+/* A launch is repeated until its task is seen; not while the job may be withdrawn for long. */
+bool bd_may_launch(const struct bd_core *c)
+{
+    return bd_core_valid(c) && bd_between(c->fresh, c->now) < KNOWN_S;
+}
--- a/src/reports.c
+++ b/src/reports.c
@@ -64,10 +64,10 @@
             bool force = t->flags & BD_F_FORCE;
             if (t->state == BD_T_LIVE && (t->sub != BD_SAVING || force))
                 order(l, BD_HALT, j->id, i, t->attempt, grace_of(j, t));
-        } else if (t->state == BD_T_LAUNCH && bd_core_valid(c) && j->mood == BD_LIVE &&
+        } else if (t->state == BD_T_LAUNCH && bd_may_launch(c) && j->mood == BD_LIVE &&
                    (!direct || t->attempt > c->sealed_attempt)) {
             order(l, BD_LAUNCH, j->id, i, t->attempt, 0);
-            t->flags |= direct ? BD_F_SENT | BD_F_DO : BD_F_SENT;
+            t->flags |= direct ? BD_F_SENT | BD_F_DO : BD_F_SENT | BD_F_TOLD;
             launch = true;
         }
     }
@@ -264,7 +264,7 @@
         struct bd_task *t = &j->tasks[i];
         bool shown = t->flags & BD_F_SHOWN;
         t->flags &= (uint8_t)~BD_F_SHOWN;
-        bool hold = shown || t->state == BD_T_PLAN || t->flags & BD_F_DO;
+        bool hold = shown || t->state == BD_T_PLAN || t->flags & (BD_F_DO | BD_F_TOLD);
         if (!hold && t->state == BD_T_LAUNCH && !(t->flags & BD_F_STOP))
             hold = true; /* the launch is repeated with this answer */
         if (hold) {
@@ -403,6 +403,14 @@
     m->via = via;
 }
 
+/* The worker has one check-in under way: with the next one, the answer to the last has arrived, or
+ * never will. The answer to a direct command proves nothing of the kind. */
+static void answers_settled(struct bd_machine *m)
+{
+    for (uint32_t k = 0; k < m->nrefs; k++)
+        m->refs[k].job->tasks[m->refs[k].task].flags &= (uint8_t)~BD_F_TOLD;
+}
+
 /* As leader, or in its grace. */
 static void lead_checkin(struct bd_core *c, void *request, const struct bd_report *r, int via)
 {
@@ -429,9 +437,11 @@
         bd_deputy_needless(c, m);
     struct orders l = {0};
     hears_us(m, r, via);
+    answers_settled(m);
     if (take_report(c, m, r, &l))
         m->direct = direct;
     m->asked_seq = r->seq;
+    m->asked = c->now;
     if (!bd_core_valid(c))
         l.n = 0;
     answer_checkin(c, request, m, &l);
--- a/src/settings.c
+++ b/src/settings.c
@@ -7,6 +7,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#define CANCEL_ROOM_S 1.0 /* between a worker's lease and the end of what was withdrawn */
+
 /* One reading of one file; the first fault found is kept. */
 struct reader {
     const char *path;
@@ -177,6 +179,9 @@
     s->gang_wait = span(r, w, "gang_wait_s", 0);
     s->gang_peer = span(r, w, "gang_peer_s", 0);
     s->cancel = span(r, w, "cancel_s", 0.1);
+    /* a lease renewed just before the withdrawal is known would outlive it */
+    if (bd_to_secs(s->cancel) < bd_to_secs(s->lease) + CANCEL_ROOM_S)
+        fault(r, "cancel_s", "must be at least a second longer than lease_s");
     json_t *st = object(r, f, "state");
     s->state_rps = limit(r, st, "rps", 1);
     s->state_write_rps = limit(r, st, "write_rps", 1);
--- a/src/standby.c
+++ b/src/standby.c
@@ -64,12 +64,10 @@
     return strcmp(r->zone, c->set->zone) == 0;
 }
 
-/* When the last answer may be given: the grace, from the last sign of the state service. */
+/* The grace, from the last sign of the state service. */
 static bool in_time(const struct bd_core *c)
 {
-    struct timespec seen = bd_min(c->confirmed, c->fresh);
-    double grace = bd_grace_s(c->set) * (1 - DRIFT) - 0.1;
-    return !bd_is_zero(c->confirmed) && bd_before(c->now, bd_add(seen, bd_secs(grace)));
+    return bd_may_renew(c) && bd_in_grace(c, c->confirmed);
 }
 
 bool bd_standby_answers(const struct bd_core *c, const struct bd_report *r)
--- a/src/tasks.c
+++ b/src/tasks.c
@@ -363,17 +363,24 @@
     m->addr[0] = '\0';
 }
 
+static bool late(const struct bd_core *c, struct timespec last)
+{
+    double s = LATE_REPORTS * bd_to_secs(c->set->report) + LATE_EXTRA_S;
+    return bd_between(last, c->now) > (s > LATE_LEAST_S ? s : LATE_LEAST_S);
+}
+
 /* Whether its report is late: it hangs, or goes round looking for a controller. Direct commands
- * would hold up a sender each, and what is new is better placed elsewhere. */
+ * would hold up a sender each. */
 bool bd_overdue(const struct bd_core *c, const struct bd_machine *m)
 {
-    double late = LATE_REPORTS * bd_to_secs(c->set->report) + LATE_EXTRA_S;
-    return bd_between(m->heard, c->now) > (late > LATE_LEAST_S ? late : LATE_LEAST_S);
+    return late(c, m->heard);
 }
 
 bool bd_machine_usable(const struct bd_core *c, const struct bd_machine *m)
 {
     return m->type >= 0 && m->zone >= 0 && c->types[m->type].known && m->fenced && !m->gone &&
            !m->returning && !m->failed && !m->bad && m->notice_left < 0 &&
-           (!m->mute || c->mute_many) && !bd_overdue(c, m) && bd_before(m->refuse_until, c->now);
+           (!m->mute || c->mute_many) && !late(c, m->heard) &&
+           /* one that answers directly while its check-ins reach nobody loses all with its lease */
+           !late(c, m->asked) && bd_before(m->refuse_until, c->now);
 }
--- a/tests/meetings.c
+++ b/tests/meetings.c
@@ -1,17 +1,20 @@
 /* Days on which troubles meet, in simulated time, against the protocol's rules (see sim.h).
  *
- *   meetings FILE [SEEDS]     a day from a file, with so many seeds
- *   meetings random FROM N    days drawn from N seeds
- *   meetings seed FILE|random N   one of them, told step by step
+ * - meetings FILE [SEEDS]: a day from a file, with so many seeds
+ * - meetings random FROM N: days drawn from N seeds
+ * - meetings seed FILE|random N [debug]: one of them, told step by step
  *
- * A file: lines `at SECONDS TROUBLE ...`; `until SECONDS` ends the day, at least 100 s after the
- * last trouble; `jobs N` how many come; `cancelled SHARE`. Troubles, FOR in seconds, WHO a
- * controller's number, `leader` or `any`: outage FOR | slow FOR | refuse WHO FOR | late SHARE FOR |
- * lost SHARE FOR       state service peers WHO FOR | zones FOR | held FOR network copies SHARE FOR
- * | next SHARE FOR                                             late reports hang N FOR | deaf N FOR
- * | mute N FOR | cut N FOR | hold N FOR | die N          machines crash WHO BACK | all BACK
- * controllers cancel N | burst N                                                            users
- */
+ * A file has lines `at SECONDS TROUBLE ...`. The day ends long enough after the last trouble for
+ * all work to be served. `jobs N`: how many come; `cancelled SHARE`; `small 1`: jobs of one short
+ * task. Troubles, with FOR in seconds and WHO a controller's number, `leader` or `any`:
+ *
+ * - state service: outage FOR, slow FOR, refuse WHO FOR, blind WHO FOR (its looks at the records
+ *   fail), late SHARE FOR, lost SHARE FOR
+ * - network: peers WHO FOR, alone WHO FOR (from peers and state service), zones FOR, held FOR
+ * - late reports: copies SHARE FOR, next SHARE FOR (to all as the next leader begins)
+ * - machines: hang N FOR, deaf N FOR, mute N FOR, cut N FOR, hold N FOR, die N
+ * - controllers: crash WHO BACK, all BACK
+ * - users: cancel N, burst N */
 #include "sim.h"
 #include "small.h"
 #include <math.h>
@@ -33,7 +36,8 @@
         double a, b;
     } t[128];
     int n, jobs;
-    double until, cancelled;
+    bool small;
+    double cancelled;
 };
 
 double sim_rnd(struct sim *s)
@@ -95,6 +99,7 @@
 static void ask_node(struct sim *s, int job, int node, enum sim_verb verb)
 {
     static const char *const shapes[] = {"sweep", "gang", "service"};
+    static const char *const ranks[] = {"idle", "standard", "high", "production"};
     struct sim_job *j = &s->jobs[job];
     char text[640];
     struct sim_event *e = sim_post(s, sim_delay(s), SIM_USER_IN);
@@ -108,10 +113,10 @@
         return;
     snprintf(text, sizeof text,
              "{\"id\":\"%s\",\"kin\":\"k\",\"household\":\"%s\",\"shape\":\"%s\",\"rank\":"
-             "\"standard\",\"chores\":%u,\"vcpus\":%.1f,%s\"memGb\":1,\"seed\":\"img\",\"imageGb\":"
+             "\"%s\",\"chores\":%u,\"vcpus\":%.1f,%s\"memGb\":1,\"seed\":\"img\",\"imageGb\":"
              "1,\"breeds\":null,\"glade\":%s,\"together\":false,\"scatter\":false,\"windfall\":"
              "false,\"guessS\":8,\"markS\":0,\"stowS\":0,\"dueS\":null}",
-             j->id, j->team ? "b" : "a", shapes[j->shape], j->tasks, j->cpus,
+             j->id, j->team ? "b" : "a", shapes[j->shape], ranks[j->rank], j->tasks, j->cpus,
              j->odd && job % 2 ? "" : "\"accelerators\":0,",
              j->odd && job % 2 == 0 ? "\"nowhere\"" : "null");
     e->text = strdup(text);
@@ -223,9 +228,16 @@
     double kind = sim_rnd(s);
     j->shape = n < 3 ? BD_SERVICE : kind < 0.2 ? BD_GANG : BD_ARRAY;
     j->team = n % 2;
+    j->rank = j->shape == BD_SERVICE ? 3 : (int)(sim_rnd(s) * 3);
     j->tasks = j->shape == BD_ARRAY ? 1 + (uint32_t)(sim_rnd(s) * 5) : 2;
     j->cpus = j->shape == BD_SERVICE ? 1 : 1 + (int)(sim_rnd(s) * 3);
     j->run_s = sim_rnd(s) < 0.15 ? sim_between(s, 30, 60) : sim_between(s, 1, 12);
+    if (p->small) {
+        j->shape = BD_ARRAY;
+        j->tasks = 1;
+        j->cpus = 1;
+        j->run_s = sim_between(s, 1, 6);
+    }
     j->odd = n > 3 && n % 17 == 0;
     if (sim_rnd(s) < p->cancelled)
         j->withdraw_at = sim_rnd(s) < 0.2 ? -1 : s->now + at + sim_between(s, 0.1, 40);
@@ -300,6 +312,8 @@
         s->slow = until;
     else if (strcmp(t->verb, "refuse") == 0)
         s->refuses[who_is(s, t->who)] = until;
+    else if (strcmp(t->verb, "blind") == 0)
+        s->blind[who_is(s, t->who)] = until;
     else if (strcmp(t->verb, "peers") == 0)
         s->peers_cut[who_is(s, t->who)] = until;
     else if (strcmp(t->verb, "alone") == 0) {
@@ -402,7 +416,7 @@
         s->trouble_ends = fmax(s->trouble_ends, t->at + lasts);
         sim_post(s, t->at, SIM_FAULT)->who = i;
     }
-    s->ends = fmax(p->until, s->trouble_ends + QUIET_S);
+    s->ends = s->trouble_ends + QUIET_S;
     for (int i = 0; i < p->jobs; i++)
         new_job(s, p, i < 6 ? sim_between(s, 2, 6) : sim_between(s, 3, s->trouble_ends));
 }
@@ -566,10 +580,10 @@
 
 static void drawn(struct plan *p, unsigned long seed)
 {
-    static const char *const verbs[] = {"outage", "slow",  "refuse", "late",  "lost",   "peers",
-                                        "zones",  "held",  "copies", "next",  "hang",   "deaf",
-                                        "mute",   "cut",   "hold",   "die",   "crash",  "all",
-                                        "cancel", "burst", "alone",  "crash", "cancel", "hang"};
+    static const char *const verbs[] = {
+        "outage", "slow",   "refuse", "blind", "late",  "lost",   "peers", "zones", "held",
+        "copies", "next",   "hang",   "deaf",  "mute",  "cut",    "hold",  "die",   "crash",
+        "all",    "cancel", "burst",  "alone", "crash", "cancel", "hang"};
     const int n = (int)(sizeof verbs / sizeof *verbs);
     gsl_rng *r = gsl_rng_alloc(gsl_rng_taus2);
     if (!r)
@@ -606,13 +620,13 @@
 static bool has_who(const char *verb)
 {
     return strcmp(verb, "refuse") == 0 || strcmp(verb, "peers") == 0 ||
-           strcmp(verb, "crash") == 0 || strcmp(verb, "alone") == 0;
+           strcmp(verb, "crash") == 0 || strcmp(verb, "alone") == 0 || strcmp(verb, "blind") == 0;
 }
 
 static bool read_plan(struct plan *p, const char *path)
 {
     char line[256];
-    int at_line = 0;
+    int at_line = 0, small = 0;
     FILE *f = fopen(path, "r");
     memset(p, 0, sizeof *p);
     p->jobs = 40;
@@ -623,7 +637,7 @@
         at_line++;
         if (line[0] == '#' || line[strspn(line, " \n")] == '\0')
             continue;
-        if (sscanf(line, "until %lf", &p->until) == 1 || sscanf(line, "jobs %d", &p->jobs) == 1 ||
+        if (sscanf(line, "small %d", &small) == 1 || sscanf(line, "jobs %d", &p->jobs) == 1 ||
             sscanf(line, "cancelled %lf", &p->cancelled) == 1)
             continue;
         char rest[128] = "";
@@ -634,6 +648,7 @@
             good = sscanf(rest, "%lf %lf", &t->a, &t->b) >= 1;
         p->n++;
     }
+    p->small = small != 0;
     if (!good)
         fprintf(stderr, "%s:%d: not a day\n", path, at_line);
     if (f)
--- a/tests/scenario.c
+++ b/tests/scenario.c
@@ -454,7 +454,7 @@
     for (int i = 0; i < n; i++) {
         char key[BD_LABEL];
         snprintf(key, sizeof key, "j/job-%d", 1000000 + i);
-        struct bd_record r = {.mood = BD_DONE, .tasks = 1, .at = 1};
+        struct bd_record r = {.mood = BD_DONE, .tasks = 1, .at = 1, .end = 2};
         json_t *v = bd_wire_record(&r);
         struct bd_change ch = {key, v, (uint64_t)(i + 1)};
         bd_core_change(p->c, &ch);
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -12,9 +12,9 @@
 
 #define SIM_NODES 4
 #define SIM_MACHINES 48
-#define SIM_JOBS 220
+#define SIM_JOBS 700
 #define SIM_TASKS 8   /* of a job */
-#define SIM_SLOTS 160 /* what a worker knows */
+#define SIM_SLOTS 400 /* what a worker knows */
 #define SIM_SAID 400
 
 enum sim_event_kind {
@@ -137,7 +137,7 @@
     char id[BD_ID];
     enum bd_shape shape;
     uint32_t tasks;
-    int team;
+    int team, rank;
     double cpus, run_s, withdraw_at;                         /* withdraw_at: 0 never */
     double asked_cancel, accepted_at, done_at, cancelled_at; /* when the user was told; 0 not yet */
     double answered_at, room_since; /* it waits since then though it could begin; 0: it could not */
@@ -163,7 +163,8 @@
     uint64_t ring, grants;
     struct sim_grant grant[64];
     int ngrants;
-    double outage, refuses[SIM_NODES], slow, lost_share, late_share; /* until then; shares */
+    double outage, refuses[SIM_NODES], blind[SIM_NODES], slow, lost_share,
+        late_share; /* until then; shares */
     double lost_until, late_until;
     /* network */
     double peers_cut[SIM_NODES], zones_cut, copies_until, copies_share, held_up;
--- a/tests/sim_node.c
+++ b/tests/sim_node.c
@@ -76,7 +76,9 @@
     struct sim_request *q = e->request;
     if (!q)
         return;
-    struct sim_event *b = wake(s, n, sim_delay(s), q->user ? SIM_USER_BACK : SIM_REPORT_BACK);
+    bool held = !q->user && s->now < s->held_up && sim_rnd(s) < 0.3;
+    struct sim_event *b = wake(s, n, sim_delay(s) + (held ? sim_between(s, 0.3, 4) : 0),
+                               q->user ? SIM_USER_BACK : SIM_REPORT_BACK);
     b->who = q->who;
     b->number = q->number;
     b->status = e->status;
--- a/tests/sim_state.c
+++ b/tests/sim_state.c
@@ -211,7 +211,8 @@
 void sim_state_call(struct sim *s, struct sim_call *c, double timeout)
 {
     double there = sim_delay(s) + (s->now < s->slow ? sim_between(s, 0.02, 0.6) : 0);
-    bool refused = s->now < s->outage || s->now < s->refuses[c->node];
+    bool refused = s->now < s->outage || s->now < s->refuses[c->node] ||
+                   (c->op == SIM_LOOK && s->now < s->blind[c->node]);
     bool write = c->op == SIM_COMMIT && !refused;
     struct sim_event *e = sim_post(s, there, SIM_STATE_RUN);
     e->call = c;
@@ -241,7 +242,8 @@
     struct sim_call *c = e->call;
     json_t *out = NULL;
     if (e->kind == SIM_STATE_RUN && e->status != -1) {
-        bool refused = s->now < s->outage || s->now < s->refuses[c->node];
+        bool refused = s->now < s->outage || s->now < s->refuses[c->node] ||
+                       (c->op == SIM_LOOK && s->now < s->blind[c->node]);
         long status = refused ? 503 : execute(s, c, &out);
         if (e->flag) {
             struct sim_event *back = sim_post(s, sim_delay(s), SIM_STATE_BACK);
