--- a/src/core_in.h
+++ b/src/core_in.h
@@ -142,6 +142,7 @@
 
 void bd_limits_init(struct bd_core *c);
 bool bd_limits_refused(struct bd_core *c, const char *what);
+size_t bd_limits_ops(const struct bd_core *c);
 void bd_limits_tick(struct bd_core *c);
 void bd_limits_aside(struct bd_core *c, struct bd_job *j);
 
--- a/src/limits.c
+++ b/src/limits.c
@@ -39,6 +39,15 @@
     return c->lim.value_bytes < was.value_bytes || c->lim.txn_ops < was.txn_ops;
 }
 
+/* Changes that one transaction may hold: no more than the rate takes in a second, or it never goes
+ * through. */
+size_t bd_limits_ops(const struct bd_core *c)
+{
+    size_t rate = (size_t)c->lim.write_rps;
+    size_t n = c->lim.txn_ops < rate ? c->lim.txn_ops : rate;
+    return n < OPS_LEAST ? OPS_LEAST : n;
+}
+
 void bd_core_busy(struct bd_core *c)
 {
     if (bd_between(c->lim.busy_at, c->now) < BUSY_S && !bd_is_zero(c->lim.busy_at))
--- a/src/rounds.c
+++ b/src/rounds.c
@@ -52,7 +52,7 @@
 /* How many intent records a transaction may hold beside receipts. */
 uint32_t bd_round_parts(const struct bd_core *c)
 {
-    size_t n = INTENT_BYTES / c->lim.value_bytes, ops = c->lim.txn_ops / 4;
+    size_t n = INTENT_BYTES / c->lim.value_bytes, ops = bd_limits_ops(c) / 4;
     n = n < ops ? n : ops;
     return n < 1 ? 1 : n > BD_ROUND_PARTS ? BD_ROUND_PARTS : (uint32_t)n;
 }
@@ -303,7 +303,7 @@
 void bd_round_commit(struct bd_core *c)
 {
     struct bd_commit *k = c->commit;
-    struct build b = {.most_ops = c->lim.txn_ops - 1, .most_conds = 4 * c->lim.txn_ops - 2};
+    struct build b = {.most_ops = bd_limits_ops(c) - 1, .most_conds = 4 * c->lim.txn_ops - 2};
     if (!bd_txn_start(&b.t))
         abort();
     bd_txn_if(&b.t, "leader", c->term);
@@ -475,13 +475,13 @@
             e->job->tasks[e->task].attempt == e->attempt)
             bd_task_free(c, e->job, e->task);
     }
+    c->want_bump = c->want_bump || k->bump;
     /* the same number is never used for another content */
 }
 
 /* Called malformed: nothing was applied. All of it is decided anew, in smaller pieces. */
 static void too_large(struct bd_core *c, struct bd_commit *k)
 {
-    c->want_bump = c->want_bump || k->bump;
     if (bd_limits_refused(c, "a round's transaction"))
         return;
     for (uint32_t i = 0; i < k->nplan; i++)
--- a/src/store.c
+++ b/src/store.c
@@ -16,6 +16,7 @@
 #define USER_THREADS 2
 #define PAUSE_S 0.25
 #define DEPUTIES_S 0.7 /* a leader's looks at the deputies' records */
+#define BUSY_TRIES 3   /* 429s in a row: then the transaction is decided anew */
 
 long bd_store_call(struct bd_node *n, struct bd_http *h, const char *method, const char *path,
                    const char *body, double timeout_s, json_t **out)
@@ -214,6 +215,7 @@
 {
     const int open = 3;
     bool unsure = false; /* a copy without an answer may have been applied */
+    int busy = 0;
     cmd->outcome = open;
     while (cmd->outcome == open) {
         json_t *o = NULL;
@@ -242,9 +244,13 @@
             cmd->outcome = -1;
         } else {
             unsure = unsure || (status != 429 && status != 503);
+            busy = status == 429 ? busy + 1 : 0;
             if (status == 429)
                 bd_tell(n, bd_cmd_new(BD_C_BUSY));
             bd_pause(PAUSE_S);
+            /* one larger than a second's changes would be refused for ever */
+            if (busy >= BUSY_TRIES && (!unsure || witnessed(n, h, e, &cmd->ring) == 0))
+                cmd->outcome = 0;
         }
         json_decref(o);
     }
--- a/tests/loopback.c
+++ b/tests/loopback.c
@@ -16,6 +16,7 @@
 #include <unistd.h>
 
 #define NODES 3
+#define CANCEL_S 20.0 /* as in the settings below */
 
 struct test {
     const char *program, *old; /* old: the version in production, or NULL */
@@ -25,7 +26,7 @@
     pid_t pid[NODES];
     struct bd_http *h;
     struct world *w;
-    int faults, base;
+    int faults, base, older;
 };
 
 static void check(struct test *t, int ok, const char *what)
@@ -52,7 +53,7 @@
     char name[16], cloud[32], state[32];
     snprintf(name, sizeof name, "node-%d", i);
     snprintf(mesh, sizeof mesh, "127.0.0.1:%d", t->base + 10 + i);
-    snprintf(state, sizeof state, "127.0.0.1:%d", t->base + 20);
+    snprintf(state, sizeof state, "127.0.0.1:%d", t->base + 22 + i);
     snprintf(cloud, sizeof cloud, "127.0.0.1:%d", t->base + 21);
     json_t *team = json_pack("{s:s,s:f,s:f,s:f,s:f}", "name", "blue", "cpus", 0.0, "cpus_max", 32.0,
                              "gpus", 0.0, "gpus_max", 0.0);
@@ -61,9 +62,9 @@
         "{s:i,s:[s],s:[o],s:[],s:{s:f,s:f,s:f,s:f,s:f},s:{s:f,s:f,s:f,s:i,s:o},s:{s:f,s:f},"
         "s:{s:f,s:f,s:i},s:f}",
         "count", NODES, "zones", "a", "teams", team, "objectives", "workers", "report_s", 0.2,
-        "lease_s", 6.0, "gang_wait_s", 5.0, "gang_peer_s", 2.0, "cancel_s", 20.0, "state", "rps",
-        500.0, "write_rps", 300.0, "value_kb", 8.0, "txn_ops", 24, "next", next, "cloud", "rps",
-        20.0, "list_lag_s", 0.5, "limits", "cpu", 1.0, "ram_mb", 256.0, "max_sockets", 300,
+        "lease_s", 6.0, "gang_wait_s", 5.0, "gang_peer_s", 2.0, "cancel_s", CANCEL_S, "state",
+        "rps", 500.0, "write_rps", 300.0, "value_kb", 8.0, "txn_ops", 24, "next", next, "cloud",
+        "rps", 20.0, "list_lag_s", 0.5, "limits", "cpu", 1.0, "ram_mb", 256.0, "max_sockets", 300,
         "clock_error_ms", 5.0);
     json_t *o = json_pack("{s:s,s:s,s:s,s:s,s:o,s:{s:s,s:s},s:o}", "node_name", name, "location",
                           "a", "front", t->addr[i], "mesh_addr", mesh, "others", others, "external",
@@ -468,6 +469,109 @@
     check(t, world_too_early(t->w) == 0, "none began too early");
 }
 
+/* The state service refuses the leader alone, another node confirms a withdrawal, then it is out
+ * for all, while the workers go on reporting to the leader. */
+static void gap(struct test *t)
+{
+    char out[256] = "";
+    check(t, all_nodes(t, "/up", "up", 30), "all nodes are up");
+    check(t, submit(t, "job-91", "service", 2, 10) && submit(t, "job-92", "service", 2, 10),
+          "two services are accepted");
+    struct timespec end = bd_add(bd_now(), bd_secs(20));
+    while (world_running(t->w) < 4 && bd_before(bd_now(), end))
+        bd_pause(0.1);
+    check(t, world_running(t->w) == 4, "all replicas run");
+    int leader = world_leader(t->w);
+    check(t, leader >= 0, "somebody leads");
+    world_state_refuses(t->w, leader, true);
+    bd_pause(0.5);
+    int other = (leader + 1) % NODES;
+    check(t,
+          ask(t, other, "POST", "/submissions/job-91/withdraw", "{}", out, sizeof out) == 200 &&
+              strstr(out, "cancelled"),
+          "another node confirms a withdrawal");
+    struct timespec told = bd_now();
+    world_state_down(t->w, true);
+    while (world_running_of(t->w, "job-91") > 0 && bd_between(told, bd_now()) < CANCEL_S)
+        bd_pause(0.1);
+    printf("     gone after %.1f s\n", bd_between(told, bd_now()));
+    check(t, world_running_of(t->w, "job-91") == 0,
+          "its tasks are gone in time, though all is out");
+    while (bd_between(told, bd_now()) < CANCEL_S + 2) {
+        if (world_running_of(t->w, "job-91") > 0)
+            break;
+        bd_pause(0.1);
+    }
+    check(t, world_running_of(t->w, "job-91") == 0, "and none comes back");
+    world_state_refuses(t->w, leader, false);
+    world_state_down(t->w, false);
+    check(t, all_nodes(t, "/submissions/job-91", "cancelled", 20), "all nodes say so");
+    end = bd_add(bd_now(), bd_secs(30));
+    while (world_running_of(t->w, "job-92") < 2 && bd_before(bd_now(), end))
+        bd_pause(0.1);
+    check(t, world_running_of(t->w, "job-92") == 2 && world_running_of(t->w, "job-91") == 0,
+          "the other service runs again");
+}
+
+/* No node may answer older than another did, whatever the state service's answers become. */
+static void look_closely(struct test *t, const char *id, const char *const *moods, int from)
+{
+    char path[64], out[256];
+    snprintf(path, sizeof path, "/submissions/%s", id);
+    for (int i = 0; i < 2 * NODES; i++) {
+        int node = (from + i) % NODES;
+        long status =
+            i < NODES ? ask(t, node, "GET", path, NULL, out, sizeof out)
+                      : ask(t, node, "POST", "/submissions", job(id, "sweep", 1), out, sizeof out);
+        bool good = status == 503;
+        for (int m = 0; moods[m] && status == 200; m++)
+            good = good || strstr(out, moods[m]);
+        if (!good) {
+            printf("     node %d on %s: %ld %s\n", node, id, status, out);
+            t->older++;
+        }
+    }
+}
+
+static void close_looks(struct test *t)
+{
+    static const char *const any[] = {"pending", "running", "done", NULL};
+    static const char *const done[] = {"\"done\"", NULL}, *const over[] = {"cancelled", NULL};
+    char id[32], path[64], out[256];
+    int late = 0, withdrawn = 0;
+    world_state_loses(t->w, 0.3, 0.1);
+    for (int i = 0; i < 16; i++) {
+        snprintf(id, sizeof id, "job-7%02d", i);
+        snprintf(path, sizeof path, "/submissions/%s", id);
+        if (!submit(t, id, "sweep", 1, 20)) {
+            check(t, 0, "a job is accepted though answers are lost");
+            continue;
+        }
+        look_closely(t, id, any, i);
+        if (i % 2) {
+            check(t, until(t, path, "\"mood\":\"done\"", 40), "it is done");
+            look_closely(t, id, done, i + 1);
+            continue;
+        }
+        strcat(path, "/withdraw");
+        for (int k = 0; k < 20; k++) {
+            long status = ask(t, k % NODES, "POST", path, "{}", out, sizeof out);
+            if (status == 200)
+                break;
+            bd_pause(0.2);
+        }
+        bool cancelled = strstr(out, "cancelled") != NULL;
+        withdrawn += cancelled;
+        look_closely(t, id, cancelled ? over : done, i + 1);
+    }
+    world_state_loses(t->w, 0, 0);
+    int lost = world_lost(t->w, &late);
+    printf("     %d answers were lost, %d transactions applied late, %d jobs withdrawn\n", lost,
+           late, withdrawn);
+    check(t, lost > 0 && withdrawn > 0, "answers were lost, and jobs withdrawn");
+    check(t, t->older == 0, "no node answered older than another");
+}
+
 /* Keeps what the old version writes: its records, and what it says to another controller. */
 static int capture(struct test *t, const char *dir)
 {
@@ -518,18 +622,20 @@
     bd_http_free(t->h);
 }
 
-/* loopback PROGRAM; loopback PROGRAM OLD; loopback PROGRAM capture DIR */
+/* loopback PROGRAM; loopback PROGRAM OLD; loopback PROGRAM meetings; loopback PROGRAM capture DIR
+ */
 int main(int argc, char **argv)
 {
     struct test t = {0};
     if (argc < 2 || argc > 4)
         return 2;
     t.program = argv[1];
-    if (argc == 3 && access(argv[2], X_OK) != 0) {
+    bool meetings = argc == 3 && strcmp(argv[2], "meetings") == 0;
+    if (argc == 3 && !meetings && access(argv[2], X_OK) != 0) {
         printf("skipped: the version in production is not there: %s\n", argv[2]);
         return 77;
     }
-    if (argc == 3)
+    if (argc == 3 && !meetings)
         t.old = argv[2];
     t.base = 20000 + (int)(getpid() % 120) * 100; /* below what outgoing connections take */
     (void)signal(SIGPIPE, SIG_IGN);
@@ -542,7 +648,7 @@
         t.nodes[i] = t.addr[i];
         write_settings(&t, i, 0);
     }
-    t.w = world_new(t.base + 20, t.base + 21, t.base + 30, t.nodes, NODES);
+    t.w = world_new(t.base + 22, t.base + 21, t.base + 30, t.nodes, NODES);
     if (!t.w)
         return 2;
     if (argc == 4) {
@@ -552,7 +658,10 @@
     }
     for (int i = 0; i < NODES; i++)
         again(&t, i, t.old);
-    if (t.old) {
+    if (meetings) {
+        gap(&t);
+        close_looks(&t);
+    } else if (t.old) {
         roll(&t);
     } else {
         quiet(&t);
@@ -567,7 +676,7 @@
     int applied = 0;
     check(&t, world_copies(t.w, &applied) > 5 && applied == 0,
           "late copies of transactions came and none applied");
-    check(&t, world_starts(t.w) >= 29, "all of the work was started");
+    check(&t, world_starts(t.w) >= (meetings ? 6 : 29), "all of the work was started");
     for (int i = 0; i < NODES; i++)
         check(&t, t.pid[i] > 0 && waitpid(t.pid[i], NULL, WNOHANG) == 0, "no node ended by itself");
     finish(&t);
--- a/tests/standin.c
+++ b/tests/standin.c
@@ -11,8 +11,10 @@
 
 #define KEYS 512
 #define WORKERS 12
+#define DOORS 3
 #define TASKS 64
 #define RUN_S 0.6
+#define NO_ANSWER 0
 #define LEASE_S 6.0 /* as in the loopback test's settings */
 
 struct key {
@@ -57,7 +59,20 @@
 
 struct world {
     pthread_mutex_t lock;
-    struct served served[WORKERS + 2];
+    struct served served[WORKERS + 2 + DOORS];
+    struct door {
+        struct world *w;
+        int node;
+        bool refused;
+    } door[DOORS]; /* the state service, one address a controller */
+    struct MHD_Daemon *door_daemon[DOORS];
+    struct late {
+        json_t *txn;
+        struct timespec due;
+    } late[64];
+    int nlate, lost, late_applied;
+    double lost_share, late_share;
+    unsigned dice;
     int nserved;
     struct key keys[KEYS];
     struct change log[32768];
@@ -76,7 +91,7 @@
     int ngrants, nworkers, worker_port, nnodes;
     bool down;
     const char *const *nodes;
-    struct MHD_Daemon *state, *cloud;
+    struct MHD_Daemon *cloud;
     struct worker workers[WORKERS];
 };
 
@@ -129,6 +144,10 @@
         s->w->garbles--;
     pthread_mutex_unlock(&s->w->lock);
     json_decref(in);
+    if (status == NO_ANSWER) { /* the connection ends without one */
+        json_decref(out);
+        return MHD_NO;
+    }
     return reply(conn, status, out, garble);
 }
 
@@ -422,16 +441,53 @@
     return 404;
 }
 
+static void apply_late(struct world *w)
+{
+    for (int i = 0; i < w->nlate;) {
+        json_t *ignored = NULL;
+        if (bd_before(bd_now(), w->late[i].due)) {
+            i++;
+            continue;
+        }
+        w->late_applied += commit(w, w->late[i].txn, &ignored) == 200;
+        json_decref(ignored);
+        json_decref(w->late[i].txn);
+        w->late[i] = w->late[--w->nlate];
+    }
+}
+
+static bool chance(struct world *w, double share)
+{
+    w->dice = w->dice * 1103515245u + 12345u;
+    return (w->dice >> 16 & 0x7fff) < share * 0x8000;
+}
+
+/* Some are carried out while only the answer is lost, some late and after newer ones. */
+static int commit_or_lose(struct world *w, json_t *in, json_t **out)
+{
+    if (chance(w, w->late_share) && w->nlate < 64) {
+        w->late[w->nlate++] = (struct late){json_incref(in), bd_add(bd_now(), bd_secs(2.5))};
+        return NO_ANSWER;
+    }
+    int status = commit_and_copy(w, in, out);
+    if (status != 200 || !chance(w, w->lost_share))
+        return status;
+    w->lost++;
+    return NO_ANSWER;
+}
+
 static int state_answer(void *arg, const char *method, const char *url, struct MHD_Connection *conn,
                         json_t *in, json_t **out)
 {
-    struct world *w = arg;
+    struct door *d = arg;
+    struct world *w = d->w;
     (void)method;
-    if (w->down)
+    if (w->down || d->refused)
         return 503;
     end_grants(w);
+    apply_late(w);
     if (strcmp(url, "/commit") == 0)
-        return commit_and_copy(w, in, out);
+        return commit_or_lose(w, in, out);
     if (strcmp(url, "/kv") == 0)
         return list(w, conn, out);
     if (strncmp(url, "/kv/", 4) == 0)
@@ -725,9 +781,14 @@
     w->worker_port = worker_port;
     w->nodes = nodes;
     w->nnodes = nnodes;
-    w->state = listen_on(w, state_port, state_answer, w);
     w->cloud = listen_on(w, cloud_port, cloud_answer, w);
-    return w->state && w->cloud ? w : NULL;
+    bool good = w->cloud != NULL;
+    for (int i = 0; i < DOORS; i++) {
+        w->door[i] = (struct door){w, i, false};
+        w->door_daemon[i] = listen_on(w, state_port + i, state_answer, &w->door[i]);
+        good = good && w->door_daemon[i];
+    }
+    return good ? w : NULL;
 }
 
 static int sum(struct world *w, int (*f)(struct world *))
@@ -837,6 +898,54 @@
     pthread_mutex_unlock(&w->lock);
 }
 
+void world_state_refuses(struct world *w, int node, bool refused)
+{
+    pthread_mutex_lock(&w->lock);
+    w->door[node].refused = refused;
+    pthread_mutex_unlock(&w->lock);
+}
+
+void world_state_loses(struct world *w, double lost_share, double late_share)
+{
+    pthread_mutex_lock(&w->lock);
+    w->lost_share = lost_share;
+    w->late_share = late_share;
+    pthread_mutex_unlock(&w->lock);
+}
+
+int world_lost(struct world *w, int *late)
+{
+    pthread_mutex_lock(&w->lock);
+    int n = w->lost;
+    *late = w->late_applied;
+    pthread_mutex_unlock(&w->lock);
+    return n;
+}
+
+int world_running_of(struct world *w, const char *job)
+{
+    int n = 0;
+    size_t len = strlen(job);
+    pthread_mutex_lock(&w->lock);
+    for (int i = 0; i < w->nworkers; i++)
+        for (int k = 0; k < TASKS; k++)
+            n += w->workers[i].tasks[k].mood == 1 &&
+                 strncmp(w->workers[i].tasks[k].name, job, len) == 0 &&
+                 w->workers[i].tasks[k].name[len] == '/';
+    pthread_mutex_unlock(&w->lock);
+    return n;
+}
+
+int world_leader(struct world *w)
+{
+    pthread_mutex_lock(&w->lock);
+    struct key *k = find_key(w, "leader");
+    const char *name = k ? json_string_value(json_object_get(k->value, "node")) : NULL;
+    int node = node_named(w, name);
+    pthread_mutex_unlock(&w->lock);
+    return node;
+}
+
 void world_state_garbles(struct world *w, int answers)
 {
     pthread_mutex_lock(&w->lock);
@@ -854,7 +963,10 @@
         (void)pthread_join(w->workers[i].thread, NULL);
         MHD_stop_daemon(w->workers[i].daemon);
     }
-    MHD_stop_daemon(w->state);
+    for (int i = 0; i < DOORS; i++)
+        MHD_stop_daemon(w->door_daemon[i]);
+    for (int i = 0; i < w->nlate; i++)
+        json_decref(w->late[i].txn);
     MHD_stop_daemon(w->cloud);
     for (int i = 0; i < w->nkeys; i++)
         json_decref(w->keys[i].value);
--- a/tests/standin.h
+++ b/tests/standin.h
@@ -30,6 +30,16 @@
 bool world_dump(struct world *w, const char *path);
 /* while on, the state service answers 503 to everything */
 void world_state_down(struct world *w, bool down);
+/* while on, it answers 503 to this controller alone */
+void world_state_refuses(struct world *w, int node, bool refused);
+/* of its transactions, the share that is carried out while the answer is lost, and the share that
+ * is carried out seconds late, after newer ones; how many did */
+void world_state_loses(struct world *w, double lost_share, double late_share);
+int world_lost(struct world *w, int *late);
+/* tasks of the job that run now */
+int world_running_of(struct world *w, const char *job);
+/* the controller that the leader's key names, or -1 */
+int world_leader(struct world *w);
 /* the next answers of the state service are cut off in the middle of their JSON */
 void world_state_garbles(struct world *w, int answers);
 #endif
