--- a/tests/sim_state.c
+++ b/tests/sim_state.c
@@ -100,7 +100,41 @@
     return 409;
 }
 
-static long commit(struct sim *s, const char *body, json_t **out)
+/* What the rules want of what is written, whoever writes it: no intent for a job that is withdrawn
+ * or done, and of the leaders' transactions each once, in order, by the one whose key stands. */
+static void check_intents(struct sim *s, json_t *value)
+{
+    char key[96];
+    json_t *v;
+    size_t i;
+    json_array_foreach(json_object_get(value, "e"), i, v)
+    {
+        const char *id = json_string_value(json_array_get(v, 0));
+        snprintf(key, sizeof key, "j/%s", id ? id : "");
+        struct sim_key *k = find(s, key);
+        const char *mood = k ? json_string_value(json_object_get(k->value, "s")) : NULL;
+        if (!mood || strcmp(mood, "live") != 0)
+            sim_broken(s, "intent: %s is %s", key, mood ? mood : "not there");
+    }
+}
+
+static void check_witness(struct sim *s, int node, json_t *value)
+{
+    json_int_t t = json_integer_value(json_object_get(value, "t"));
+    json_int_t n = json_integer_value(json_object_get(value, "n"));
+    struct sim_key *w = find(s, "w"), *leader = find(s, "leader");
+    json_int_t t0 = w ? json_integer_value(json_object_get(w->value, "t")) : 0;
+    json_int_t n0 = w ? json_integer_value(json_object_get(w->value, "n")) : 0;
+    if (t < t0 || (t == t0 && n <= n0))
+        sim_broken(s, "written twice: %lld of term %lld after %lld of %lld", (long long)n,
+                   (long long)t, (long long)n0, (long long)t0);
+    const char *name =
+        leader ? json_string_value(json_object_get(leader->value, "node")) : "nobody";
+    if (strcmp(name, s->nodes[node].set.node) != 0)
+        sim_broken(s, "deposed: %s writes while %s leads", s->nodes[node].set.node, name);
+}
+
+static long commit(struct sim *s, int node, const char *body, json_t **out)
 {
     json_t *in = json_loads(body, 0, NULL), *v;
     size_t i;
@@ -121,6 +155,10 @@
         json_array_foreach(json_object_get(in, "apply"), i, v)
         {
             const char *set = json_string_value(json_object_get(v, "set"));
+            if (set && strncmp(set, "i/", 2) == 0)
+                check_intents(s, json_object_get(v, "value"));
+            if (set && strcmp(set, "w") == 0)
+                check_witness(s, node, json_object_get(v, "value"));
             if (set)
                 set_key(s, set, json_object_get(v, "value"),
                         (uint64_t)json_integer_value(json_object_get(v, "charter")));
@@ -179,7 +217,7 @@
     case SIM_LOOK:
         return look(s, c, out);
     case SIM_COMMIT:
-        return commit(s, c->body, out);
+        return commit(s, c->node, c->body, out);
     case SIM_GRANT:
         if (s->ngrants == (int)(sizeof s->grant / sizeof *s->grant))
             return 429;
