--- a/tests/inputs.c
+++ b/tests/inputs.c
@@ -97,6 +97,7 @@
     bad_settings(good, "\"front\"", "\"fronts\"", "front");
     bad_settings(good, "\"lease_s\": 10.0", "\"lease_s\": \"long\"", "lease_s");
     bad_settings(good, "\"lease_s\": 10.0", "\"lease_s\": -1", "lease_s");
+    bad_settings(good, "\"cancel_s\": 35.0", "\"cancel_s\": 10.5", "cancel_s");
     bad_settings(good, "\"txn_ops\": 24", "\"txn_ops\": 0", "txn_ops");
     static const char *const state = "\"txn_ops\": 24";
     bad_settings(good, state, "\"txn_ops\": 24, \"next\": 7", "next");
