--- a/tests/meetings.c
+++ b/tests/meetings.c
@@ -117,8 +117,7 @@
              "1,\"breeds\":null,\"glade\":%s,\"together\":false,\"scatter\":false,\"windfall\":"
              "false,\"guessS\":8,\"markS\":0,\"stowS\":0,\"dueS\":null}",
              j->id, j->team ? "b" : "a", shapes[j->shape], ranks[j->rank], j->tasks, j->cpus,
-             j->odd && job % 2 ? "" : "\"accelerators\":0,",
-             j->odd && job % 2 == 0 ? "\"nowhere\"" : "null");
+             j->odd && job % 2 ? "" : "\"accelerators\":0,", j->zone);
     e->text = strdup(text);
 }
 
@@ -239,6 +238,11 @@
         j->run_s = sim_between(s, 1, 6);
     }
     j->odd = n > 3 && n % 17 == 0;
+    double where = p->small ? 1 : sim_rnd(s);
+    j->zone = j->odd && n % 2 == 0 ? "\"nowhere\""
+              : where < 0.1        ? "\"a\""
+              : where < 0.2        ? "\"b\""
+                                   : "null";
     if (sim_rnd(s) < p->cancelled)
         j->withdraw_at = sim_rnd(s) < 0.2 ? -1 : s->now + at + sim_between(s, 0.1, 40);
     for (int i = 0; i < SIM_TASKS; i++)
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -142,6 +142,7 @@
     double asked_cancel, accepted_at, done_at, cancelled_at; /* when the user was told; 0 not yet */
     double answered_at, room_since; /* it waits since then though it could begin; 0: it could not */
     bool odd;                       /* can never be accepted */
+    const char *zone;               /* as it is submitted: quoted, or null */
     bool done[SIM_TASKS];
     uint64_t attempt[SIM_TASKS]; /* while on a machine */
     int machine[SIM_TASKS];      /* -1: on none */
--- a/tests/sim_work.c
+++ b/tests/sim_work.c
@@ -64,6 +64,9 @@
     if (j->machine[t->task] >= 0)
         sim_broken(s, "ran_twice: %s/%u starts on %s while on vm-%d", j->id, t->task, w->id,
                    j->machine[t->task]);
+    if (j->zone[0] == '"' && strncmp(j->zone + 1, w->zone, strlen(w->zone)) != 0)
+        sim_broken(s, "wrong_place: %s/%u, for zone %s, starts on %s", j->id, t->task, j->zone,
+                   w->id);
     if (j->cancelled_at > 0 && s->now > j->cancelled_at + CANCEL_S)
         sim_broken(s, "ran_cancelled: %s/%u starts on %s, %.1f s after", j->id, t->task, w->id,
                    s->now - j->cancelled_at);
