--- a/tests/meetings.c
+++ b/tests/meetings.c
@@ -13,7 +13,7 @@
  * - network: peers WHO FOR, alone WHO FOR (from peers and state service), zones FOR, held FOR
  * - late reports: copies SHARE FOR, next SHARE FOR (to all as the next leader begins)
  * - machines: hang N FOR, deaf N FOR, mute N FOR, cut N FOR, hold N FOR, die N
- * - controllers: crash WHO BACK, all BACK
+ * - controllers: crash WHO BACK, all BACK, stall WHO FOR (the process stands still)
  * - users: cancel N, burst N */
 #include "sim.h"
 #include "small.h"
@@ -316,6 +316,8 @@
         s->slow = until;
     else if (strcmp(t->verb, "refuse") == 0)
         s->refuses[who_is(s, t->who)] = until;
+    else if (strcmp(t->verb, "stall") == 0)
+        s->nodes[who_is(s, t->who)].stalled = until;
     else if (strcmp(t->verb, "blind") == 0)
         s->blind[who_is(s, t->who)] = until;
     else if (strcmp(t->verb, "peers") == 0)
@@ -438,8 +440,50 @@
         new_job(s, p, i < 6 ? sim_between(s, 2, 6) : sim_between(s, 3, s->trouble_ends));
 }
 
+/* What comes to a process that stands still waits there. */
+static bool waits_there(struct sim *s, struct sim_event *e)
+{
+    int node = -1;
+    switch (e->kind) {
+    case SIM_STATE_BACK:
+    case SIM_STATE_GIVEN_UP:
+        node = e->call->node;
+        break;
+    case SIM_MESH:
+        node = e->who;
+        break;
+    case SIM_READER:
+    case SIM_SEAT:
+    case SIM_NODE_TICK:
+    case SIM_REPORT_IN:
+    case SIM_REPORT_COPY:
+    case SIM_DO_BACK:
+    case SIM_DO_GIVEN_UP:
+    case SIM_CLOUD_BACK:
+    case SIM_USER_IN:
+        node = e->node;
+        break;
+    default:
+        return false;
+    }
+    double left = s->nodes[node].stalled - s->now;
+    if (left <= 0)
+        return false;
+    struct sim_event *again = sim_post(s, left + 0.001, e->kind), *next = again->next;
+    double at = again->at;
+    uint64_t order = again->order;
+    *again = *e;
+    again->at = at;
+    again->order = order;
+    again->next = next;
+    e->text = NULL;
+    return true;
+}
+
 static void event(struct sim *s, const struct plan *p, struct sim_event *e)
 {
+    if (waits_there(s, e))
+        return;
     switch (e->kind) {
     case SIM_STATE_RUN:
     case SIM_STATE_BACK:
@@ -600,7 +644,7 @@
     static const char *const verbs[] = {
         "outage", "slow",   "refuse", "blind", "late",  "lost",   "peers", "zones", "held",
         "copies", "next",   "hang",   "deaf",  "mute",  "cut",    "hold",  "die",   "crash",
-        "all",    "cancel", "burst",  "alone", "crash", "cancel", "hang"};
+        "all",    "cancel", "burst",  "alone", "crash", "cancel", "hang",  "stall", "stall"};
     const int n = (int)(sizeof verbs / sizeof *verbs);
     gsl_rng *r = gsl_rng_alloc(gsl_rng_taus2);
     if (!r)
@@ -637,7 +681,8 @@
 static bool has_who(const char *verb)
 {
     return strcmp(verb, "refuse") == 0 || strcmp(verb, "peers") == 0 ||
-           strcmp(verb, "crash") == 0 || strcmp(verb, "alone") == 0 || strcmp(verb, "blind") == 0;
+           strcmp(verb, "crash") == 0 || strcmp(verb, "alone") == 0 || strcmp(verb, "blind") == 0 ||
+           strcmp(verb, "stall") == 0;
 }
 
 static bool read_plan(struct plan *p, const char *path)
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -92,6 +92,7 @@
     struct bd_core *core; /* NULL: not running */
     uint64_t epoch;
     double began, clock_rate, clock_from, wall_off;
+    double stalled; /* until then the process stands still */
     /* reader */
     uint64_t after;
     bool list_again, want_barrier, look_out;
--- a/tests/sim_node.c
+++ b/tests/sim_node.c
@@ -600,8 +600,28 @@
     return ok;
 }
 
+/* A cut may deliver late what was sent meanwhile. */
+static bool held_frame(struct sim *s, struct sim_event *e)
+{
+    double until = s->peers_cut[e->node];
+    until = s->peers_cut[e->who] > until ? s->peers_cut[e->who] : until;
+    until = s->zones_cut > until ? s->zones_cut : until;
+    if (!peers_apart(s, e->node, e->who) || sim_rnd(s) < 0.5)
+        return false;
+    struct sim_event *again = sim_post(s, until - s->now + sim_between(s, 0.01, 0.3), SIM_MESH);
+    again->node = e->node;
+    again->who = e->who;
+    again->epoch = e->epoch;
+    again->data = e->data;
+    again->text = e->text;
+    e->text = NULL;
+    return true;
+}
+
 static void frame_in(struct sim *s, struct sim_event *e)
 {
+    if (held_frame(s, e))
+        return;
     struct sim_node *n = &s->nodes[e->who];
     struct bd_frame *f = e->data;
     struct bd_report r;
@@ -808,9 +828,11 @@
     uint64_t epoch = n->epoch + 1;
     struct bd_settings set = n->set;
     struct bd_log log = n->log;
+    double stalled = n->stalled;
     memset(n, 0, sizeof *n);
     n->set = set;
     n->log = log;
+    n->stalled = stalled;
     n->epoch = epoch;
     n->began = s->now;
     n->clock_rate = 1 + sim_between(s, -0.0005, 0.0005);
--- a/tests/sim_work.c
+++ b/tests/sim_work.c
@@ -92,6 +92,8 @@
     s->team_use[j->team] -= j->cpus;
 }
 
+static void gang_done(struct sim *s, const struct sim_slot *first);
+
 static void exits(struct sim *s, struct sim_worker *w, struct sim_slot *t, enum bd_why why)
 {
     off_machine(s, w, t);
@@ -103,11 +105,28 @@
         for (uint32_t k = 0; k < j->tasks; k++) /* a gang's tasks complete together */
             if (k == t->task || j->shape == BD_GANG)
                 j->done[k] = true;
+        if (j->shape == BD_GANG)
+            gang_done(s, t);
     }
     if (w->next_report > s->now + 0.3)
         w->next_report = s->now + 0.3;
 }
 
+/* A gang's tasks complete at one and the same moment. */
+static void gang_done(struct sim *s, const struct sim_slot *first)
+{
+    int job = first->job;
+    uint64_t attempt = first->attempt;
+    for (int i = 0; i < s->nworkers; i++) {
+        struct sim_worker *w = &s->workers[i];
+        for (int k = 0; !w->gone && k < w->nslots; k++) {
+            struct sim_slot *t = &w->slots[k];
+            if (t->job == job && t->attempt == attempt && t->sub == BD_RUNNING)
+                exits(s, w, t, BD_WHY_DONE);
+        }
+    }
+}
+
 static void kill_all(struct sim *s, struct sim_worker *w)
 {
     for (int i = 0; i < w->nslots; i++)
