--- a/src/accept.c
+++ b/src/accept.c
@@ -8,7 +8,6 @@
 
 /* named defaults */
 #define OLD_HEARD_S 3.0   /* an older controller's word counts so long */
-#define PART_SHARE 0.9    /* of a value */
 #define TXN_BYTES 50000u  /* of a transaction of parts */
 #define LOOKUPS_EXTRA 16u /* beyond one for each name a submission is sent away */
 
@@ -61,15 +60,16 @@
     return zones != 0 && !(at_once && s->scatter && one_zone);
 }
 
-static char *transaction(const char *id, uint64_t mark, const char *key, json_t *value)
+/* Sets the job's record if its mark is this one; 0: if there is none. */
+static char *transaction(const char *id, uint64_t mark, json_t *value)
 {
     struct bd_txn t;
-    char cond[BD_LABEL];
-    snprintf(cond, sizeof cond, "j/%s", id);
+    char key[BD_LABEL];
+    snprintf(key, sizeof key, "j/%s", id);
     if (!bd_txn_start(&t))
         abort();
-    bd_txn_if(&t, cond, mark);
-    bd_txn_set(&t, key ? key : cond, value, 0);
+    bd_txn_if(&t, key, mark);
+    bd_txn_set(&t, key, value, 0);
     return bd_txn_end(&t);
 }
 
@@ -86,7 +86,7 @@
 void bd_user_commit(struct bd_core *c, void *request, const char *id, uint64_t mark, json_t *record,
                     enum bd_wait_how how)
 {
-    send_commit(c, request, id, transaction(id, mark, NULL, record), how);
+    send_commit(c, request, id, transaction(id, mark, record), how);
 }
 
 struct bd_wait *bd_wait_barrier(struct bd_core *c, void *request, const char *id,
@@ -138,7 +138,7 @@
 /* Names from *i on, as many as a value holds. */
 static json_t *some_names(const struct bd_core *c, json_t *needs, size_t *i)
 {
-    double room = PART_SHARE * (double)c->lim.value_bytes - 32;
+    double room = BD_VALUE_SHARE * (double)c->lim.value_bytes - 32;
     json_t *some = json_array(), *v;
     while ((v = json_array_get(needs, *i)) && (room -= (double)json_string_length(v) + 3) > 0) {
         json_array_append(some, v);
@@ -195,7 +195,7 @@
 
 static bool fits_value(const struct bd_core *c, json_t *v)
 {
-    return (double)bytes_of(v) <= PART_SHARE * (double)c->lim.value_bytes;
+    return (double)bytes_of(v) <= BD_VALUE_SHARE * (double)c->lim.value_bytes;
 }
 
 /* All that the acceptance writes, a transaction a line, the record that counts last. NULL: it
@@ -204,7 +204,7 @@
 {
     json_t *whole = record_of(a, true);
     if (fits_value(c, whole))
-        return transaction(a->id, 0, NULL, whole);
+        return transaction(a->id, 0, whole);
     json_decref(whole);
     char *text = a->needs ? write_parts(c, a) : NULL;
     json_t *record = record_of(a, false);
@@ -214,7 +214,7 @@
         return NULL;
     }
     size_t len = strlen(text);
-    add_line(&text, &len, transaction(a->id, 0, NULL, record));
+    add_line(&text, &len, transaction(a->id, 0, record));
     return text;
 }
 
@@ -229,20 +229,20 @@
 
 /* ---- judging ---- */
 
-static void drop_accept(struct bd_accept *a)
+void bd_accept_drop(struct bd_accept *a)
 {
     if (a)
         json_decref(a->needs);
     free(a);
 }
 
-void bd_accept_free(struct bd_core *c, struct bd_accept *a)
+/* All that wait for a record that left memory. */
+void bd_accept_end(struct bd_core *c)
 {
-    drop_accept(a);
-    while (c && c->accepting) {
-        a = c->accepting;
+    while (c->accepting) {
+        struct bd_accept *a = c->accepting;
         c->accepting = a->next;
-        drop_accept(a);
+        bd_accept_drop(a);
     }
 }
 
@@ -311,7 +311,7 @@
         a->record.mood = cancelled ? BD_CANCELLED : BD_LIVE;
         accept_now(c, a);
     }
-    drop_accept(a);
+    bd_accept_drop(a);
 }
 
 void bd_accept_proven(struct bd_core *c, struct bd_accept *a)
@@ -337,7 +337,7 @@
         bd_refuse(c, request, 422, "awaits a job that was never accepted", 0);
     else
         bd_refuse(c, request, 503, "state service not reached", OUTAGE_RETRY_S);
-    drop_accept(a);
+    bd_accept_drop(a);
 }
 
 static struct bd_accept *new_accept(void *request, const char *id, const struct bd_record *r)
--- a/src/core.c
+++ b/src/core.c
@@ -37,7 +37,7 @@
     while (*list) {
         struct bd_wait *w = *list;
         *list = w->next;
-        bd_accept_free(NULL, w->accept);
+        bd_accept_drop(w->accept);
         free(w);
     }
 }
@@ -85,7 +85,7 @@
     free_names(&c->classes);
     free_waits(&c->waiting);
     free_waits(&c->asked);
-    bd_accept_free(c, NULL);
+    bd_accept_end(c);
     bd_deps_free(c);
     free_rounds(c);
     bd_commit_free(c->commit);
@@ -437,7 +437,7 @@
         bd_accept_proven(c, w->accept);
         return;
     }
-    bd_accept_free(NULL, w->accept);
+    bd_accept_drop(w->accept);
     if (j && w->how == BD_WAIT_WITHDRAW && j->mood == BD_LIVE)
         bd_user_commit(c, w->request, id, j->mark, bd_cancelled_record(j), BD_WAIT_WITHDRAW);
     else if (j)
@@ -536,7 +536,7 @@
         if (ok)
             answer_wait(c, w);
         else
-            bd_accept_free(NULL, w->accept);
+            bd_accept_drop(w->accept);
         if (!ok)
             bd_refuse(c, w->request, 503, "state service not reached", OUTAGE_RETRY_S);
         free(w);
--- a/src/core_in.h
+++ b/src/core_in.h
@@ -98,8 +98,8 @@
                     enum bd_wait_how how);
 void bd_accept_proven(struct bd_core *c, struct bd_accept *a);
 void bd_accept_looked_up(struct bd_core *c, void *request, long status);
-/* with a core: all that wait, too */
-void bd_accept_free(struct bd_core *c, struct bd_accept *a);
+void bd_accept_drop(struct bd_accept *a);
+void bd_accept_end(struct bd_core *c);
 json_t *bd_cancelled_record(const struct bd_job *j);
 void bd_job_mood(struct bd_core *c, struct bd_job *j, enum bd_mood mood);
 
--- a/src/rounds.c
+++ b/src/rounds.c
@@ -123,6 +123,16 @@
     k->nplan = named;
 }
 
+/* The job's record, on condition that it is the one that we know; `bytes` of it, at most. */
+static void add_record(struct build *b, const struct bd_job *j, json_t *record, size_t bytes)
+{
+    char key[BD_LABEL];
+    snprintf(key, sizeof key, "j/%s", j->id);
+    if_job(b, j);
+    bd_txn_set(&b->t, key, record, 0);
+    spend(b, 1, 0, bytes);
+}
+
 static bool add_done(struct bd_core *c, struct build *b, struct bd_job *j)
 {
     struct bd_commit *k = c->commit;
@@ -130,11 +140,7 @@
         return false;
     struct bd_record r = {.mood = BD_DONE, .tasks = j->ntasks, .at = j->at, .end = c->wall};
     snprintf(r.spec.klass, sizeof r.spec.klass, "%s", bd_klass_name(c, j->klass));
-    char key[BD_LABEL];
-    snprintf(key, sizeof key, "j/%s", j->id);
-    if_job(b, j);
-    bd_txn_set(&b->t, key, bd_wire_record(&r), 0);
-    spend(b, 1, 0, 200);
+    add_record(b, j, bd_wire_record(&r), 200);
     k->done[k->ndone++] = j;
     return true;
 }
@@ -153,11 +159,7 @@
             continue;
         if (k->ncancelled == sizeof k->cancelled / sizeof *k->cancelled || !room_for(b, 1, 1, most))
             return;
-        char key[BD_LABEL];
-        snprintf(key, sizeof key, "j/%s", j->id);
-        if_job(b, j);
-        bd_txn_set(&b->t, key, bd_cancelled_record(j), 0);
-        spend(b, 1, 0, most);
+        add_record(b, j, bd_cancelled_record(j), most);
         k->cancelled[k->ncancelled++] = j;
     }
 }
