--- a/src/core.c
+++ b/src/core.c
@@ -95,6 +95,8 @@
         struct bd_forward *f = c->forwards;
         c->forwards = f->next;
         bd_report_free(f->report);
+        if (f->request && ((struct bd_remote *)f->request)->remote)
+            free(f->request); /* the core's own: see bd_core_forwarded */
         free(f);
     }
     free(c->deputy.charges);
