--- a/tests/meetings.c
+++ b/tests/meetings.c
@@ -94,6 +94,22 @@
     return e;
 }
 
+struct sim_event *sim_post_again(struct sim *s, struct sim_event *e, double delay)
+{
+    struct sim_event *again = sim_post(s, delay, e->kind), copy = *e;
+    copy.at = again->at;
+    copy.order = again->order;
+    copy.next = again->next;
+    *again = copy;
+    e->text = NULL;
+    return again;
+}
+
+bool sim_held_up(struct sim *s)
+{
+    return s->now < s->held_up && sim_rnd(s) < 0.3;
+}
+
 /* ---- users ---- */
 
 static void ask_node(struct sim *s, int job, int node, enum sim_verb verb)
@@ -469,14 +485,7 @@
     double left = s->nodes[node].stalled - s->now;
     if (left <= 0)
         return false;
-    struct sim_event *again = sim_post(s, left + 0.001, e->kind), *next = again->next;
-    double at = again->at;
-    uint64_t order = again->order;
-    *again = *e;
-    again->at = at;
-    again->order = order;
-    again->next = next;
-    e->text = NULL;
+    (void)sim_post_again(s, e, left + 0.001);
     return true;
 }
 
--- a/tests/sim.h
+++ b/tests/sim.h
@@ -15,7 +15,6 @@
 #define SIM_JOBS 700
 #define SIM_TASKS 8   /* of a job */
 #define SIM_SLOTS 400 /* what a worker knows */
-#define SIM_SAID 400
 
 enum sim_event_kind {
     SIM_STATE_RUN,
@@ -96,17 +95,16 @@
     /* reader */
     uint64_t after;
     bool list_again, want_barrier, look_out;
-    double next_look, next_deputies;
+    double next_deputies;
     /* seat */
     bool leading, seat_out, step_down;
     char nonce[BD_LABEL];
-    uint64_t grant, term;
+    uint64_t grant;
     struct timespec granted, touched;
     struct bd_gain gain;
     bool gained; /* a gain waits for the replica */
     /* committer */
     struct bd_effect *commit;
-    bool unsure;
     double next_status, next_list;
 };
 
@@ -121,13 +119,12 @@
 
 struct sim_worker {
     char id[BD_LABEL], zone[BD_LABEL], type[BD_LABEL];
-    bool used, gone;
+    bool gone;
     double rented_at, up_at, answered, next_report;
     uint64_t session, tally, seal, asked; /* asked: the number of the check-in under way */
     bool asking;
     double asked_at;
     int node;
-    uint64_t epoch;
     double hangs, mute, deaf, cut; /* until then */
     bool holds;                    /* the cut delivers late instead of never */
     int nslots;
@@ -145,8 +142,7 @@
     bool odd;                       /* can never be accepted */
     const char *zone;               /* as it is submitted: quoted, or null */
     bool done[SIM_TASKS];
-    uint64_t attempt[SIM_TASKS]; /* while on a machine */
-    int machine[SIM_TASKS];      /* -1: on none */
+    int machine[SIM_TASKS]; /* -1: on none */
     int on;
 };
 
@@ -188,6 +184,9 @@
 void sim_note(struct sim *s, const char *fmt, ...) __attribute__((format(printf, 2, 3)));
 void sim_broken(struct sim *s, const char *fmt, ...) __attribute__((format(printf, 2, 3)));
 struct sim_event *sim_post(struct sim *s, double delay, enum sim_event_kind kind);
+/* the same event once more, later; its text goes along */
+struct sim_event *sim_post_again(struct sim *s, struct sim_event *e, double delay);
+bool sim_held_up(struct sim *s); /* whether a command or an answer is, now */
 double sim_delay(struct sim *s);
 
 /* state service, sim_state.c */
@@ -217,7 +216,6 @@
 void sim_node_end(struct sim *s, int i);
 void sim_node_event(struct sim *s, struct sim_event *e);
 void sim_node_answered(struct sim *s, struct sim_call *c, long status, json_t *o);
-bool sim_reaches(const struct sim *s, int node, const struct sim_worker *w);
 
 /* workers and cloud, sim_work.c */
 int sim_rent(struct sim *s, const char *zone, double boot);
--- a/tests/sim_node.c
+++ b/tests/sim_node.c
@@ -76,13 +76,12 @@
     struct sim_request *q = e->request;
     if (!q)
         return;
-    bool held = !q->user && s->now < s->held_up && sim_rnd(s) < 0.3;
+    bool held = !q->user && sim_held_up(s);
     struct sim_event *b = wake(s, n, sim_delay(s) + (held ? sim_between(s, 0.3, 4) : 0),
                                q->user ? SIM_USER_BACK : SIM_REPORT_BACK);
     b->who = q->who;
     b->number = q->number;
     b->status = e->status;
-    b->flag = q->verb == SIM_WITHDRAW;
     b->text = e->body;
     e->body = NULL;
 }
@@ -115,7 +114,7 @@
     if (!t)
         abort();
     *t = (struct sim_try){.refs = 2, .machine = e->machine, .seal = e->seal, .launch = e->launch};
-    bool held = s->now < s->held_up && sim_rnd(s) < 0.3;
+    bool held = sim_held_up(s);
     struct sim_event *d = wake(s, n, sim_delay(s) + (held ? sim_between(s, 0.5, 6) : 0), SIM_DO_IN);
     d->who = atoi(e->addr + 2); /* "w-N" */
     d->text = e->body;
@@ -177,7 +176,6 @@
         if (n->commit)
             bd_effect_free(n->commit);
         n->commit = e;
-        n->unsure = false;
         next_commit(s, n);
         return;
     case BD_E_DO:
@@ -607,13 +605,7 @@
     until = s->zones_cut > until ? s->zones_cut : until;
     if (!peers_apart(s, e->node, e->who) || sim_rnd(s) < 0.5)
         return false;
-    struct sim_event *again = sim_post(s, until - s->now + sim_between(s, 0.01, 0.3), SIM_MESH);
-    again->node = e->node;
-    again->who = e->who;
-    again->epoch = e->epoch;
-    again->data = e->data;
-    again->text = e->text;
-    e->text = NULL;
+    (void)sim_post_again(s, e, until - s->now + sim_between(s, 0.01, 0.3));
     return true;
 }
 
--- a/tests/sim_state.c
+++ b/tests/sim_state.c
@@ -261,12 +261,7 @@
     if (write && s->now < s->late_until && sim_rnd(s) < s->late_share) {
         e->flag = false;
         double late = sim_between(s, 2, 12);
-        struct sim_event *again = sim_post(s, late, SIM_STATE_RUN);
-        *again = (struct sim_event){.at = again->at,
-                                    .order = again->order,
-                                    .kind = SIM_STATE_RUN,
-                                    .call = c,
-                                    .next = again->next};
+        (void)sim_post_again(s, e, late);
         e->status = -1; /* not now */
         c->refs++;
     }
--- a/tests/sim_work.c
+++ b/tests/sim_work.c
@@ -32,7 +32,6 @@
     snprintf(w->id, sizeof w->id, "vm-%d", s->nworkers);
     snprintf(w->zone, sizeof w->zone, "%s", zone);
     snprintf(w->type, sizeof w->type, "small");
-    w->used = true;
     w->rented_at = s->now;
     w->up_at = w->answered = s->now + boot;
     w->next_report = w->up_at + sim_between(s, 0, 0.5);
@@ -70,7 +69,6 @@
     if (j->cancelled_at > 0 && s->now > j->cancelled_at + s->lease_s + 2)
         s->late_starts++;
     j->machine[t->task] = at;
-    j->attempt[t->task] = t->attempt;
     j->on++;
     s->team_use[j->team] += j->cpus;
     if (s->team_use[j->team] <= s->team_max[j->team] + 1e-6)
@@ -242,7 +240,7 @@
 
 /* ---- reports ---- */
 
-bool sim_reaches(const struct sim *s, int node, const struct sim_worker *w)
+static bool reaches(const struct sim *s, int node, const struct sim_worker *w)
 {
     return !w->gone && s->now >= w->cut &&
            !(s->now < s->zones_cut && strcmp(s->nodes[node].set.zone, w->zone) != 0);
@@ -280,7 +278,7 @@
 {
     int who = (int)(w - s->workers);
     char *text = report_text(s, w);
-    bool there = sim_reaches(s, w->node, w) && s->now >= w->mute;
+    bool there = reaches(s, w->node, w) && s->now >= w->mute;
     w->asking = true;
     w->asked = w->tally;
     w->asked_at = s->now;
@@ -314,7 +312,7 @@
 static void answered(struct sim *s, struct sim_worker *w, struct sim_event *e)
 {
     json_t *o = e->text ? json_loads(e->text, 0, NULL) : NULL;
-    bool deaf = s->now < w->deaf || !sim_reaches(s, e->node, w);
+    bool deaf = s->now < w->deaf || !reaches(s, e->node, w);
     if (w->gone || !w->asking || w->asked != e->number || deaf || s->now < w->hangs) {
         json_decref(o);
         return; /* given up, or lost on the way */
@@ -355,18 +353,12 @@
     struct sim_worker *w = &s->workers[e->who];
     struct sim_try *t = e->data;
     json_t *o = json_loads(e->text, 0, NULL);
-    bool there = sim_reaches(s, e->node, w) && s->now >= w->deaf;
+    bool there = reaches(s, e->node, w) && s->now >= w->deaf;
     bool late = (!there && w->holds && s->now < w->cut) || (there && s->now < w->hangs);
     if (late && !w->gone) { /* executed when the cut ends, or the machine goes on */
-        struct sim_event *again =
-            sim_post(s, (there ? w->hangs : w->cut) - s->now + 0.05, SIM_DO_IN);
-        again->node = e->node;
-        again->epoch = e->epoch;
-        again->who = e->who;
-        again->text = strdup(e->text);
-        again->data = t;
+        (void)sim_post_again(s, e, (there ? w->hangs : w->cut) - s->now + 0.05);
         t->refs++;
-    } else if (there && w->used && s->now >= w->up_at) {
+    } else if (there && s->now >= w->up_at) {
         uint64_t seal = (uint64_t)json_integer_value(json_object_get(o, "seal"));
         uint64_t session = (uint64_t)json_integer_value(json_object_get(o, "tenancy"));
         bool good = seal >= w->seal && session == w->session;
@@ -374,7 +366,7 @@
             w->seal = seal;
             obey(s, w, o);
         }
-        bool held = s->now < s->held_up && sim_rnd(s) < 0.3;
+        bool held = sim_held_up(s);
         struct sim_event *b =
             sim_post(s, sim_delay(s) + (held ? sim_between(s, 0.3, 4) : 0), SIM_DO_BACK);
         b->node = e->node;
