4,000 machines: a delegate's record, its table and the senders' queues hold them

Need: no fixed limit may stand below 4,000 machines with 24 tasks each. A delegate's record had six parts (3,654 machines at 8 KiB a value, and beyond one transaction's 64 KiB at 32 KiB values); the parts now follow from the state service's limits and from the transaction's bytes: 4,666 names of nine characters. Its table was searched a name at a time for each check-in; it is a hash now.

--- a/src/core.c
+++ b/src/core.c
@@ -99,7 +99,7 @@
             free(forward->request); /* the core's own: see bd_core_forwarded */
         free(forward);
     }
-    free(core->delegate.served);
+    bd_delegate_forget(core);
     bd_forward_end(core);
     struct bd_effect *effect = bd_core_effects(core);
     while (effect) {
--- a/src/core_internal.h
+++ b/src/core_internal.h
@@ -205,6 +205,8 @@
                            struct timespec sent);
 json_t *bd_dismissed(const struct bd_core *core);
 void bd_delegate_end(struct bd_core *core);
+/* forgets all machines that we answered for the leader */
+void bd_delegate_forget(struct bd_core *core);
 
 /* rounds */
 void bd_round_place(struct bd_core *core); /* fills c->commit's plan */
--- a/src/delegate.c
+++ b/src/delegate.c
@@ -20,6 +20,8 @@
 #define CONFIRM_S 0.5
 #define KEEP_LEAST_S 3.0
 #define RECORD_SHARE 0.9   /* of the largest value that the state service takes */
+#define NAME_BYTES 3u      /* of a machine in it, beside its name */
+#define TXN_BYTES 56000u   /* of a transaction, of which the limit is 64 KiB */
 #define RECORD_HEAD 64u    /* bytes of the record beside the machines' names */
 #define ASK_S 2.4          /* a worker waits so long for the record; it gives up after 4 s */
 #define AGAIN_S 0.15       /* after a refused write: the leader's key is looked at about as often */
@@ -96,13 +98,8 @@
 /* Machines that one part of the record can name, by the longest name there is room for so far. */
 static uint32_t part_holds(const struct bd_core *core)
 {
-    size_t longest = 1;
-    for (uint32_t i = 0; i < core->delegate.nserved; i++) {
-        size_t len = strlen(core->delegate.served[i].id);
-        longest = len > longest ? len : longest;
-    }
-    double n =
-        (RECORD_SHARE * (double)core->limits.value_bytes - RECORD_HEAD) / (double)(longest + 3);
+    double n = (RECORD_SHARE * (double)core->limits.value_bytes - RECORD_HEAD) /
+               (double)(core->delegate.longest + NAME_BYTES);
     return n < 1 ? 1 : (uint32_t)n;
 }
 
@@ -113,44 +110,67 @@
                                                     : BD_DELEGATE_PARTS;
 }
 
+/* Machines that the record can name: what its parts hold, and what one transaction takes in all. */
+static uint32_t most_machines(const struct bd_core *core)
+{
+    uint32_t parts = part_holds(core) * most_parts(core);
+    uint32_t whole = (uint32_t)(TXN_BYTES / (core->delegate.longest + NAME_BYTES));
+    return parts < whole ? parts : whole;
+}
+
 /* Whether the record has room for one more name; else the worker is sent on. */
-static bool record_takes(const struct bd_core *core, const char *id)
+static bool record_takes(struct bd_core *core, const char *id)
 {
-    uint32_t most = part_holds(core) * most_parts(core);
-    if (core->delegate.nserved < most && strlen(id) + RECORD_HEAD < core->limits.value_bytes)
+    struct bd_delegate *delegate = &core->delegate;
+    size_t len = strlen(id);
+    delegate->longest = len > delegate->longest ? len : delegate->longest;
+    if (delegate->nserved < most_machines(core) && len + RECORD_HEAD < core->limits.value_bytes)
         return true;
-    bd_say(core->log, BD_ERROR, "a delegate's record is full with %u machines",
-           core->delegate.nserved);
+    bd_say(core->log, BD_ERROR, "a delegate's record is full with %u machines", delegate->nserved);
     return false;
 }
 
 static struct bd_served *served_of(struct bd_core *core, const char *id, bool add)
 {
     struct bd_delegate *delegate = &core->delegate;
-    for (uint32_t i = 0; i < delegate->nserved; i++)
-        if (strcmp(delegate->served[i].id, id) == 0)
-            return &delegate->served[i];
-    if (!add || !record_takes(core, id))
+    struct bd_served *known = NULL;
+    HASH_FIND_STR(delegate->served, id, known);
+    if (known || !add || !record_takes(core, id))
+        return known;
+    struct bd_served *k = calloc(1, sizeof *k);
+    if (!k)
         return NULL;
-    if (delegate->nserved == delegate->cap_served) {
-        uint32_t cap = delegate->cap_served ? delegate->cap_served * 2 : 16;
-        struct bd_served *p = realloc(delegate->served, cap * sizeof *p);
-        if (!p)
-            return NULL;
-        delegate->served = p;
-        delegate->cap_served = cap;
-    }
-    struct bd_served *k = &delegate->served[delegate->nserved++];
-    memset(k, 0, sizeof *k);
     snprintf(k->id, sizeof k->id, "%s", id);
     k->heard = core->now;
+    HASH_ADD_STR(delegate->served, id, k);
+    delegate->nserved++;
     return k;
 }
 
+static void served_drop(struct bd_delegate *delegate, struct bd_served *k)
+{
+    HASH_DEL(delegate->served, k);
+    free(k);
+    delegate->nserved--;
+    if (delegate->nserved == 0)
+        delegate->longest = 0;
+}
+
+void bd_delegate_forget(struct bd_core *core)
+{
+    struct bd_served *k, *tmp;
+    HASH_ITER(hh, core->delegate.served, k, tmp)
+    {
+        served_drop(&core->delegate, k);
+    }
+}
+
 /* ---- our own record ---- */
 
-/* Several hundred machines do not fit one value: the parts are written together. */
-static void set_part(struct bd_core *core, struct bd_txn *txn, uint32_t part, uint32_t each)
+/* Several hundred machines do not fit one value: the parts are written together. `next` is the
+ * first machine that no part names yet. */
+static void set_part(struct bd_core *core, struct bd_txn *txn, uint32_t part, uint32_t each,
+                     struct bd_served **next)
 {
     struct bd_delegate *delegate = &core->delegate;
     char key[BD_LABEL + 16];
@@ -158,13 +178,26 @@
     key_of(core, key, BD_LABEL);
     if (part > 0)
         snprintf(key + strlen(key), 16, "/%u", part);
-    for (uint32_t i = part * each; i < (part + 1) * each && i < delegate->nserved; i++) {
-        json_array_append_new(names, json_string(delegate->served[i].id));
-        delegate->served[i].sent = true;
+    for (uint32_t n = 0; n < each && *next; n++) {
+        json_array_append_new(names, json_string((*next)->id));
+        (*next)->sent = true;
+        *next = (*next)->hh.next;
     }
     bd_txn_set(txn, key, json_pack("{s:I,s:o}", "t", (json_int_t)delegate->term, "m", names), 0);
 }
 
+/* The limits were lowered: who is not in the record is sent on. */
+static void keep_only(struct bd_delegate *delegate, uint32_t most)
+{
+    struct bd_served *k, *tmp;
+    uint32_t n = 0;
+    HASH_ITER(hh, delegate->served, k, tmp)
+    {
+        if (n++ >= most)
+            served_drop(delegate, k);
+    }
+}
+
 static void write_record(struct bd_core *core)
 {
     struct bd_delegate *delegate = &core->delegate;
@@ -183,17 +216,14 @@
         abort();
     bd_txn_if(&t, "leader", delegate->leader);
     bd_txn_if(&t, key, delegate->revision);
+    keep_only(delegate, most_machines(core));
     uint32_t each = part_holds(core), parts = (delegate->nserved + each - 1) / each;
-    if (parts >
-        most_parts(core)) { /* the limits were lowered: who is not in the record is sent on */
-        parts = most_parts(core);
-        delegate->nserved = parts * each;
-    }
     delegate->parts = delegate->parts < most_parts(core) ? delegate->parts : most_parts(core);
     /* a part that is needed no more is written empty, so that it names nobody */
     delegate->parts = parts > delegate->parts ? parts : delegate->parts ? delegate->parts : 1;
+    struct bd_served *next = delegate->served;
     for (uint32_t part = 0; part < delegate->parts; part++)
-        set_part(core, &t, part, each);
+        set_part(core, &t, part, each, &next);
     effect->body = bd_txn_end(&t);
 }
 
@@ -262,8 +292,8 @@
         delegate->revision = store_revision;
     if (status == 200) {
         delegate->confirmed_until = bd_add(sent, bd_secs(DELEGATE_FRESH_S * (1 - DRIFT)));
-        for (uint32_t i = 0; i < delegate->nserved; i++)
-            delegate->served[i].confirmed |= delegate->served[i].sent;
+        for (struct bd_served *k = delegate->served; k; k = k->hh.next)
+            k->confirmed |= k->sent;
     }
     if (status == 0 && revision_known) { /* now the record itself */
         delegate->next_confirm = core->now;
@@ -283,7 +313,7 @@
 {
     core->delegate.confirmed_until = (struct timespec){0, 0};
     answer_asking(core, true);
-    core->delegate.nserved = 0;
+    bd_delegate_forget(core);
 }
 
 void bd_delegate_tick(struct bd_core *core)
@@ -292,11 +322,11 @@
     if (delegate->asking)
         answer_asking(core, false);
     bool had = delegate->nserved > 0;
-    for (uint32_t i = 0; i < delegate->nserved;) {
-        if (!delegate->busy && bd_between(delegate->served[i].heard, core->now) > keep_s(core))
-            delegate->served[i] = delegate->served[--delegate->nserved];
-        else
-            i++;
+    struct bd_served *k, *tmp;
+    HASH_ITER(hh, delegate->served, k, tmp)
+    {
+        if (!delegate->busy && bd_between(k->heard, core->now) > keep_s(core))
+            served_drop(delegate, k);
     }
     /* the last one's going is written too, so that the leader need not wait for the record */
     if (!had || delegate->busy ||
--- a/src/delegate.h
+++ b/src/delegate.h
@@ -5,15 +5,19 @@
 #include "brambledoor/settings.h"
 #include "wire.h"
 #include <time.h>
+#include <uthash.h>
 
 #define BD_PROBES 64
 
-#define BD_DELEGATE_PARTS 6 /* of a delegate's record, a value each */
+/* Parts of a delegate's record, a value each. How many are used follows from the state service's
+ * limits: see most_machines in delegate.c. */
+#define BD_DELEGATE_PARTS 32
 
 struct bd_wait_checkin;
 
 /* a machine that we answer for the leader */
 struct bd_served {
+    UT_hash_handle hh; /* by id: thousands of machines check in */
     char id[BD_LABEL];
     struct timespec heard;
     bool confirmed, sent;
@@ -29,8 +33,9 @@
     uint64_t dismissed_at;
     struct timespec dismissed_since;
     struct timespec confirmed_until, next_confirm;
-    struct bd_served *served;
-    uint32_t nserved, cap_served, parts; /* parts of the record that were ever written */
+    struct bd_served *served; /* hash by id */
+    uint32_t nserved, parts;  /* parts of the record that were ever written */
+    size_t longest;           /* bytes of the longest of their names so far */
     struct bd_wait_checkin *asking;
     /* workers sent to the leader, to see whether it can be reached */
     char probes[BD_PROBES][BD_LABEL];
--- a/src/forwarding.c
+++ b/src/forwarding.c
@@ -136,7 +136,8 @@
     k->tasks = calloc(report->n + 1, sizeof *k->tasks);
     if (!k->tasks)
         abort();
-    memcpy(k->tasks, report->tasks, report->n * sizeof *k->tasks);
+    if (report->n > 0)
+        memcpy(k->tasks, report->tasks, report->n * sizeof *k->tasks);
     return k;
 }
 
--- a/src/worker_client.c
+++ b/src/worker_client.c
@@ -98,17 +98,25 @@
     return since != 0 && (double)(now - since) / 1000.0 > SLOW_S;
 }
 
-/* The worker's own sender, or the least busy one while that waits for an answer. */
+static bool full(struct sender *s)
+{
+    return atomic_load(&s->waiting) >= QUEUE_CAP;
+}
+
+/* The worker's own sender, or the least busy one while that waits for an answer or is full. A
+ * machine has one command under way, so that the fewest senders hold those of 4,000 machines even
+ * if all but one are held up. */
 static struct sender *sender_for(struct bd_worker_client *w, uint32_t machine)
 {
     long long now = now_ms();
     struct sender *best = &w->senders[machine % (uint32_t)w->nsenders];
-    if (!held_up(best, now))
+    if (!held_up(best, now) && !full(best))
         return best;
     for (int i = 0; i < w->nsenders; i++) {
         struct sender *s = &w->senders[i];
-        if (!held_up(s, now) &&
-            (held_up(best, now) || atomic_load(&s->waiting) < atomic_load(&best->waiting)))
+        if (!full(s) && (full(best) || !held_up(s, now)) &&
+            (full(best) || held_up(best, now) ||
+             atomic_load(&s->waiting) < atomic_load(&best->waiting)))
             best = s;
     }
     return best;
--- a/tests/profile.c
+++ b/tests/profile.c
@@ -2,7 +2,8 @@
  * the leader does until all that fits is placed, and holds every transaction against the state
  * service's limits. `profile costs MACHINES` does each kind of work a number of times, for
  * callgrind: a line a kind with the times, and callgrind's dump of that name; tests/costs.sh holds
- * the instructions against upper counts. */
+ * the instructions against upper counts. `profile full MACHINES` is a test again: every machine is
+ * full of small tasks, and a takeover, a cut zone and a delegate of all machines follow. */
 #include "brambledoor/log.h"
 #include "core.h"
 #include "frame.h"
@@ -17,6 +18,7 @@
 #define CALLGRIND_ZERO_STATS
 #define CALLGRIND_DUMP_STATS_AT(name)
 #endif
+#include <malloc.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -34,6 +36,7 @@
     uint64_t revision, seq;
     double now;
     uint32_t machines;
+    bool plain; /* all machines are of the cheap type, and no work is there at first */
     /* counted */
     uint32_t commits, commands, faults;
 };
@@ -158,7 +161,7 @@
     struct bd_machine *m = NULL;
     snprintf(r.machine, sizeof r.machine, "vm-%06u", i);
     snprintf(r.addr, sizeof r.addr, "10.1.0.1:%u", i);
-    snprintf(r.type, sizeof r.type, "%s", i % 5 ? "gpu" : "small");
+    snprintf(r.type, sizeof r.type, "%s", i % 5 && !w->plain ? "gpu" : "small");
     snprintf(r.zone, sizeof r.zone, "%s", i % 2 ? "a" : "b");
     memset(tasks, 0, sizeof tasks);
     r.tasks = tasks;
@@ -205,6 +208,8 @@
     w->revision = 10;
     for (uint32_t i = 0; i < w->machines; i++)
         report(w, i);
+    if (w->plain)
+        return;
     for (int i = 0; i < 120; i++)
         job(w, i, BD_SERVICE, 5, 4, 0, 9);
     for (int i = 0; i < 60; i++)
@@ -433,12 +438,21 @@
         const struct bd_machine *m = w->c->by_index[i];
         json_t *groups = json_array();
         char key[BD_LABEL];
+        json_t *last =
+            NULL; /* tasks of one attempt of one job stand together, as they are written */
+        const struct bd_job *of = NULL;
+        uint64_t attempt = 0;
         for (uint32_t k = 0; k < m->nrefs; k++) {
             const struct bd_job *j = m->refs[k].job;
             uint32_t task = m->refs[k].task;
-            json_array_append_new(groups,
-                                  json_pack("[s,I,s,[i]]", j->id,
-                                            (json_int_t)j->tasks[task].attempt, m->id, (int)task));
+            if (!last || of != j || attempt != j->tasks[task].attempt) {
+                of = j;
+                attempt = j->tasks[task].attempt;
+                last = json_array();
+                json_array_append_new(
+                    groups, json_pack("[s,I,s,o]", j->id, (json_int_t)attempt, m->id, last));
+            }
+            json_array_append_new(last, json_integer((int)task));
         }
         snprintf(key, sizeof key, "i/%020d-%08u", 1, i);
         json_array_append_new(pairs, json_pack("{s:s,s:{s:o},s:I}", "k", key, "value", "e", groups,
@@ -485,18 +499,164 @@
     return 0;
 }
 
+/* ---- a full fleet: a takeover, a cut zone, a delegate of all machines ---- */
+
+#define FULL_TASKS 24u  /* on each machine */
+#define FULL_ROUNDS 40  /* at most until all are placed */
+#define TAKEOVER_MB 9.0 /* of the heap, for the intents as they are read and taken */
+#define ARRAY_TASKS 2000u
+#define DELEGATE_NAME "p/node-1"
+
+static double heap_mb(void)
+{
+    return (double)mallinfo2().uordblks / 1048576.0;
+}
+
+static uint32_t held_in_all(const struct world *w)
+{
+    uint32_t held = 0;
+    for (const struct bd_job *j = w->c->jobs; j; j = j->hh.next)
+        held += j->nlive;
+    return held;
+}
+
+static void report_all(struct world *w)
+{
+    for (uint32_t i = 0; i < w->machines; i++)
+        report(w, i);
+}
+
+/* Every machine gets as many small tasks as it is asked to hold. */
+static void fill_fleet(struct world *w)
+{
+    uint32_t tasks = w->machines * FULL_TASKS;
+    for (uint32_t n = 0; n * ARRAY_TASKS < tasks; n++)
+        job(w, (int)(5000 + n), BD_ARRAY, ARRAY_TASKS, 0.5, 0, 1);
+    for (int k = 0; k < FULL_ROUNDS && held_in_all(w) < tasks; k++) {
+        round_once(w);
+        report_all(w);
+    }
+    if (held_in_all(w) < tasks)
+        fault(w, "tasks not placed on the full fleet", tasks - held_in_all(w), 0);
+}
+
+/* The next term adopts what the machines report, places nothing again and loses nothing. */
+static void take_over_full(struct world *w)
+{
+    uint32_t before = held_in_all(w), starts = w->commands;
+    double heap = heap_mb();
+    json_t *list = intents(w);
+    struct bd_gain g = {.term = w->revision + 1, .grant = 7, .nonce = "n", .renewed = w->c->now};
+    bd_core_lost(w->c);
+    drop_effects(w);
+    g.receipts = json_array();
+    g.intents = list;
+    bd_core_gained(w->c, &g);
+    double grown = heap_mb() - heap;
+    json_decref(g.receipts);
+    json_decref(list);
+    fprintf(stderr, "takeover with %u tasks: %.1f MB of the heap beside the jobs\n", before, grown);
+    if (grown > TAKEOVER_MB)
+        fault(w, "MB of the heap at a takeover", (size_t)grown, (size_t)TAKEOVER_MB);
+    if (held_in_all(w) != before)
+        fault(w, "tasks held after the takeover", held_in_all(w), before);
+    drop_effects(w);
+    report_all(w);
+    if (held_in_all(w) < before || w->commands != starts)
+        fault(w, "tasks lost or started again by the takeover", before - held_in_all(w), 0);
+}
+
+/* Zone b is cut off and its delegate names its machines: nothing there lapses while it does. */
+static void cut_zone_full(struct world *w)
+{
+    uint32_t before = held_in_all(w);
+    double lease = bd_to_secs(w->settings.lease), since = w->now;
+    for (uint64_t revision = 1; w->now < since + 2 * lease; revision++) {
+        json_t *names = json_array();
+        for (uint32_t i = 0; i < w->machines; i += 2) {
+            char id[BD_LABEL];
+            snprintf(id, sizeof id, "vm-%06u", i);
+            json_array_append_new(names, json_string(id));
+        }
+        json_t *pairs = json_pack("[{s:s,s:{s:i,s:o},s:I}]", "k", DELEGATE_NAME, "value", "t", 1,
+                                  "m", names, "mark", (json_int_t)(100 + revision));
+        bd_core_delegates(w->c, pairs, w->c->now);
+        json_decref(pairs);
+        for (uint32_t i = 1; i < w->machines; i += 2)
+            report(w, i);
+        round_once(w);
+    }
+    if (held_in_all(w) < before)
+        fault(w, "tasks lost with the zone", before - held_in_all(w), 0);
+}
+
+static void delegate_report(struct world *w, uint32_t i)
+{
+    struct bd_report r = {.session = 1, .seq = ++w->seq, .token = 1, .notice = -1};
+    snprintf(r.machine, sizeof r.machine, "vm-%06u", i);
+    snprintf(r.type, sizeof r.type, "small");
+    snprintf(r.zone, sizeof r.zone, "a");
+    bd_core_checkin(w->c, NULL, &r, "{}", 2);
+}
+
+/* A follower whose leader falls silent answers all machines, in as many parts as that takes. */
+static void delegate_full(struct world *w)
+{
+    uint32_t written = 0;
+    bd_core_lost(w->c);
+    drop_effects(w);
+    bd_core_peer(w->c, PEER, 9, BD_PEER_LEADS | BD_PEER_STATE, 0, w->c->wall, w->c->now);
+    at(w, w->now + 30);
+    bd_core_leader_is(w->c, PEER, 9, w->c->now, false);
+    for (uint32_t i = 0; i < w->machines; i++)
+        delegate_report(w, i);
+    for (int tries = 0; tries < 4 && written < w->machines; tries++) {
+        bd_core_tick(w->c);
+        struct bd_effect *e = bd_core_effects(w->c);
+        for (; e; e = e->next) {
+            if (e->kind != BD_E_DELEGATE)
+                continue;
+            if (e->body)
+                check_commit(w, e->body);
+            bd_core_delegate_committed(w->c, e->body ? 200 : 0, ++w->revision, w->c->now, true);
+            written = e->body ? w->c->delegate.nserved : written;
+        }
+        at(w, w->now + 0.6);
+        bd_core_leader_is(w->c, PEER, 9, w->c->now, false);
+    }
+    if (written < w->machines)
+        fault(w, "machines that the delegate's record lacks", w->machines - written, 0);
+}
+
+static int full_fleet(struct world *w)
+{
+    fill_fleet(w);
+    take_over_full(w);
+    cut_zone_full(w);
+    delegate_full(w);
+    return w->faults ? 1 : 0;
+}
+
 int main(int argc, char **argv)
 {
     struct world w = {.log = {BD_ERROR, "profile"}};
-    bool checks = argc == 3 && strcmp(argv[1], "check") == 0;
-    if (argc != 3 || (!checks && strcmp(argv[1], "costs") != 0))
+    static const struct {
+        const char *verb;
+        int (*run)(struct world *w);
+    } verbs[] = {{"check", check}, {"costs", costs}, {"full", full_fleet}};
+    int (*run)(struct world * w) = NULL;
+    for (size_t i = 0; argc == 3 && i < sizeof verbs / sizeof verbs[0]; i++)
+        if (strcmp(argv[1], verbs[i].verb) == 0)
+            run = verbs[i].run;
+    if (!run)
         return 2;
     w.machines = (uint32_t)strtoul(argv[2], NULL, 10);
     w.reports = bd_report_cache_new(1 << 24);
     if (!w.reports)
         return 1;
+    w.plain = run == full_fleet;
     build(&w);
-    int rc = checks ? check(&w) : costs(&w);
+    int rc = run(&w);
     bd_core_free(w.c);
     bd_report_cache_free(w.reports);
     return rc;
