--- a/tests/profile.c
+++ b/tests/profile.c
@@ -599,6 +599,15 @@
     bd_core_checkin(w->c, NULL, &r, "{}", 2);
 }
 
+/* The delegate's write is applied; returns how many machines its record names by now. */
+static uint32_t delegate_wrote(struct world *w, const struct bd_effect *e, uint32_t written)
+{
+    if (e->body)
+        check_commit(w, e->body);
+    bd_core_delegate_committed(w->c, e->body ? 200 : 0, ++w->revision, w->c->now, true);
+    return e->body ? w->c->delegate.nserved : written;
+}
+
 /* A follower whose leader falls silent answers all machines, in as many parts as that takes. */
 static void delegate_full(struct world *w)
 {
@@ -613,13 +622,12 @@
     for (int tries = 0; tries < 4 && written < w->machines; tries++) {
         bd_core_tick(w->c);
         struct bd_effect *e = bd_core_effects(w->c);
-        for (; e; e = e->next) {
-            if (e->kind != BD_E_DELEGATE)
-                continue;
-            if (e->body)
-                check_commit(w, e->body);
-            bd_core_delegate_committed(w->c, e->body ? 200 : 0, ++w->revision, w->c->now, true);
-            written = e->body ? w->c->delegate.nserved : written;
+        while (e) {
+            struct bd_effect *next = e->next;
+            if (e->kind == BD_E_DELEGATE)
+                written = delegate_wrote(w, e, written);
+            bd_effect_free(e);
+            e = next;
         }
         at(w, w->now + 0.6);
         bd_core_leader_is(w->c, PEER, 9, w->c->now, false);
