--- a/cli/main.c
+++ b/cli/main.c
@@ -1,4 +1,5 @@
 #include "brambledoor/controller.h"
+#include "drain_command.h"
 #include <argp.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -41,6 +42,8 @@
 
 int main(int argc, char **argv)
 {
+    if (argc > 1 && strcmp(argv[1], "drain") == 0)
+        return drain_command(argc - 1, argv + 1);
     static const struct argp argp = {options, parse, 0, "A cluster scheduler's controller.",
                                      0,       0,     0};
     struct arguments a = {0};
--- a/include/brambledoor/settings.h
+++ b/include/brambledoor/settings.h
@@ -28,6 +28,8 @@
     double within_s, share;
 };
 
+struct bd_drain_rules; /* src/drain/drain.h */
+
 struct bd_settings {
     char node[BD_NAME], zone[BD_NAME], api_addr[BD_NAME], peer_addr[BD_NAME];
     struct bd_peer peers[BD_MAX_PEERS];
@@ -49,6 +51,7 @@
     struct timespec leader_ttl; /* zero: derived from the worker lease */
     double spare_share;         /* spare room, as a multiple of what the aims ask for */
     double idle_boots; /* an idle machine goes back after this many of its type's boot times */
+    struct bd_drain_rules *draining; /* NULL: draining is off */
 };
 
 /* 0, or -1 with one line in err naming file and field */
--- a/src/autoscaler.c
+++ b/src/autoscaler.c
@@ -1,6 +1,7 @@
 /* The machines: what the cloud lists, what is rented and what goes back. */
 #include "autoscaler_internal.h"
 #include "core_internal.h"
+#include "drain/drain.h"
 #include <gsl/gsl_cdf.h>
 #include <math.h>
 #include <stdio.h>
@@ -321,6 +322,11 @@
     }
 }
 
+static void want_moved(void *arg, const struct bd_spec *spec)
+{
+    want_job(arg, spec, 1, BD_REACH_ANY);
+}
+
 static void provision_wanted(struct demand *d)
 {
     struct bd_core *core = d->core;
@@ -363,6 +369,7 @@
         core->by_index[i]->spare = false;
     want_spares(d);
     want_cheap_room(d);
+    bd_drain_demand(core, want_moved, d);
     provision_wanted(d);
     free(d->bins);
     free(d);
@@ -396,6 +403,10 @@
         return true;
     if (!machine->fenced)
         return false;
+    if (bd_drain_cordoned(core, machine))
+        return bd_drain_returns(core, machine);
+    if (bd_drain_keeps(core, machine))
+        return false;
     return machine->bad || machine->notice_left >= 0 ||
            (!machine->spare && bd_between(machine->idle_since, core->now) >
                                    core->settings->idle_boots * core->types[machine->type].boot);
@@ -421,7 +432,7 @@
 }
 
 /* Tasks that can save leave a machine that the cloud takes back or that fails its tasks. */
-void bd_drain(struct bd_core *core)
+static void evacuate(struct bd_core *core)
 {
     for (uint32_t i = 0; i < core->nmachines; i++) {
         struct bd_machine *machine = core->by_index[i];
@@ -494,7 +505,7 @@
 void bd_autoscaler_tick(struct bd_core *core)
 {
     say_fleet(core);
-    bd_drain(core);
+    evacuate(core);
     if (!core->lead.listed_once)
         return;
     provision_for_demand(core);
--- a/src/cloud.c
+++ b/src/cloud.c
@@ -1,5 +1,6 @@
 /* The cloud: machine types and the list for the leader, provisioning requests and returns in order.
  */
+#include "cloud_list.h"
 #include "http.h"
 #include "metrics.h"
 #include "node.h"
@@ -15,6 +16,8 @@
 #define TYPES_IDLE_S 300.0
 #define PROVISION_TRIES 12
 #define PAGE 500
+#define LIST_TRIES 4 /* of a page, for a list that an administrator waits for */
+#define LIST_PAUSE_S 0.7
 #define BUDGET 0.8 /* of the cloud's calls a second */
 
 struct desk {
@@ -39,20 +42,26 @@
     d->tokens -= 1;
 }
 
-static long call(struct desk *d, const char *method, const char *path, const char *body,
-                 json_t **out)
+static long ask(struct bd_node *node, struct bd_http *http, const char *method, const char *path,
+                const char *body, json_t **out)
 {
     char url[256];
     struct bd_reply r;
-    spend(d);
-    snprintf(url, sizeof url, "http://%s%s", d->n->settings.cloud, path);
-    bd_http_call(d->h, method, url, body, ANSWER_S, &r);
+    snprintf(url, sizeof url, "http://%s%s", node->settings.cloud, path);
+    bd_http_call(http, method, url, body, ANSWER_S, &r);
     long status = r.status;
     *out = r.body ? json_loadb(r.body, r.len, 0, NULL) : NULL;
     bd_reply_drop(&r);
     return status;
 }
 
+static long call(struct desk *d, const char *method, const char *path, const char *body,
+                 json_t **out)
+{
+    spend(d);
+    return ask(d->n, d->h, method, path, body, out);
+}
+
 static void failed(struct desk *d)
 {
     if (d->fails < 5)
@@ -82,34 +91,55 @@
     d->next_types = bd_add(bd_now(), bd_secs(pause));
 }
 
+long bd_cloud_list_page(struct bd_node *node, struct bd_http *http, struct bd_cloud_machine **out,
+                        size_t *n, bool *more)
+{
+    char path[160];
+    json_t *o = NULL;
+    const char *after = *n > 0 ? (*out)[*n - 1].id : "";
+    snprintf(path, sizeof path, BD_PATH_MACHINES "?%s%s%slimit=%d", *after ? "after=" : "", after,
+             *after ? "&" : "", PAGE);
+    long status = ask(node, http, "GET", path, NULL, &o);
+    struct bd_cloud_machine *grown = realloc(*out, (*n + PAGE) * sizeof *grown);
+    if (!grown)
+        abort();
+    *out = grown;
+    int got = status == 200 ? bd_wire_machines(o, grown + *n, PAGE, more) : -1;
+    json_decref(o);
+    if (got < 0)
+        return status == 200 ? 0 : status;
+    *n += (size_t)got;
+    *more = *more && got > 0;
+    return status;
+}
+
+bool bd_cloud_list(struct bd_node *node, struct bd_http *http, struct bd_cloud_machine **out,
+                   size_t *n)
+{
+    bool more = true;
+    for (int fails = 0; more && fails < LIST_TRIES;) {
+        if (bd_cloud_list_page(node, http, out, n, &more) == 200)
+            continue;
+        fails++;
+        bd_pause(LIST_PAUSE_S);
+    }
+    return !more;
+}
+
 static void get_list(struct desk *d)
 {
     struct bd_cmd *command = bd_cmd_new(BD_C_MACHINES);
     struct bd_cloud_machine *all = NULL;
-    char path[160], after[BD_LABEL] = "";
     bool more = true;
     command->sent = bd_now();
     while (more) {
-        json_t *o = NULL;
-        snprintf(path, sizeof path, BD_PATH_MACHINES "?%s%s%slimit=%d", *after ? "after=" : "",
-                 after, *after ? "&" : "", PAGE);
-        long status = call(d, "GET", path, NULL, &o);
-        struct bd_cloud_machine *grown = realloc(all, (command->n + PAGE) * sizeof *all);
-        if (!grown)
-            abort();
-        all = grown;
-        int n = status == 200 ? bd_wire_machines(o, all + command->n, PAGE, &more) : -1;
-        json_decref(o);
-        if (n < 0) {
-            free(all);
-            bd_cmd_free(command);
-            failed(d);
-            return;
-        }
-        command->n += (size_t)n;
-        more = more && n > 0;
-        if (n > 0)
-            snprintf(after, sizeof after, "%s", all[command->n - 1].id);
+        spend(d);
+        if (bd_cloud_list_page(d->n, d->h, &all, &command->n, &more) == 200)
+            continue;
+        free(all);
+        bd_cmd_free(command);
+        failed(d);
+        return;
     }
     d->fails = 0;
     command->data = all;
--- a/src/commit.c
+++ b/src/commit.c
@@ -1,6 +1,7 @@
 /* Builds the leader's transaction of a round: intents, receipts, done and cancelled records. Part
  * of the pure core. */
 #include "core_internal.h"
+#include "drain/drain.h"
 #include "metrics.h"
 #include <stdio.h>
 
@@ -298,6 +299,21 @@
     spend(builder, 1, 0, 200);
 }
 
+/* How far the drains' machines are: a step is told only after it is on record. */
+static void add_drains(struct bd_core *core, struct build *builder)
+{
+    struct bd_drain_write write;
+    while (room_for(builder, 1, 1, core->limits.value_bytes) && bd_drain_next_write(core, &write)) {
+        if (write.revision)
+            bd_txn_if(&builder->t, write.key, write.revision);
+        if (write.value)
+            bd_txn_set(&builder->t, write.key, write.value, 0);
+        else
+            bd_txn_drop(&builder->t, write.key);
+        spend(builder, 1, write.revision ? 1 : 0, write.bytes + 100);
+    }
+}
+
 void bd_round_commit(struct bd_core *core)
 {
     struct bd_commit *commit = core->lead.commit;
@@ -312,6 +328,7 @@
     unplan_rest(core);
     add_receipts(core, &b);
     add_cancelled(core, &b);
+    add_drains(core, &b);
     if (bd_before(core->lead.next_gc, core->now)) {
         add_drops(core, &b);
         /* thousands of old intents would slow the next takeover */
--- a/src/commit_outcome.c
+++ b/src/commit_outcome.c
@@ -1,5 +1,6 @@
 /* What follows from the fate of the leader's transaction. Part of the pure core. */
 #include "core_internal.h"
+#include "drain/drain.h"
 #include "metrics.h"
 #include <stdio.h>
 
@@ -100,6 +101,7 @@
     job->revision = store_revision;
     job->state = BD_DONE;
     job->end = core->wall;
+    bd_ledger_forget(core, job);
     bd_job_unlead(job);
     json_decref(job->record_spec);
     job->record_spec = NULL;
@@ -182,5 +184,6 @@
     else
         refused(core, commit, failed);
     bd_commit_free(commit);
+    bd_drain_committed(core, outcome == BD_COMMIT_APPLIED);
     core->lead.round_wanted = true;
 }
--- a/src/core.c
+++ b/src/core.c
@@ -1,5 +1,6 @@
 /* Users' requests, the replica of job records, and names. */
 #include "core_internal.h"
+#include "drain/drain.h"
 #include "frame.h"
 #include <math.h>
 #include <stdio.h>
@@ -14,6 +15,8 @@
     bd_limits_init(core);
     for (int i = 0; i < settings->nzones; i++)
         (void)bd_zone_index(core, settings->zones[i]);
+    if (settings->draining)
+        core->drains = bd_drains_new(settings);
     return core;
 }
 
@@ -66,6 +69,8 @@
         return;
     struct bd_job *job, *jt;
     struct bd_machine *machine, *mt;
+    bd_drains_free(core->drains);
+    core->drains = NULL;
     HASH_ITER(hh, core->jobs, job, jt)
     {
         HASH_DEL(core->jobs, job);
--- a/src/core.h
+++ b/src/core.h
@@ -10,12 +10,13 @@
 #include "effect.h"
 #include "forwarding.h"
 #include "leadership.h"
-#include "limits.h"
 #include "machine.h"
+#include "state_limits.h"
 #include "wire.h"
 
 struct bd_metrics;
 struct bd_wait;
+struct bd_drains;
 
 struct bd_names {
     UT_hash_handle hh;
@@ -79,6 +80,7 @@
     struct timespec leader_seen;
     struct bd_leadership lead;
     struct bd_cloud_view cloud;
+    struct bd_drains *drains; /* NULL: draining is off */
 
     struct bd_effect *first, *last;
 };
--- /dev/null
+++ b/src/drain/candidate.c
@@ -0,0 +1,154 @@
+/* What emptying a machine would take: its tasks by budget, and the room that they need elsewhere.
+ * Part of the pure core. */
+#include "drain_internal.h"
+
+#define ROOM_EPS 1e-6
+
+/* ---- needs ---- */
+
+static bool add_need(struct bd_candidate *candidate, uint32_t budget, uint32_t tasks)
+{
+    for (uint32_t i = 0; i < candidate->nneeds; i++) {
+        if (candidate->needs[i].budget != budget)
+            continue;
+        candidate->needs[i].tasks += tasks;
+        return true;
+    }
+    if (candidate->nneeds == BD_NEEDS_MOST)
+        return false;
+    candidate->needs[candidate->nneeds++] = (struct bd_need){budget, tasks};
+    return true;
+}
+
+/* Whether stopping the task would take something down that is not down yet. */
+static bool would_fall(const struct bd_ledger_job *entry, const struct bd_job *job, uint32_t i)
+{
+    const struct bd_task *task = &job->tasks[i];
+    bool holds = task->state == BD_T_LIVE || task->state == BD_T_LAUNCH;
+    return holds && !(task->flags & BD_F_STOP) && !roaring_bitmap_contains(entry->down, i);
+}
+
+/* A gang stops as a whole, wherever its tasks are. */
+static uint32_t gang_falls(const struct bd_ledger_job *entry, const struct bd_job *job)
+{
+    uint32_t n = 0;
+    for (uint32_t i = 0; i < job->ntasks; i++)
+        n += would_fall(entry, job, i);
+    return n;
+}
+
+static bool gang_was_counted(const struct bd_machine *machine, uint32_t before,
+                             const struct bd_job *job)
+{
+    for (uint32_t k = 0; k < before; k++)
+        if (machine->refs[k].job == job)
+            return true;
+    return false;
+}
+
+static bool add_task(struct bd_core *core, struct bd_candidate *candidate, uint32_t k)
+{
+    const struct bd_machine *machine = candidate->machine;
+    const struct bd_job *job = machine->refs[k].job;
+    const struct bd_ledger_job *entry = bd_ledger_job_of(core, job);
+    uint32_t falls = entry && would_fall(entry, job, machine->refs[k].task);
+    if (entry && job->spec.shape == BD_GANG)
+        falls = gang_was_counted(machine, k, job) ? 0 : gang_falls(entry, job);
+    for (uint32_t i = 0; falls > 0 && i < entry->nbudgets; i++)
+        if (!add_need(candidate, entry->budgets[i], falls))
+            return false;
+    candidate->tasks += falls;
+    candidate->moves.cpus += job->spec.cpus;
+    candidate->moves.gpus += job->spec.gpus;
+    candidate->moves.mem += job->spec.mem;
+    return true;
+}
+
+bool bd_candidate_fill(struct bd_core *core, struct bd_candidate *candidate)
+{
+    candidate->nneeds = candidate->tasks = 0;
+    candidate->moves = (struct bd_room){0, 0, 0};
+    for (uint32_t k = 0; k < candidate->machine->nrefs; k++)
+        if (!add_task(core, candidate, k))
+            return false;
+    return true;
+}
+
+/* ---- room ---- */
+
+void bd_bins_fill(struct bd_core *core, struct bd_bins *bins)
+{
+    bins->n = 0;
+    bins->bins = calloc(core->nmachines + 1, sizeof *bins->bins);
+    if (!bins->bins)
+        abort();
+    for (uint32_t i = 0; i < core->nmachines; i++) {
+        struct bd_machine *machine = core->by_index[i];
+        if (!bd_machine_usable(core, machine))
+            continue;
+        const struct bd_type *type = &core->types[machine->type];
+        bins->bins[bins->n++] = (struct bd_bin){
+            machine,
+            {type->cpus - machine->cpus, type->gpus - machine->gpus, type->mem - machine->mem}};
+    }
+}
+
+void bd_bins_free(struct bd_bins *bins)
+{
+    free(bins->bins);
+    bins->bins = NULL;
+    bins->n = 0;
+}
+
+struct bd_room bd_bins_total(const struct bd_bins *bins)
+{
+    struct bd_room sum = {0, 0, 0};
+    for (uint32_t i = 0; i < bins->n; i++) {
+        sum.cpus += bins->bins[i].room.cpus;
+        sum.gpus += bins->bins[i].room.gpus;
+        sum.mem += bins->bins[i].room.mem;
+    }
+    return sum;
+}
+
+static bool fits(const struct bd_bin *bin, const struct bd_spec *spec)
+{
+    return bd_allowed(spec, bin->machine->type, bin->machine->zone, bin->machine->spot) &&
+           bin->room.cpus + ROOM_EPS >= spec->cpus && bin->room.gpus + ROOM_EPS >= spec->gpus &&
+           bin->room.mem + ROOM_EPS >= spec->mem;
+}
+
+static void take(struct bd_bin *bin, const struct bd_spec *spec, double sign)
+{
+    bin->room.cpus -= sign * spec->cpus;
+    bin->room.gpus -= sign * spec->gpus;
+    bin->room.mem -= sign * spec->mem;
+}
+
+static struct bd_bin *first_fit(struct bd_bins *bins, const struct bd_spec *spec)
+{
+    for (uint32_t i = 0; i < bins->n; i++)
+        if (fits(&bins->bins[i], spec))
+            return &bins->bins[i];
+    return NULL;
+}
+
+bool bd_bins_take(struct bd_bins *bins, const struct bd_candidate *candidate)
+{
+    const struct bd_machine *machine = candidate->machine;
+    struct bd_bin **took = calloc(machine->nrefs + 1, sizeof(struct bd_bin *));
+    if (!took)
+        abort();
+    uint32_t n = 0;
+    while (n < machine->nrefs && (took[n] = first_fit(bins, &machine->refs[n].job->spec))) {
+        take(took[n], &machine->refs[n].job->spec, 1);
+        n++;
+    }
+    bool all = n == machine->nrefs;
+    while (!all && n > 0) {
+        n--;
+        take(took[n], &machine->refs[n].job->spec, -1);
+    }
+    free(took);
+    return all;
+}
--- /dev/null
+++ b/src/drain/drain_internal.h
@@ -0,0 +1,193 @@
+/* Shared by the files of the drain package only. */
+#ifndef BD_DRAIN_INTERNAL_H
+#define BD_DRAIN_INTERNAL_H
+#include "../core_internal.h"
+#include "drain/drain.h"
+#include <roaring/roaring.h>
+#include <uthash.h>
+
+/* ---- ledger.c ---- */
+
+/* What may be down of a team, or of one class of it, and what is. */
+struct bd_budget {
+    int team;
+    const struct bd_budget_rule *rule;
+    uint32_t up, down;
+    uint32_t silent; /* of those that are up: on machines whose reports are late */
+};
+
+#define BD_BUDGETS_A_JOB 2 /* its team's, and its class's */
+
+/* One job's tasks, as far as they were ever seen running. */
+struct bd_ledger_job {
+    UT_hash_handle hh;
+    const struct bd_job *job;
+    roaring_bitmap_t *up, *down;
+    uint32_t budgets[BD_BUDGETS_A_JOB];
+    uint32_t nbudgets;
+};
+
+struct bd_ledger {
+    struct bd_budget *budgets;
+    uint32_t nbudgets;
+    struct bd_ledger_job *jobs; /* hash by the job's address */
+};
+
+void bd_ledger_init(struct bd_ledger *ledger, const struct bd_settings *settings);
+void bd_ledger_clear(struct bd_ledger *ledger);
+void bd_ledger_free(struct bd_ledger *ledger);
+/* After a takeover: all that is not seen running counts as down. */
+void bd_ledger_gained(struct bd_core *core);
+/* Counts anew what is silent. */
+void bd_ledger_silent(struct bd_core *core);
+/* How many more tasks may go down by our own doing. */
+uint32_t bd_budget_left(const struct bd_budget *budget);
+bool bd_ledger_is_up(const struct bd_ledger *ledger, const struct bd_job *job, uint32_t task);
+/* The job's entry; NULL: its team has no budget. */
+struct bd_ledger_job *bd_ledger_job_of(struct bd_core *core, const struct bd_job *job);
+const char *bd_budget_team(const struct bd_core *core, const struct bd_budget *budget);
+
+/* ---- candidate.c ---- */
+
+/* Tasks that a step would stop, by budget. */
+struct bd_need {
+    uint32_t budget, tasks;
+};
+
+#define BD_NEEDS_MOST 64 /* budgets that one machine's tasks draw on */
+
+struct bd_room {
+    double cpus, gpus, mem;
+};
+
+/* A machine that could be in the next step. */
+struct bd_candidate {
+    struct bd_drain_machine *entry;
+    struct bd_machine *machine;
+    int zone;
+    struct bd_need needs[BD_NEEDS_MOST];
+    uint32_t nneeds, tasks;
+    struct bd_room moves; /* what its tasks take, in sum */
+};
+
+/* Fills the candidate's needs. False: they are too many. */
+bool bd_candidate_fill(struct bd_core *core, struct bd_candidate *candidate);
+
+/* Free room on the machines that new work may come to. */
+struct bd_bins {
+    struct bd_bin {
+        struct bd_machine *machine;
+        struct bd_room room;
+    } * bins;
+    uint32_t n;
+};
+void bd_bins_fill(struct bd_core *core, struct bd_bins *bins);
+void bd_bins_free(struct bd_bins *bins);
+struct bd_room bd_bins_total(const struct bd_bins *bins);
+/* Takes room for all that would move; false: there is not enough, and nothing is taken. */
+bool bd_bins_take(struct bd_bins *bins, const struct bd_candidate *candidate);
+
+/* ---- steps.c, solver.c ---- */
+
+/* Which machines go next: the candidates, and what limits the choice. */
+struct bd_step_problem {
+    const struct bd_candidate *candidates;
+    uint32_t n;
+    const uint32_t *left; /* by budget */
+    uint32_t nbudgets;
+    uint32_t most; /* machines */
+    struct bd_room room;
+    const bool (*apart)[BD_MAX_ZONES]; /* zones that may not drain together */
+    bool zone_used[BD_MAX_ZONES];      /* a machine of it is in a step */
+};
+
+/* Why a machine was not chosen. */
+enum bd_drain_wait bd_step_obstacle(const struct bd_step_problem *problem,
+                                    const struct bd_candidate *candidate, uint32_t *budget);
+/* Sets the numbers of the chosen candidates; the set is empty before. */
+void bd_steps_greedy(const struct bd_step_problem *problem, roaring_bitmap_t *chosen);
+/* The same as an integer program; false: given up, out of time or size. */
+bool bd_steps_solve(const struct bd_step_problem *problem, roaring_bitmap_t *chosen);
+/* Takes one candidate into the step. */
+void bd_step_take(struct bd_step_problem *problem, uint32_t *left,
+                  const struct bd_candidate *candidate);
+
+/* ---- drain.c ---- */
+
+struct bd_drain_part { /* machines whose states stand in one record */
+    uint32_t from, n;
+    bool dirty;  /* something is to be written; */
+    bool urgent; /* a stage, at once; a reason to wait may take a while */
+    bool sent;   /* it is in the transaction under way */
+    struct timespec written;
+};
+
+struct bd_drain {
+    UT_hash_handle hh; /* by the record's name */
+    char name[BD_LABEL];
+    struct bd_drain_record record;
+    struct bd_drain_machine *machines;
+    uint32_t nmachines;
+    struct bd_drain_part *parts;
+    bool loaded, damaged; /* its machines are known; their records cannot be read */
+    bool listed;          /* in the newest look at the records */
+    bool over;            /* nothing is left to be done: its record is to say so */
+    bool over_sent;       /* ... in the transaction under way */
+    bool stale;           /* its record is not what we know: the next look tells */
+    uint32_t dropped;     /* parts whose records were dropped, and the drain's own */
+    uint32_t drop_sent;
+};
+
+struct bd_drains {
+    const struct bd_settings *settings;
+    const struct bd_drain_rules *rules;
+    bool apart[BD_MAX_ZONES][BD_MAX_ZONES];
+    struct bd_ledger ledger;
+    struct bd_drain *drains;                       /* hash by name */
+    roaring_bitmap_t *cordoned, *kept, *returning; /* machines by index */
+    struct bd_drain_machine **owners;              /* by machine: whose entry drives it */
+    uint32_t nowners;
+    bool want_sets;
+    struct timespec gained, next_tick, next_summary;
+    uint32_t steps; /* machines that were told to stop their tasks, in this term */
+};
+
+/* A change of an entry's stage, or of what it waits for and of which team's budget. */
+struct bd_entry_state {
+    enum bd_drain_stage stage;
+    enum bd_drain_wait wait;
+    const char *team; /* "": none */
+};
+void bd_drain_set(struct bd_core *core, struct bd_drain *drain, struct bd_drain_machine *m,
+                  struct bd_entry_state to);
+/* The entry's record is to be written at once. */
+void bd_drain_note(struct bd_drain *drain, const struct bd_drain_machine *m);
+/* Whether the drain's machines are to be cordoned: it was neither called off nor is it over. */
+bool bd_drain_goes_on(const struct bd_drain *drain);
+/* Whether nothing happens to the machine any more. */
+bool bd_drain_final(const struct bd_drain_machine *m);
+/* The machine if it is known by now, or NULL. */
+struct bd_machine *bd_drain_machine_of(struct bd_core *core, const char *id);
+/* Whether another drain's entry drives the machine. */
+bool bd_drain_mirrors(const struct bd_core *core, const struct bd_drain_machine *m);
+
+/* ---- durable.c ---- */
+
+/* Drops all that is known of drains; the records stay. */
+void bd_drains_forget(struct bd_drains *drains);
+
+/* ---- plan.c ---- */
+
+/* Tells machines whose step is on record to stop their tasks, where the budgets still allow it. */
+void bd_drain_tell(struct bd_core *core);
+/* Chooses the machines of the next step, and says of all others what they wait for. */
+void bd_drain_plan(struct bd_core *core);
+
+/* ---- replacement.c ---- */
+
+/* Asks for replacements, and drops those that came to nothing. */
+void bd_replacements_tick(struct bd_core *core);
+bool bd_replacement_up(struct bd_core *core, const struct bd_drain_machine *m);
+/* Whether the replacement does what the old machine did, as far as that is to be told. */
+bool bd_replacement_works(struct bd_core *core, const struct bd_drain_machine *m);
+#endif
--- /dev/null
+++ b/src/drain/ledger.c
@@ -0,0 +1,271 @@
+/* The ledger of disruption: which tasks are down, counted by team and class from what the tasks
+ * really do. A task is down from the moment it may be stopped, or is lost, until its next attempt
+ * is seen running. Deaths, notices, failures, preemption, the autoscaler's moves and drains all
+ * count; only what is voluntary asks first. Part of the pure core.
+ *
+ * What a new leader cannot know counts as down: an earlier leader's command may still be on its
+ * way until the machine's report shows that it has seen our term. */
+#include "drain_internal.h"
+#include <math.h>
+
+static const struct bd_budget_rule *rule_of(const struct bd_drain_rules *rules, const char *team)
+{
+    const struct bd_budget_rule *of_all = NULL;
+    for (uint32_t i = 0; i < rules->nbudgets; i++) {
+        const struct bd_budget_rule *rule = &rules->budgets[i];
+        if (*rule->job_class)
+            continue;
+        if (strcmp(rule->team, team) == 0)
+            return rule;
+        if (!*rule->team)
+            of_all = rule;
+    }
+    return of_all;
+}
+
+static int team_index(const struct bd_settings *settings, const char *name)
+{
+    for (int i = 0; i < settings->nteams; i++)
+        if (strcmp(settings->teams[i].name, name) == 0)
+            return i;
+    return -1;
+}
+
+/* A budget a team first, in the teams' order, then those of classes. */
+void bd_ledger_init(struct bd_ledger *ledger, const struct bd_settings *settings)
+{
+    const struct bd_drain_rules *rules = settings->draining;
+    ledger->budgets =
+        calloc((size_t)settings->nteams + rules->nbudgets + 1, sizeof *ledger->budgets);
+    if (!ledger->budgets)
+        abort();
+    for (int i = 0; i < settings->nteams; i++)
+        ledger->budgets[ledger->nbudgets++] =
+            (struct bd_budget){.team = i, .rule = rule_of(rules, settings->teams[i].name)};
+    for (uint32_t i = 0; i < rules->nbudgets; i++)
+        if (*rules->budgets[i].job_class)
+            ledger->budgets[ledger->nbudgets++] = (struct bd_budget){
+                .team = team_index(settings, rules->budgets[i].team), .rule = &rules->budgets[i]};
+}
+
+static void drop_job(struct bd_ledger *ledger, struct bd_ledger_job *entry)
+{
+    uint32_t up = (uint32_t)roaring_bitmap_get_cardinality(entry->up);
+    uint32_t down = (uint32_t)roaring_bitmap_get_cardinality(entry->down);
+    for (uint32_t i = 0; i < entry->nbudgets; i++) {
+        ledger->budgets[entry->budgets[i]].up -= up;
+        ledger->budgets[entry->budgets[i]].down -= down;
+    }
+    HASH_DEL(ledger->jobs, entry);
+    roaring_bitmap_free(entry->up);
+    roaring_bitmap_free(entry->down);
+    free(entry);
+}
+
+void bd_ledger_clear(struct bd_ledger *ledger)
+{
+    struct bd_ledger_job *entry, *tmp;
+    HASH_ITER(hh, ledger->jobs, entry, tmp)
+    {
+        drop_job(ledger, entry);
+    }
+}
+
+void bd_ledger_free(struct bd_ledger *ledger)
+{
+    bd_ledger_clear(ledger);
+    free(ledger->budgets);
+}
+
+static struct bd_ledger_job *find(const struct bd_ledger *ledger, const struct bd_job *job)
+{
+    struct bd_ledger_job *entry = NULL;
+    HASH_FIND_PTR(ledger->jobs, &job, entry);
+    return entry;
+}
+
+struct bd_ledger_job *bd_ledger_job_of(struct bd_core *core, const struct bd_job *job)
+{
+    struct bd_ledger *ledger = &core->drains->ledger;
+    struct bd_ledger_job *entry = find(ledger, job);
+    if (entry || !job->has_spec || job->spec.team < 0)
+        return entry;
+    entry = calloc(1, sizeof *entry);
+    if (!entry)
+        abort();
+    entry->job = job;
+    entry->up = roaring_bitmap_create();
+    entry->down = roaring_bitmap_create();
+    if (!entry->up || !entry->down)
+        abort();
+    const char *job_class = bd_class_name(core, job->job_class);
+    for (uint32_t i = 0; i < ledger->nbudgets && entry->nbudgets < BD_BUDGETS_A_JOB; i++) {
+        const struct bd_budget *budget = &ledger->budgets[i];
+        bool whole_team = !*budget->rule->job_class;
+        if (budget->team == job->spec.team &&
+            (whole_team || strcmp(budget->rule->job_class, job_class) == 0))
+            entry->budgets[entry->nbudgets++] = i;
+    }
+    HASH_ADD_PTR(ledger->jobs, job, entry);
+    return entry;
+}
+
+static void count(struct bd_ledger *ledger, const struct bd_ledger_job *entry, int up, int down)
+{
+    for (uint32_t i = 0; i < entry->nbudgets; i++) {
+        ledger->budgets[entry->budgets[i]].up += (uint32_t)up;
+        ledger->budgets[entry->budgets[i]].down += (uint32_t)down;
+    }
+}
+
+static void set_up(struct bd_ledger *ledger, struct bd_ledger_job *entry, uint32_t task)
+{
+    if (roaring_bitmap_contains(entry->up, task))
+        return;
+    roaring_bitmap_add(entry->up, task);
+    count(ledger, entry, 1, roaring_bitmap_remove_checked(entry->down, task) ? -1 : 0);
+}
+
+static void set_down(struct bd_ledger *ledger, struct bd_ledger_job *entry, uint32_t task)
+{
+    if (!roaring_bitmap_add_checked(entry->down, task))
+        return;
+    count(ledger, entry, roaring_bitmap_remove_checked(entry->up, task) ? -1 : 0, 1);
+}
+
+static void set_over(struct bd_ledger *ledger, struct bd_ledger_job *entry, uint32_t task)
+{
+    int up = roaring_bitmap_remove_checked(entry->up, task) ? -1 : 0;
+    int down = roaring_bitmap_remove_checked(entry->down, task) ? -1 : 0;
+    count(ledger, entry, up, down);
+}
+
+static bool runs(const struct bd_task *task)
+{
+    return task->state == BD_T_LIVE && task->sub == BD_RUNNING && !(task->flags & BD_F_STOP);
+}
+
+/* Told to stop, while it may be running already. */
+static bool may_stop(const struct bd_task *task)
+{
+    return task->flags & BD_F_STOP &&
+           (task->state == BD_T_LIVE || task->state == BD_T_LAUNCH || task->state == BD_T_UNKNOWN);
+}
+
+void bd_ledger_task(struct bd_core *core, struct bd_job *job, uint32_t i)
+{
+    if (!core->drains || core->role != BD_LEADER)
+        return;
+    if (job->state != BD_LIVE) { /* its user ended it: that is no disruption */
+        bd_ledger_forget(core, job);
+        return;
+    }
+    struct bd_ledger *ledger = &core->drains->ledger;
+    const struct bd_task *task = &job->tasks[i];
+    struct bd_ledger_job *entry = bd_ledger_job_of(core, job);
+    if (!entry)
+        return;
+    if (task->state == BD_T_DONE)
+        set_over(ledger, entry, i);
+    else if (runs(task))
+        set_up(ledger, entry, i);
+    else if (may_stop(task) || roaring_bitmap_contains(entry->up, i))
+        set_down(ledger, entry, i);
+}
+
+void bd_ledger_forget(struct bd_core *core, const struct bd_job *job)
+{
+    if (!core->drains)
+        return;
+    struct bd_ledger_job *entry = find(&core->drains->ledger, job);
+    if (entry)
+        drop_job(&core->drains->ledger, entry);
+}
+
+/* Whether an earlier leader may have started the job. The intents of tasks that were lost are
+ * dropped soon, so that their absence says nothing; but an array that waits in line is no
+ * disruption, and one of which nothing is left on any machine is taken for that. */
+static bool may_have_run(const struct bd_job *job)
+{
+    return job->spec.shape != BD_ARRAY || job->nlive > 0 || job->ndone > 0 ||
+           job->receipt_chunks != 0;
+}
+
+void bd_ledger_gained(struct bd_core *core)
+{
+    struct bd_ledger *ledger = &core->drains->ledger;
+    bd_ledger_clear(ledger);
+    for (struct bd_job *job = core->jobs; job; job = job->hh.next) {
+        if (job->state != BD_LIVE || !job->tasks || !may_have_run(job))
+            continue;
+        struct bd_ledger_job *entry = bd_ledger_job_of(core, job);
+        for (uint32_t i = 0; entry && i < job->ntasks; i++)
+            if (job->tasks[i].state != BD_T_DONE)
+                set_down(ledger, entry, i);
+    }
+}
+
+bool bd_ledger_is_up(const struct bd_ledger *ledger, const struct bd_job *job, uint32_t task)
+{
+    const struct bd_ledger_job *entry = find(ledger, job);
+    return entry && roaring_bitmap_contains(entry->up, task);
+}
+
+static void silent_tasks(struct bd_ledger *ledger, const struct bd_machine *machine)
+{
+    for (uint32_t k = 0; k < machine->nrefs; k++) {
+        const struct bd_ledger_job *entry = find(ledger, machine->refs[k].job);
+        if (!entry || !roaring_bitmap_contains(entry->up, machine->refs[k].task))
+            continue;
+        for (uint32_t i = 0; i < entry->nbudgets; i++)
+            ledger->budgets[entry->budgets[i]].silent++;
+    }
+}
+
+/* A machine whose report is late may be dead: what runs there is not known to run. */
+void bd_ledger_silent(struct bd_core *core)
+{
+    struct bd_ledger *ledger = &core->drains->ledger;
+    for (uint32_t i = 0; i < ledger->nbudgets; i++)
+        ledger->budgets[i].silent = 0;
+    for (uint32_t i = 0; i < core->nmachines; i++) {
+        const struct bd_machine *machine = core->by_index[i];
+        if (!machine->gone && machine->nrefs > 0 &&
+            (!machine->fenced || machine->notice_left >= 0 || bd_overdue(core, machine)))
+            silent_tasks(ledger, machine);
+    }
+}
+
+static uint32_t allowed(const struct bd_budget *budget)
+{
+    const struct bd_budget_rule *rule = budget->rule;
+    if (!rule->per_cent || rule->amount <= 0)
+        return (uint32_t)rule->amount;
+    double share = floor(rule->amount / 100 * (double)(budget->up + budget->down));
+    return share < 1 ? 1 : (uint32_t)share;
+}
+
+uint32_t bd_budget_left(const struct bd_budget *budget)
+{
+    uint32_t most = allowed(budget), used = budget->down + budget->silent;
+    return used < most ? most - used : 0;
+}
+
+const char *bd_budget_team(const struct bd_core *core, const struct bd_budget *budget)
+{
+    return core->settings->teams[budget->team].name;
+}
+
+void bd_ledger_count(const struct bd_core *core, const char *team, const char *job_class,
+                     uint32_t *down, uint32_t *up)
+{
+    *down = *up = 0;
+    for (uint32_t i = 0; core->drains && i < core->drains->ledger.nbudgets; i++) {
+        const struct bd_budget *budget = &core->drains->ledger.budgets[i];
+        if (strcmp(bd_budget_team(core, budget), team) != 0 ||
+            strcmp(budget->rule->job_class, job_class) != 0)
+            continue;
+        *down = budget->down;
+        *up = budget->up;
+    }
+}
--- /dev/null
+++ b/src/drain/plan.c
@@ -0,0 +1,317 @@
+/* Steps: chosen, written into the drain's record by a transaction that is conditional on the term,
+ * and only then told to the machines, if the budgets still allow it. A leader that was frozen past
+ * its lease cannot write the record, and so tells nobody. Part of the pure core. */
+#include "drain_internal.h"
+#include "frame.h"
+#include <stdio.h>
+
+#define CANDIDATES_MOST 96u
+#define OLDER_HEARD_S 3.0 /* an older controller's word counts so long */
+
+static void wait_for(struct bd_core *core, struct bd_drain *drain, struct bd_drain_machine *m,
+                     enum bd_drain_wait wait, const char *team)
+{
+    bd_drain_set(core, drain, m, (struct bd_entry_state){BD_STAGE_WAITING, wait, team});
+}
+
+static uint32_t *budgets_left(const struct bd_ledger *ledger)
+{
+    uint32_t *left = calloc(ledger->nbudgets + 1, sizeof *left);
+    if (!left)
+        abort();
+    for (uint32_t i = 0; i < ledger->nbudgets; i++)
+        left[i] = bd_budget_left(&ledger->budgets[i]);
+    return left;
+}
+
+/* ---- telling ---- */
+
+static void stop_tasks(struct bd_core *core, struct bd_machine *machine)
+{
+    for (uint32_t k = machine->nrefs; k > 0; k--) {
+        if (k > machine->nrefs) /* a gang's end takes others along */
+            continue;
+        struct bd_ref ref = machine->refs[k - 1];
+        const struct bd_task *task = &ref.job->tasks[ref.task];
+        bool holds = task->state == BD_T_LIVE || task->state == BD_T_LAUNCH;
+        if (holds && !(task->flags & BD_F_STOP))
+            bd_task_stop(core, ref.job, ref.task, false);
+    }
+}
+
+static bool within_budgets(const struct bd_core *core, const struct bd_candidate *candidate,
+                           const char **team)
+{
+    for (uint32_t i = 0; i < candidate->nneeds; i++) {
+        const struct bd_budget *budget = &core->drains->ledger.budgets[candidate->needs[i].budget];
+        if (candidate->needs[i].tasks > bd_budget_left(budget)) {
+            *team = bd_budget_team(core, budget);
+            return false;
+        }
+    }
+    return true;
+}
+
+/* Between the choice and the record's commit a machine may have died: the budgets are asked again
+ * at the last moment, with all that was told before. */
+static void tell(struct bd_core *core, struct bd_drain *drain, struct bd_drain_machine *m)
+{
+    struct bd_machine *machine = bd_drain_machine_of(core, m->id);
+    const char *team = "";
+    if (!machine || machine->gone || !machine->fenced || bd_overdue(core, machine)) {
+        wait_for(core, drain, m, BD_DRAIN_WAIT_REPORT, "");
+        return;
+    }
+    if (drain->record.state == BD_DRAIN_PAUSED) {
+        wait_for(core, drain, m, BD_DRAIN_WAIT_PAUSED, "");
+        return;
+    }
+    struct bd_candidate candidate = {.machine = machine};
+    if (!bd_candidate_fill(core, &candidate) || !within_budgets(core, &candidate, &team)) {
+        wait_for(core, drain, m, BD_DRAIN_WAIT_BUDGET, team);
+        return;
+    }
+    stop_tasks(core, machine);
+    m->told = core->now;
+    core->drains->steps++;
+    bd_say(core->log, BD_INFO, "drain %s: %s stops %u tasks", drain->name, m->id, candidate.tasks);
+}
+
+static bool to_tell(const struct bd_core *core, const struct bd_drain_machine *m)
+{
+    return m->stage == BD_STAGE_STOPPING && bd_is_zero(m->told) && !bd_drain_mirrors(core, m);
+}
+
+void bd_drain_tell(struct bd_core *core)
+{
+    struct bd_drain *drain, *tmp;
+    if (!bd_core_valid(core))
+        return;
+    bd_ledger_silent(core);
+    HASH_ITER(hh, core->drains->drains, drain, tmp)
+    {
+        for (uint32_t i = 0; bd_drain_goes_on(drain) && i < drain->nmachines; i++) {
+            struct bd_drain_machine *m = &drain->machines[i];
+            if (to_tell(core, m) && m->recorded == BD_STAGE_STOPPING)
+                tell(core, drain, m);
+        }
+    }
+}
+
+/* ---- choosing ---- */
+
+struct choice {
+    struct bd_core *core;
+    struct bd_step_problem problem;
+    struct bd_candidate *candidates;
+    struct bd_drain *of[CANDIDATES_MOST]; /* whose entries they are */
+    uint32_t *left;
+    struct bd_bins bins;
+};
+
+/* An older leader would place on cordoned machines, and knows of no budget. */
+static bool older_heard(const struct bd_core *core)
+{
+    for (int i = 0; i < core->settings->npeers; i++)
+        if (!bd_is_zero(core->peers[i].heard) && bd_peer_heard(core, i, OLDER_HEARD_S) &&
+            !(core->peers[i].flags & BD_PEER_DRAINS))
+            return true;
+    return false;
+}
+
+/* Machines in a step, and their zones; false: a step is still to be told. */
+static bool steps_now(struct choice *choice)
+{
+    struct bd_core *core = choice->core;
+    uint32_t in_step = 0, most = core->drains->rules->machines_in_step;
+    struct bd_drain *drain, *tmp;
+    bool told = true;
+    HASH_ITER(hh, core->drains->drains, drain, tmp)
+    {
+        for (uint32_t i = 0; bd_drain_goes_on(drain) && i < drain->nmachines; i++) {
+            const struct bd_drain_machine *m = &drain->machines[i];
+            bool busy = m->stage == BD_STAGE_STOPPING ||
+                        (m->stage == BD_STAGE_EMPTY && drain->record.mode == BD_DRAIN_REPLACE);
+            const struct bd_machine *machine = bd_drain_machine_of(core, m->id);
+            if (!busy || !machine || bd_drain_mirrors(core, m))
+                continue;
+            in_step++;
+            told = told && !to_tell(core, m);
+            if (machine->zone >= 0)
+                choice->problem.zone_used[machine->zone] = true;
+        }
+    }
+    choice->problem.most = in_step < most ? most - in_step : 0;
+    return told;
+}
+
+/* Arrays, and gangs that never save, would lose what they did: they may end by themselves. */
+static bool may_end_by_itself(const struct bd_core *core, const struct bd_drain *drain,
+                              const struct bd_machine *machine)
+{
+    if (core->wall - drain->record.at > core->drains->rules->wait_s)
+        return false;
+    for (uint32_t k = 0; k < machine->nrefs; k++) {
+        const struct bd_spec *spec = &machine->refs[k].job->spec;
+        if (spec->shape != BD_SERVICE && spec->checkpoint <= 0)
+            return true;
+    }
+    return false;
+}
+
+/* What the machine waits for before budgets are asked. */
+static enum bd_drain_wait not_ready(struct bd_core *core, const struct bd_drain *drain,
+                                    const struct bd_drain_machine *m,
+                                    const struct bd_machine *machine)
+{
+    if (drain->record.state == BD_DRAIN_PAUSED)
+        return BD_DRAIN_WAIT_PAUSED;
+    if (!machine || !machine->fenced || bd_overdue(core, machine))
+        return BD_DRAIN_WAIT_REPORT;
+    if (drain->record.mode == BD_DRAIN_REPLACE && !bd_replacement_up(core, m))
+        return BD_DRAIN_WAIT_REPLACEMENT;
+    if (may_end_by_itself(core, drain, machine))
+        return BD_DRAIN_WAIT_TASKS;
+    return BD_DRAIN_WAIT_NOTHING;
+}
+
+static const char *team_of(const struct bd_core *core, enum bd_drain_wait wait, uint32_t budget)
+{
+    return wait == BD_DRAIN_WAIT_BUDGET
+               ? bd_budget_team(core, &core->drains->ledger.budgets[budget])
+               : "";
+}
+
+/* Takes the entry among the candidates, or says what it waits for. */
+static void consider(struct choice *choice, struct bd_drain *drain, struct bd_drain_machine *m)
+{
+    struct bd_core *core = choice->core;
+    struct bd_machine *machine = bd_drain_machine_of(core, m->id);
+    enum bd_drain_wait wait = not_ready(core, drain, m, machine);
+    uint32_t budget = 0;
+    if (wait != BD_DRAIN_WAIT_NOTHING || choice->problem.n == CANDIDATES_MOST) {
+        wait_for(core, drain, m, wait ? wait : BD_DRAIN_WAIT_STEP, "");
+        return;
+    }
+    struct bd_candidate *candidate = &choice->candidates[choice->problem.n];
+    *candidate = (struct bd_candidate){.entry = m, .machine = machine, .zone = machine->zone};
+    if (!bd_candidate_fill(core, candidate))
+        wait = BD_DRAIN_WAIT_STEP;
+    else
+        wait = bd_step_obstacle(&choice->problem, candidate, &budget);
+    if (wait != BD_DRAIN_WAIT_NOTHING) {
+        wait_for(core, drain, m, wait, team_of(core, wait, budget));
+        return;
+    }
+    choice->of[choice->problem.n++] = drain;
+}
+
+static void gather_candidates(struct choice *choice)
+{
+    struct bd_drain *drain, *tmp;
+    HASH_ITER(hh, choice->core->drains->drains, drain, tmp)
+    {
+        for (uint32_t i = 0; bd_drain_goes_on(drain) && i < drain->nmachines; i++) {
+            struct bd_drain_machine *m = &drain->machines[i];
+            if ((m->stage == BD_STAGE_CORDONED || m->stage == BD_STAGE_WAITING) &&
+                !bd_drain_mirrors(choice->core, m))
+                consider(choice, drain, m);
+        }
+    }
+}
+
+/* Sums over all machines are not places: each that is chosen must find room for each task. */
+static void take_chosen(struct choice *choice, const roaring_bitmap_t *chosen)
+{
+    struct bd_core *core = choice->core;
+    uint32_t budget = 0;
+    for (uint32_t i = 0; i < choice->problem.n; i++) {
+        const struct bd_candidate *candidate = &choice->candidates[i];
+        bool wanted = roaring_bitmap_contains(chosen, i);
+        if (wanted && bd_bins_take(&choice->bins, candidate)) {
+            bd_step_take(&choice->problem, choice->left, candidate);
+            candidate->entry->told = (struct timespec){0, 0};
+            bd_drain_set(core, choice->of[i], candidate->entry,
+                         (struct bd_entry_state){BD_STAGE_STOPPING, BD_DRAIN_WAIT_NOTHING, ""});
+        } else if (wanted) {
+            wait_for(core, choice->of[i], candidate->entry, BD_DRAIN_WAIT_ROOM, "");
+        }
+    }
+    for (uint32_t i = 0; i < choice->problem.n; i++) {
+        const struct bd_candidate *candidate = &choice->candidates[i];
+        if (roaring_bitmap_contains(chosen, i))
+            continue;
+        enum bd_drain_wait wait = bd_step_obstacle(&choice->problem, candidate, &budget);
+        wait = wait == BD_DRAIN_WAIT_NOTHING ? BD_DRAIN_WAIT_STEP : wait;
+        wait_for(core, choice->of[i], candidate->entry, wait, team_of(core, wait, budget));
+    }
+}
+
+static void choose(struct choice *choice)
+{
+    const struct bd_drain_rules *rules = choice->core->drains->rules;
+    roaring_bitmap_t *chosen = roaring_bitmap_create();
+    if (!chosen)
+        abort();
+    bool solved = rules->planner == BD_PLANNER_SOLVER && bd_steps_solve(&choice->problem, chosen);
+    if (!solved) {
+        roaring_bitmap_clear(chosen);
+        bd_steps_greedy(&choice->problem, chosen);
+    }
+    take_chosen(choice, chosen);
+    roaring_bitmap_free(chosen);
+}
+
+/* The zones' numbers are known once the zones are. */
+static void pair_zones(struct bd_core *core)
+{
+    struct bd_drains *drains = core->drains;
+    for (uint32_t i = 0; i < drains->rules->napart; i++) {
+        int one = bd_zone_find(core, drains->rules->apart[i].one);
+        int other = bd_zone_find(core, drains->rules->apart[i].other);
+        if (one >= 0 && other >= 0 && one != other)
+            drains->apart[one][other] = drains->apart[other][one] = true;
+    }
+}
+
+static void all_wait(struct bd_core *core, enum bd_drain_wait wait)
+{
+    struct bd_drain *drain, *tmp;
+    HASH_ITER(hh, core->drains->drains, drain, tmp)
+    {
+        for (uint32_t i = 0; bd_drain_goes_on(drain) && i < drain->nmachines; i++) {
+            struct bd_drain_machine *m = &drain->machines[i];
+            if (m->stage == BD_STAGE_CORDONED || m->stage == BD_STAGE_WAITING)
+                wait_for(core, drain, m, wait, "");
+        }
+    }
+}
+
+void bd_drain_plan(struct bd_core *core)
+{
+    struct bd_drains *drains = core->drains;
+    struct choice choice = {.core = core};
+    if (older_heard(core)) {
+        all_wait(core, BD_DRAIN_WAIT_OLDER);
+        return;
+    }
+    if (!steps_now(&choice))
+        return;
+    pair_zones(core);
+    choice.left = budgets_left(&drains->ledger);
+    choice.candidates = calloc(CANDIDATES_MOST, sizeof *choice.candidates);
+    if (!choice.candidates)
+        abort();
+    bd_bins_fill(core, &choice.bins);
+    choice.problem.candidates = choice.candidates;
+    choice.problem.left = choice.left;
+    choice.problem.nbudgets = drains->ledger.nbudgets;
+    choice.problem.room = bd_bins_total(&choice.bins);
+    choice.problem.apart = (const bool(*)[BD_MAX_ZONES])drains->apart;
+    gather_candidates(&choice);
+    if (choice.problem.n > 0)
+        choose(&choice);
+    bd_bins_free(&choice.bins);
+    free(choice.candidates);
+    free(choice.left);
+}
--- a/src/effects.c
+++ b/src/effects.c
@@ -1,4 +1,5 @@
 /* Hands the core's effects to the adapters. Owner thread only. */
+#include "drain/drain.h"
 #include "http.h"
 #include "metrics.h"
 #include "node.h"
@@ -112,6 +113,7 @@
         bd_transport_flush(node);
     atomic_store(&node->leading, node->core->role == BD_LEADER);
     atomic_store(&node->store_revision, node->core->replica.store_revision);
+    atomic_store(&node->want_drain_sets, bd_drain_wants_sets(node->core));
     atomic_store(&node->up, bd_core_up(node->core));
     atomic_store(&node->types_known, node->core->types_known);
 }
--- a/src/event_loop.c
+++ b/src/event_loop.c
@@ -1,6 +1,7 @@
 /* The thread that alone owns the core. It drains the commands in batches and hands the effects
  * to the adapters. */
 #include "brambledoor/controller.h"
+#include "drain/drain.h"
 #include "http.h"
 #include "metrics.h"
 #include "node.h"
@@ -35,6 +36,7 @@
     free(command->text);
     free(command->data);
     json_decref(command->json);
+    json_decref(command->sets);
     json_decref(command->gain.receipts);
     json_decref(command->gain.intents);
     free(command);
@@ -184,6 +186,9 @@
     case BD_C_LOOKED_UP:
         looked_up(node, command);
         break;
+    case BD_C_DRAINS:
+        bd_drain_records(core, command->json, command->sets);
+        break;
     case BD_C_RETURNED:
         bd_core_returned(core, command->data, (int)command->n, command->status == 200);
         break;
@@ -276,6 +281,8 @@
     node->status.term = core->role == BD_LEADER ? core->lead.term : 0;
     node->status.flags = core->role == BD_LEADER ? BD_PEER_LEADS : 0;
     node->status.flags |= BD_PEER_DEPS | BD_PEER_NEWS;
+    if (node->settings.draining)
+        node->status.flags |= BD_PEER_DRAINS;
     if (bd_core_hears_leader(core))
         node->status.flags |= BD_PEER_HEARS;
     if (core->role == BD_LEADER && core->lead.inbound_cut)
@@ -421,6 +428,10 @@
         bd_say(&node->log, BD_ERROR, "cannot listen on %s", node->settings.api_addr);
         return -1;
     }
+    if (bd_admin_start(node) != 0) {
+        bd_say(&node->log, BD_ERROR, "cannot listen on %s", node->settings.draining->admin_addr);
+        return -1;
+    }
     return 0;
 }
 
--- a/src/gathering.c
+++ b/src/gathering.c
@@ -2,6 +2,7 @@
  * Part of the pure core. */
 #include "autoscaler_internal.h"
 #include "core_internal.h"
+#include "drain/drain.h"
 #include <gsl/gsl_cdf.h>
 #include <math.h>
 #include <stdio.h>
@@ -71,7 +72,7 @@
                         const struct target *t, const struct bd_machine *from, double services)
 {
     const struct bd_machine *machine = t->m;
-    if (machine == from || machine->drain || machine->zone != from->zone ||
+    if (machine == from || machine->emptying || machine->zone != from->zone ||
         t->cpus < job->spec.cpus || t->gpus < job->spec.gpus || t->mem < job->spec.mem ||
         !bd_allowed(&job->spec, machine->type, machine->zone, machine->spot))
         return false;
@@ -128,7 +129,7 @@
     for (uint32_t i = 0; i < core->nmachines; i++) {
         struct bd_machine *machine = core->by_index[i];
         double held = 0;
-        machine->drain = machine->drain && machine->nrefs > 0 && !machine->gone;
+        machine->emptying = machine->emptying && machine->nrefs > 0 && !machine->gone;
         if (machine->gone || !bd_machine_usable(core, machine))
             continue;
         if (bd_only_services(core, machine, &held))
@@ -211,7 +212,7 @@
         if (bd_fetch_s(g->core, t->m, &r.job->spec) > 0)
             t->fetches = r.job->spec.image;
         t->taken = true;
-        s->m->drain = true;
+        s->m->emptying = true;
         bd_say(g->core->log, BD_INFO, "%s/%u moves off %s", r.job->id, r.task, s->m->id);
         bd_task_stop(g->core, r.job, r.task, false);
     }
@@ -242,8 +243,8 @@
         /* a machine full of services is worth emptying into cheap room only */
         double than =
             s->services > GATHER_SHARE * core->types[s->m->type].cpus ? INFINITY : s->services;
-        s->m->drain = false; /* new services may come if it is not to be emptied after all */
-        if (is_target(&g, s->m) || !can_empty(&g, s, than))
+        s->m->emptying = false; /* new services may come if it is not to be emptied after all */
+        if (is_target(&g, s->m) || !can_empty(&g, s, than) || !bd_drain_allows(core, s->m))
             continue;
         core->cloud.moves_s -= empty(&g, s, than);
     }
--- a/src/job.h
+++ b/src/job.h
@@ -31,7 +31,7 @@
     uint32_t dirty_chunks;
     double at;
     struct timespec next_force;    /* when something may be stopped for it again */
-    struct timespec backoff_until; /* nothing is written of it before: see limits.c */
+    struct timespec backoff_until; /* nothing is written of it before: see state_limits.c */
     struct timespec hold_until, last_placed, last_begun;
     uint32_t restarts;            /* tasks that lost a place they had */
     struct timespec cancel_heard; /* when another controller said that it is cancelled */
--- a/src/leadership.c
+++ b/src/leadership.c
@@ -1,6 +1,7 @@
 /* Who leads, what the other controllers say of it, and when a leader ends its term. Part of the
  * pure core. */
 #include "core_internal.h"
+#include "drain/drain.h"
 #include "frame.h"
 #include <math.h>
 #include <stdio.h>
@@ -131,6 +132,7 @@
     core->role = BD_FOLLOWER;
     if (strcmp(core->leader_name, core->settings->node) == 0)
         core->leader_name[0] = '\0';
+    bd_drain_lost(core);
     struct bd_job *job, *jt;
     HASH_ITER(hh, core->jobs, job, jt)
     {
--- a/src/node.h
+++ b/src/node.h
@@ -38,6 +38,7 @@
     BD_C_DELEGATES,
     BD_C_DELEGATE_COMMITTED,
     BD_C_LOOKED_UP,
+    BD_C_DRAINS,
     BD_C_BUSY
 };
 
@@ -58,7 +59,8 @@
     bool flag;
     uint32_t machine;
     json_t *json;
-    void *data; /* one block, by kind */
+    json_t *sets; /* DRAINS: their machines' records, or NULL */
+    void *data;   /* one block, by kind */
     size_t n;
     struct bd_gain gain;
 };
@@ -71,8 +73,9 @@
     struct bd_core *core;
     /* what adapters need to know of the owner's state */
     atomic_bool leading, want_barrier, types_known, step_down, up, page_out;
-    atomic_bool give_up;       /* with step_down: the grant is to be ended */
-    atomic_bool reads_refused; /* the newest refresh of the records was not served */
+    atomic_bool give_up;         /* with step_down: the grant is to be ended */
+    atomic_bool want_drain_sets; /* the records of drains' machines are to be read */
+    atomic_bool reads_refused;   /* the newest refresh of the records was not served */
     atomic_ullong store_revision;
     struct bd_queue reader_wake;
     struct bd_peer_link *links[BD_MAX_PEERS];
--- a/src/place.c
+++ b/src/place.c
@@ -448,7 +448,7 @@
     if (!r.claimed || !r.open || !r.stops || !r.cost || !r.fetch)
         abort();
     for (uint32_t i = 0; i < core->nmachines; i++)
-        r.open[i] = bd_machine_usable(core, core->by_index[i]) && !core->by_index[i]->drain;
+        r.open[i] = bd_machine_usable(core, core->by_index[i]) && !core->by_index[i]->emptying;
     for (uint32_t i = 0; i < r.njobs; i++) {
         struct bd_job *job = r.jobs[i];
         if (job->nwait > 0 && !job->stale && bd_before(job->hold_until, core->now) &&
--- a/src/provisioning.c
+++ b/src/provisioning.c
@@ -2,6 +2,7 @@
  * of the pure core. */
 #include "autoscaler_internal.h"
 #include "core_internal.h"
+#include "drain/drain.h"
 #include <gsl/gsl_cdf.h>
 #include <math.h>
 #include <stdio.h>
@@ -51,6 +52,7 @@
         machine->age_at_known = bd_between(r.sent, core->now);
         machine->age_known = core->now;
     }
+    bd_drain_provisioned(core, request, names, status == 200 ? n : 0);
     bd_say(core->log, BD_INFO, "provisioning request of %d %s in %s%s: status %ld, %d machines",
            r.count, core->types[r.type].label, core->zones[r.zone], r.spot ? " (spot)" : "", status,
            n);
@@ -76,11 +78,11 @@
     }
 }
 
-void bd_provision_request(struct bd_core *core, int type, int zone, bool spot, int count)
+const char *bd_provision_request(struct bd_core *core, int type, int zone, bool spot, int count)
 {
     if (core->cloud.nprovisions ==
         (int)(sizeof core->cloud.provisions / sizeof *core->cloud.provisions))
-        return;
+        return NULL;
     struct bd_provision *r = &core->cloud.provisions[core->cloud.nprovisions++];
     memset(r, 0, sizeof *r);
     /* never used again: the term is ours alone, and so is the number within it */
@@ -96,4 +98,5 @@
     snprintf(effect->key, sizeof effect->key, "%s", r->request);
     effect->body =
         bd_wire_provision(r->request, core->types[type].label, core->zones[zone], spot, r->count);
+    return r->request;
 }
--- a/src/recovery.c
+++ b/src/recovery.c
@@ -1,6 +1,7 @@
 /* A new leader: earlier terms' receipts and intents, and what they say of each task. Part of the
  * pure core. */
 #include "core_internal.h"
+#include "drain/drain.h"
 #include "metrics.h"
 #include <stdio.h>
 
@@ -141,6 +142,7 @@
     }
     load_intents(core, g->intents);
     classify(core);
+    bd_drain_gained(core);
     core->lead.valid_until = core->lead.renewed = g->renewed;
     bd_core_renewed(core, g->grant, g->renewed);
     core->lead.round_wanted = true;
--- a/src/replica.c
+++ b/src/replica.c
@@ -1,6 +1,7 @@
 /* The replica of the jobs' records: changes, read barriers, look-ups, and which final records stay
  * in memory. Part of the pure core. */
 #include "core_internal.h"
+#include "drain/drain.h"
 #include "frame.h"
 #include <math.h>
 #include <stdio.h>
@@ -17,6 +18,8 @@
 void bd_job_set_state(struct bd_core *core, struct bd_job *job, enum bd_job_state state)
 {
     job->state = state;
+    if (state != BD_LIVE)
+        bd_ledger_forget(core, job);
     if (state == BD_CANCELLED)
         stop_tasks(core, job);
     if (state == BD_DONE) {
--- a/src/reports.c
+++ b/src/reports.c
@@ -1,5 +1,6 @@
 /* Workers' reports as evidence, and the orders that go back to them. */
 #include "core_internal.h"
+#include "drain/drain.h"
 #include "orders.h"
 #include <stdio.h>
 
@@ -168,6 +169,7 @@
     task->sub = (uint8_t)s->sub;
     bd_task_set(core, job, s->task, BD_T_LIVE);
     task->flags = flags | BD_F_SENT;
+    bd_ledger_task(core, job, s->task);
 }
 
 /* Tasks that we hold on the machine and that its report does not show. */
--- a/src/rounds.c
+++ b/src/rounds.c
@@ -1,6 +1,7 @@
 /* The leader's rounds: intents, receipts and done records go into one fenced transaction at a
  * time; recovery reads them back. */
 #include "core_internal.h"
+#include "drain/drain.h"
 #include "metrics.h"
 #include <stdio.h>
 
@@ -139,6 +140,7 @@
     if (!bd_core_valid(core))
         return;
     tokens(core);
+    bd_drain_tick(core);
     if (core->types_known && bd_before(core->lead.next_fleet, core->now)) {
         core->lead.next_fleet = bd_add(core->now, bd_secs(1.0));
         bd_autoscaler_tick(core);
--- a/src/settings.c
+++ b/src/settings.c
@@ -1,4 +1,5 @@
 #include "brambledoor/settings.h"
+#include "drain/drain.h"
 #include "timeutil.h"
 #include <jansson.h>
 #include <math.h>
@@ -262,6 +263,19 @@
         fault(r, name, "unknown field");
 }
 
+/* (draining (name value) ...) */
+static void draining(struct reader *r, struct bd_settings *settings, sexp_t *fields)
+{
+    struct bd_rules_fault bad = {"", ""};
+    if (settings->draining) {
+        fault(r, "draining", "is declared twice");
+        return;
+    }
+    settings->draining = bd_drain_rules_read(settings, fields, &bad);
+    if (!settings->draining)
+        fault(r, bad.field, bad.what);
+}
+
 /* Each (name value) pair may stand at the top or inside one (brambledoor ...) list. */
 static void operator_pairs(struct reader *r, struct bd_settings *settings, sexp_t *e)
 {
@@ -273,6 +287,8 @@
         sexp_t *v = e->list->next;
         if (strcmp(e->list->val, "brambledoor") == 0)
             operator_pairs(r, settings, v);
+        else if (strcmp(e->list->val, "draining") == 0)
+            draining(r, settings, v);
         else if (!v || v->ty != SEXP_VALUE || v->next)
             fault(r, e->list->val, "needs the form (name value)");
         else
--- a/src/state_client.c
+++ b/src/state_client.c
@@ -1,6 +1,7 @@
 /* The state service: one thread that looks for changes, one that commits the leader's
  * transactions in order, and a few for the users' own. */
 #include "state_client.h"
+#include "drain/drain.h"
 #include "http.h"
 #include "metrics.h"
 #include "node.h"
@@ -17,6 +18,7 @@
 #define USER_THREADS 2
 #define PAUSE_S 0.25
 #define DELEGATES_S 0.7 /* a leader's refreshes at the delegates' records */
+#define DRAINS_S 1.0    /* ... and at the drains' */
 #define BUSY_TRIES 3    /* 429s in a row: then the transaction is decided anew */
 
 long bd_state_call(struct bd_node *node, struct bd_http *http, const char *method, const char *path,
@@ -149,6 +151,20 @@
         bd_cmd_free(command);
 }
 
+/* The drains' own records are few and read each time, their machines' only where they are not known
+ * yet: after them, so that the machines of all that were listed are there. */
+static void read_drains(struct bd_node *node, struct bd_http *http)
+{
+    struct bd_cmd *command = bd_cmd_new(BD_C_DRAINS);
+    command->json = bd_state_list(node, http, BD_DRAIN_KEY);
+    if (command->json && atomic_load(&node->want_drain_sets))
+        command->sets = bd_state_list(node, http, BD_DRAIN_SET);
+    if (command->json)
+        bd_tell(node, command);
+    else
+        bd_cmd_free(command);
+}
+
 /* Until the next refresh is due, or polls wait for one; one wake-up where that is enough. */
 static void wait_to_read(struct bd_node *node)
 {
@@ -167,7 +183,7 @@
     struct bd_http *http = bd_http_new(1, bd_metrics_counter(node->metrics, BD_TRAFFIC_FOLLOW));
     uint64_t after = 0;
     bool again = true;
-    struct timespec next = bd_now();
+    struct timespec next = bd_now(), next_drains = next;
     while (http) {
         if (again) {
             relist(node, http);
@@ -182,6 +198,11 @@
             next = bd_add(bd_now(), bd_secs(DELEGATES_S));
             read_delegates(node, http);
         }
+        if (node->settings.draining && atomic_load(&node->leading) &&
+            bd_before(next_drains, bd_now())) {
+            next_drains = bd_add(bd_now(), bd_secs(DRAINS_S));
+            read_drains(node, http);
+        }
         wait_to_read(node);
     }
     return NULL;
--- a/src/tasks.c
+++ b/src/tasks.c
@@ -1,5 +1,6 @@
 /* How a task's state changes, with the sums over jobs, machines and teams that go with it. */
 #include "core_internal.h"
+#include "drain/drain.h"
 #include <math.h>
 #include <stdio.h>
 
@@ -250,6 +251,7 @@
     task->flags = 0;
     task->sub = BD_FETCHING;
     bd_task_set(core, job, i, BD_T_WAIT);
+    bd_ledger_task(core, job, i);
     core->lead.round_wanted = true;
     if (job->spec.shape == BD_GANG && job->ntasks > 1 && was_sent && job->nlive > 0)
         gang_member_gone(core, job);
@@ -262,6 +264,7 @@
     let_go(core, job, i);
     job->tasks[i].flags = 0;
     bd_task_set(core, job, i, BD_T_DONE);
+    bd_ledger_task(core, job, i);
     job->dirty = true;
     job->dirty_chunks |= 1u << (i / CHUNK);
     core->lead.round_wanted = true;
@@ -285,6 +288,7 @@
     if (force)
         task->flags |= BD_F_FORCE;
     task->flags |= BD_F_STOP;
+    bd_ledger_task(core, job, i);
     if (task->state == BD_T_LAUNCH && !(task->flags & BD_F_SENT))
         bd_task_free(core, job, i); /* nothing was ever sent: nothing can start */
     else if (machine)
@@ -384,7 +388,7 @@
 {
     return machine->type >= 0 && machine->zone >= 0 && core->types[machine->type].known &&
            machine->fenced && !machine->gone && !machine->returning && !machine->failed &&
-           !machine->bad && machine->notice_left < 0 &&
+           !machine->bad && machine->notice_left < 0 && !bd_drain_cordoned(core, machine) &&
            (!machine->outbound_cut || core->lead.outbound_cut_many) &&
            !late(core, machine->heard) &&
            /* one that answers directly while its check-ins reach nobody loses all with its lease */
