--- a/src/drain/drain.c
+++ b/src/drain/drain.c
@@ -390,6 +390,21 @@
     bd_drains_forget(core->drains);
 }
 
+bool bd_drain_look(const struct bd_core *core, const char *name, const char *machine,
+                   struct bd_drain_machine *out)
+{
+    struct bd_drain *drain = NULL;
+    if (core->drains)
+        HASH_FIND_STR(core->drains->drains, name, drain);
+    for (uint32_t i = 0; drain && i < drain->nmachines; i++) {
+        if (strcmp(drain->machines[i].id, machine) != 0)
+            continue;
+        *out = drain->machines[i];
+        return true;
+    }
+    return false;
+}
+
 /* ---- the autoscaler's questions ---- */
 
 bool bd_drain_allows(struct bd_core *core, struct bd_machine *machine)
--- a/src/drain/drain.h
+++ b/src/drain/drain.h
@@ -222,6 +222,9 @@
 bool bd_drain_returns(const struct bd_core *core, const struct bd_machine *machine);
 /* Whether the autoscaler may empty the machine now as far as the budgets go. */
 bool bd_drain_allows(struct bd_core *core, struct bd_machine *machine);
+/* How far the drain's machine is, in this leader's view; false: no such entry. */
+bool bd_drain_look(const struct bd_core *core, const char *drain, const char *machine,
+                   struct bd_drain_machine *out);
 /* The outcome of a provisioning request. */
 void bd_drain_provisioned(struct bd_core *core, const char *request, char (*names)[BD_LABEL],
                           int n);
--- a/tests/settings.sh
+++ b/tests/settings.sh
@@ -1,8 +1,8 @@
 #!/usr/bin/env bash
-# settings.sh PROGRAM SETTINGS: settings that cannot serve are refused by --check and at the start
+# settings.sh PROGRAM SETTINGS DRAINING: settings that cannot serve are refused by --check and at the start
 # alike: exit status 2 and one line that names file and field.
 set -euo pipefail
-program=$1 good=$2
+program=$1 good=$2 deploy=$3
 dir=$(mktemp -d)
 trap 'rm -rf "$dir"' EXIT
 bad=0
@@ -30,4 +30,39 @@
 max_sockets|"max_sockets": 1000|"sockets": 1000
 cancel_s|"cancel_s": 35.0|"cancel_s": 10.0
 LIST
+# the operators' entry for draining, in the same way
+while IFS='|' read -r field text; do
+  file=$dir/draining.sexp
+  printf '%s\n' "$text" >"$file"
+  for check in --check ""; do
+    status=0
+    # shellcheck disable=SC2086
+    timeout 10 "$program" $check --operators "$file" --config "$good" 2>"$dir/error" || status=$?
+    if [ "$status" -ne 2 ] || [ "$(wc -l <"$dir/error")" -ne 1 ] ||
+      ! grep -qF "$file: $field:" "$dir/error"; then
+      echo "FAIL $text $check: status $status, $(cat "$dir/error")"
+      bad=1
+    fi
+  done
+done <<'LIST'
+machines-in-step|(draining (machines-in-step 0))
+machines-in-step|(draining (machines-in-step many))
+stop-s|(draining (stop-s -1))
+replace-s|(draining (replace-s))
+planner|(draining (planner best))
+explode|(draining (explode 1))
+nobody|(draining (team nobody (down 1)))
+down|(draining (teams (down 101%)))
+down|(draining (teams (down -1)))
+down|(draining (teams (down 1.5)))
+down|(draining (teams (down few)))
+class|(draining (team blue (class katalog)))
+colour|(draining (team blue (colour red)))
+blue|(draining (team blue (down 1)) (team blue (down 2)))
+not-together|(draining (not-together a nowhere))
+selection|(draining (selection))
+draining|(draining machines)
+draining|(draining) (draining)
+LIST
+"$program" --check --operators "$deploy" --config "$good" || { echo "FAIL $deploy is refused"; bad=1; }
 exit $bad
