--- a/cli/main.c
+++ b/cli/main.c
@@ -57,11 +57,14 @@
     if (bd_settings_load(settings, a.config, err, sizeof err) != 0 ||
         (a.operators && bd_settings_operator(settings, a.operators, err, sizeof err) != 0)) {
         fprintf(stderr, "brambledoor: %s\n", err);
+        free(settings->draining);
         free(settings);
         return 2;
     }
     struct bd_node *node =
         a.check ? NULL : bd_controller_new(settings, bd_level_of(getenv("LOG_LEVEL")));
+    if (!node) /* else the controller's own copy holds it */
+        free(settings->draining);
     free(settings);
     if (a.check)
         return 0;
--- a/src/drain/drain.h
+++ b/src/drain/drain.h
@@ -196,7 +196,7 @@
 
 /* The drains' records as the state service listed them, and their machines' if those were asked
  * for. */
-void bd_drain_records(struct bd_core *core, json_t *drains, json_t *sets);
+void bd_drain_records(struct bd_core *core, json_t *records, json_t *sets);
 /* Whether the machines' records are to be read with the next look. */
 bool bd_drain_wants_sets(const struct bd_core *core);
 /* A new term begins, after the tasks were classified; a term is over. */
@@ -233,7 +233,7 @@
                      void *arg);
 
 /* The ledger: a task's state has changed; a job is over or not ours to lead any more. */
-void bd_ledger_task(struct bd_core *core, struct bd_job *job, uint32_t task);
+void bd_ledger_task(struct bd_core *core, struct bd_job *job, uint32_t i);
 void bd_ledger_forget(struct bd_core *core, const struct bd_job *job);
 /* Tasks of the team (or of its class, if that has a budget of its own) that are down, and those
  * that are up; for tests and the log. */
--- a/src/drain/drain_internal.h
+++ b/src/drain/drain_internal.h
@@ -105,7 +105,7 @@
 enum bd_drain_wait bd_step_obstacle(const struct bd_step_problem *problem,
                                     const struct bd_candidate *candidate, uint32_t *budget);
 /* Sets the numbers of the chosen candidates; the set is empty before. */
-void bd_steps_greedy(const struct bd_step_problem *problem, roaring_bitmap_t *chosen);
+void bd_steps_greedy(const struct bd_step_problem *given, roaring_bitmap_t *chosen);
 /* The same as an integer program; false: given up, out of time or size. */
 bool bd_steps_solve(const struct bd_step_problem *problem, roaring_bitmap_t *chosen);
 /* Takes one candidate into the step. */
--- a/src/drain/rules.c
+++ b/src/drain/rules.c
@@ -23,7 +23,7 @@
     bool bad;
 };
 
-static void fault(struct reading *r, const char *field, const char *what)
+static void wrong(struct reading *r, const char *field, const char *what)
 {
     if (r->bad)
         return;
@@ -37,7 +37,7 @@
 {
     if (e->ty == SEXP_LIST && e->list && e->list->ty == SEXP_VALUE)
         return e->list->val;
-    fault(r, "draining", "needs entries of the form (name value)");
+    wrong(r, "draining", "needs entries of the form (name value)");
     return NULL;
 }
 
@@ -47,9 +47,9 @@
     const sexp_t *v = e->list->next;
     const char *name = e->list->val;
     if (!v || v->ty != SEXP_VALUE || v->next)
-        fault(r, name, "needs the form (name value)");
+        wrong(r, name, "needs the form (name value)");
     else if (!*v->val || strlen(v->val) >= BD_NAME)
-        fault(r, name, "needs a short text");
+        wrong(r, name, "needs a short text");
     else
         strcpy(out, v->val);
     return !r->bad;
@@ -62,7 +62,7 @@
         return 0;
     double d = strtod(value, &end);
     if (end == value || *end || !isfinite(d) || d < least || d > NUMBER_MOST)
-        fault(r, e->list->val, "is not a number in the range that is allowed");
+        wrong(r, e->list->val, "is not a number in the range that is allowed");
     return d;
 }
 
@@ -94,7 +94,7 @@
     bool whole = d == floor(d) && !*end;
     if (end == value || (!whole && !rule->per_cent) || !isfinite(d) || d < 0 ||
         d > (rule->per_cent ? 100 : NUMBER_MOST))
-        fault(r, "down", "needs a number of tasks, or a per cent figure such as 5%");
+        wrong(r, "down", "needs a number of tasks, or a per cent figure such as 5%");
 }
 
 static struct bd_budget_rule *new_budget(struct reading *r, const char *team, const char *job_class)
@@ -103,9 +103,9 @@
     for (uint32_t i = 0; i < rules->nbudgets; i++)
         if (strcmp(rules->budgets[i].team, team) == 0 &&
             strcmp(rules->budgets[i].job_class, job_class) == 0)
-            fault(r, *job_class ? job_class : *team ? team : "teams", "is declared twice");
+            wrong(r, *job_class ? job_class : *team ? team : "teams", "is declared twice");
     if (rules->nbudgets == BD_BUDGET_RULES)
-        fault(r, "team", "has too many entries");
+        wrong(r, "team", "has too many entries");
     if (r->bad)
         return NULL;
     struct bd_budget_rule *rule = &rules->budgets[rules->nbudgets++];
@@ -122,7 +122,7 @@
     const sexp_t *down = name ? name->next : NULL;
     if (!name || name->ty != SEXP_VALUE || strlen(name->val) >= BD_NAME || !down || down->next ||
         !name_of(r, down) || strcmp(down->list->val, "down") != 0) {
-        fault(r, "class", "needs the form (class NAME (down N))");
+        wrong(r, "class", "needs the form (class NAME (down N))");
         return;
     }
     struct bd_budget_rule *rule = new_budget(r, team, name->val);
@@ -145,7 +145,7 @@
         } else if (strcmp(name, "class") == 0 && *team) {
             class_budget(r, e, team);
         } else {
-            fault(r, name, "unknown field");
+            wrong(r, name, "unknown field");
         }
     }
 }
@@ -154,9 +154,9 @@
 {
     const sexp_t *name = e->list->next;
     if (!name || name->ty != SEXP_VALUE || strlen(name->val) >= BD_NAME)
-        fault(r, "team", "needs the form (team NAME (down N) ...)");
+        wrong(r, "team", "needs the form (team NAME (down N) ...)");
     else if (!known_team(r->settings, name->val))
-        fault(r, name->val, "is not a team of the settings");
+        wrong(r, name->val, "is not a team of the settings");
     else
         team_fields(r, name->next, name->val);
 }
@@ -167,11 +167,11 @@
     const sexp_t *other = one ? one->next : NULL;
     if (!other || other->next || one->ty != SEXP_VALUE || other->ty != SEXP_VALUE ||
         !known_zone(r->settings, one->val) || !known_zone(r->settings, other->val)) {
-        fault(r, "not-together", "needs two zones of the settings");
+        wrong(r, "not-together", "needs two zones of the settings");
         return;
     }
     if (r->rules->napart == BD_MAX_ZONES) {
-        fault(r, "not-together", "has too many entries");
+        wrong(r, "not-together", "has too many entries");
         return;
     }
     struct bd_zones_apart *pair = &r->rules->apart[r->rules->napart++];
@@ -185,7 +185,7 @@
     const sexp_t *label = e->list->next;
     if (!label || label->ty != SEXP_VALUE || strlen(label->val) >= BD_NAME ||
         r->rules->nselections == BD_SELECTIONS) {
-        fault(r, "selection", "needs the form (selection LABEL (type T) (zone Z)), 64 at most");
+        wrong(r, "selection", "needs the form (selection LABEL (type T) (zone Z)), 64 at most");
         return;
     }
     struct bd_selection *s = &r->rules->selections[r->rules->nselections++];
@@ -199,7 +199,7 @@
         else if (strcmp(name, "zone") == 0)
             (void)text(r, f, s->zone);
         else
-            fault(r, name, "unknown field");
+            wrong(r, name, "unknown field");
     }
 }
 
@@ -213,7 +213,7 @@
     else if (strcmp(value, "greedy") == 0)
         r->rules->planner = BD_PLANNER_GREEDY;
     else
-        fault(r, "planner", "is solver or greedy");
+        wrong(r, "planner", "is solver or greedy");
 }
 
 static void field(struct reading *r, const sexp_t *e)
@@ -245,7 +245,7 @@
     else if (strcmp(name, "selection") == 0)
         selection(r, e);
     else
-        fault(r, name, "unknown field");
+        wrong(r, name, "unknown field");
 }
 
 /* What holds for teams without an entry of their own. */
@@ -262,7 +262,7 @@
 }
 
 struct bd_drain_rules *bd_drain_rules_read(const struct bd_settings *settings, struct elt *fields,
-                                           struct bd_rules_fault *out)
+                                           struct bd_rules_fault *fault)
 {
     struct bd_drain_rules *rules = calloc(1, sizeof *rules);
     if (!rules)
@@ -272,7 +272,7 @@
                                      .wait_s = WAIT_S,
                                      .replace_s = REPLACE_S,
                                      .keep_s = KEEP_S};
-    struct reading r = {settings, rules, out, false};
+    struct reading r = {settings, rules, fault, false};
     for (const sexp_t *e = fields; e && !r.bad; e = e->next)
         field(&r, e);
     if (!r.bad)
