--- a/src/drain/candidate.c
+++ b/src/drain/candidate.c
@@ -8,39 +8,46 @@
 
 static bool add_need(struct bd_candidate *candidate, uint32_t budget, uint32_t tasks)
 {
-    for (uint32_t i = 0; i < candidate->nneeds; i++) {
-        if (candidate->needs[i].budget != budget)
-            continue;
-        candidate->needs[i].tasks += tasks;
-        return true;
-    }
-    if (candidate->nneeds == BD_NEEDS_MOST)
+    struct bd_need *need = candidate->needs;
+    uint32_t i = 0;
+    while (i < candidate->nneeds && need[i].budget != budget)
+        i++;
+    if (i == BD_NEEDS_MOST)
         return false;
-    candidate->needs[candidate->nneeds++] = (struct bd_need){budget, tasks};
+    if (i == candidate->nneeds)
+        need[candidate->nneeds++] = (struct bd_need){.budget = budget};
+    need[i].tasks += tasks;
+    need[i].largest = tasks > need[i].largest ? tasks : need[i].largest;
     return true;
 }
 
-/* Whether stopping the task would take something down that is not down yet. */
-static bool would_fall(const struct bd_ledger_job *entry, const struct bd_job *job, uint32_t i)
+/* Whether stopping the task would take something down. One that is down but has been launched may
+ * run by now: stopping it would keep it down by our doing, so that it counts like one that is up.
+ */
+static bool would_fall(const struct bd_job *job, uint32_t i)
 {
     const struct bd_task *task = &job->tasks[i];
     bool holds = task->state == BD_T_LIVE || task->state == BD_T_LAUNCH;
-    return holds && !(task->flags & BD_F_STOP) && !roaring_bitmap_contains(entry->down, i);
+    return holds && !(task->flags & BD_F_STOP);
 }
 
-/* A gang stops as a whole, wherever its tasks are. */
-static uint32_t gang_falls(const struct bd_ledger_job *entry, const struct bd_job *job)
+uint32_t bd_candidate_falls(struct bd_core *core, const struct bd_job *job, uint32_t task)
 {
+    const struct bd_ledger_job *entry = bd_ledger_job_of(core, job);
     uint32_t n = 0;
+    if (!entry)
+        return 0;
+    if (job->spec.shape != BD_GANG)
+        return would_fall(job, task);
     for (uint32_t i = 0; i < job->ntasks; i++)
-        n += would_fall(entry, job, i);
+        n += would_fall(job, i);
     return n;
 }
 
 static bool gang_was_counted(const struct bd_machine *machine, uint32_t before,
                              const struct bd_job *job)
 {
-    for (uint32_t k = 0; k < before; k++)
+    for (uint32_t k = 0; job->spec.shape == BD_GANG && k < before; k++)
         if (machine->refs[k].job == job)
             return true;
     return false;
@@ -51,9 +58,8 @@
     const struct bd_machine *machine = candidate->machine;
     const struct bd_job *job = machine->refs[k].job;
     const struct bd_ledger_job *entry = bd_ledger_job_of(core, job);
-    uint32_t falls = entry && would_fall(entry, job, machine->refs[k].task);
-    if (entry && job->spec.shape == BD_GANG)
-        falls = gang_was_counted(machine, k, job) ? 0 : gang_falls(entry, job);
+    bool counted = gang_was_counted(machine, k, job);
+    uint32_t falls = counted ? 0 : bd_candidate_falls(core, job, machine->refs[k].task);
     for (uint32_t i = 0; falls > 0 && i < entry->nbudgets; i++)
         if (!add_need(candidate, entry->budgets[i], falls))
             return false;
@@ -64,6 +70,16 @@
     return true;
 }
 
+void bd_candidate_clip(const struct bd_core *core, struct bd_candidate *candidate)
+{
+    for (uint32_t i = 0; i < candidate->nneeds; i++) {
+        struct bd_need *need = &candidate->needs[i];
+        uint32_t most = bd_budget_allowed(&core->drains->ledger.budgets[need->budget]);
+        if (need->tasks > most && need->largest <= most)
+            need->tasks = most;
+    }
+}
+
 bool bd_candidate_fill(struct bd_core *core, struct bd_candidate *candidate)
 {
     candidate->nneeds = candidate->tasks = 0;
--- a/src/drain/drain.c
+++ b/src/drain/drain.c
@@ -153,18 +153,6 @@
     }
 }
 
-/* A start that was on its way when the machine was cordoned may have come after its tasks were
- * told: it is asked for like a step of its own. */
-static bool has_untold(const struct bd_machine *machine)
-{
-    for (uint32_t k = 0; k < machine->nrefs; k++) {
-        const struct bd_task *task = &machine->refs[k].job->tasks[machine->refs[k].task];
-        if (!(task->flags & BD_F_STOP) && (task->state == BD_T_LIVE || task->state == BD_T_LAUNCH))
-            return true;
-    }
-    return false;
-}
-
 static void stopping(struct bd_core *core, struct bd_drain *drain, struct bd_drain_machine *m,
                      struct bd_machine *machine)
 {
@@ -172,8 +160,6 @@
     if (machine->nrefs == 0)
         set_stage(core, drain, m, BD_STAGE_EMPTY,
                   replaces ? BD_DRAIN_WAIT_WORK : BD_DRAIN_WAIT_NOTHING);
-    else if (!bd_is_zero(m->told) && has_untold(machine))
-        m->told = (struct timespec){0, 0};
     else
         end_late_tasks(core, m, machine);
 }
@@ -250,6 +236,7 @@
     if (!machine || !bd_drain_mirrors(core, m) || !core->drains->owners[machine->index])
         return;
     const struct bd_drain_machine *owner = core->drains->owners[machine->index];
+    m->replacement[0] = m->request[0] = '\0';
     bd_drain_set(core, drain, m, (struct bd_entry_state){owner->stage, owner->wait, owner->team});
 }
 
--- a/src/drain/drain_internal.h
+++ b/src/drain/drain_internal.h
@@ -40,7 +40,8 @@
 void bd_ledger_gained(struct bd_core *core);
 /* Counts anew what is silent. */
 void bd_ledger_silent(struct bd_core *core);
-/* How many more tasks may go down by our own doing. */
+/* How many tasks may be down at all, and how many more may go down by our own doing. */
+uint32_t bd_budget_allowed(const struct bd_budget *budget);
 uint32_t bd_budget_left(const struct bd_budget *budget);
 bool bd_ledger_is_up(const struct bd_ledger *ledger, const struct bd_job *job, uint32_t task);
 /* The job's entry; NULL: its team has no budget. */
@@ -52,6 +53,7 @@
 /* Tasks that a step would stop, by budget. */
 struct bd_need {
     uint32_t budget, tasks;
+    uint32_t largest; /* of those that can only stop together: a gang, or a task */
 };
 
 #define BD_NEEDS_MOST 64 /* budgets that one machine's tasks draw on */
@@ -72,6 +74,11 @@
 
 /* Fills the candidate's needs. False: they are too many. */
 bool bd_candidate_fill(struct bd_core *core, struct bd_candidate *candidate);
+/* A machine with more of a team's tasks than the team ever bears at once is emptied by and by: it
+ * then needs the team's whole budget to begin. */
+void bd_candidate_clip(const struct bd_core *core, struct bd_candidate *candidate);
+/* How many tasks go down with this one: a gang stops as a whole, wherever its tasks are. */
+uint32_t bd_candidate_falls(struct bd_core *core, const struct bd_job *job, uint32_t task);
 
 /* Free room on the machines that new work may come to. */
 struct bd_bins {
@@ -133,8 +140,8 @@
     bool listed;          /* in the newest look at the records */
     bool over;            /* nothing is left to be done: its record is to say so */
     bool over_sent;       /* ... in the transaction under way */
-    bool stale;           /* its record is not what we know: the next look tells */
-    uint32_t dropped;     /* parts whose records were dropped, and the drain's own */
+    bool stale; /* its record may not be what we know: nothing is written before the next look */
+    uint32_t dropped; /* parts whose records were dropped, and the drain's own */
     uint32_t drop_sent;
 };
 
--- a/src/drain/durable.c
+++ b/src/drain/durable.c
@@ -74,9 +74,9 @@
     if (!drain)
         drain = new_drain(core->drains, &record);
     drain->listed = true;
+    drain->stale = false; /* one that is older than the change costs another refusal */
     if (record.revision <= drain->record.revision)
         return;
-    drain->stale = false;
     drain->record.state = record.state;
     drain->record.ended = record.ended;
     drain->record.revision = record.revision;
--- a/src/drain/ledger.c
+++ b/src/drain/ledger.c
@@ -236,7 +236,7 @@
     }
 }
 
-static uint32_t allowed(const struct bd_budget *budget)
+uint32_t bd_budget_allowed(const struct bd_budget *budget)
 {
     const struct bd_budget_rule *rule = budget->rule;
     if (!rule->per_cent || rule->amount <= 0)
@@ -247,7 +247,7 @@
 
 uint32_t bd_budget_left(const struct bd_budget *budget)
 {
-    uint32_t most = allowed(budget), used = budget->down + budget->silent;
+    uint32_t most = bd_budget_allowed(budget), used = budget->down + budget->silent;
     return used < most ? most - used : 0;
 }
 
--- a/src/drain/plan.c
+++ b/src/drain/plan.c
@@ -26,30 +26,51 @@
 
 /* ---- telling ---- */
 
-static void stop_tasks(struct bd_core *core, struct bd_machine *machine)
+/* Whether the budgets bear that the task, and what stops with it, goes down now. */
+static bool within_budgets(struct bd_core *core, const struct bd_ref *ref, const char **team)
 {
+    const struct bd_ledger_job *entry = bd_ledger_job_of(core, ref->job);
+    uint32_t falls = bd_candidate_falls(core, ref->job, ref->task);
+    for (uint32_t i = 0; falls > 0 && i < entry->nbudgets; i++) {
+        const struct bd_budget *budget = &core->drains->ledger.budgets[entry->budgets[i]];
+        if (falls > bd_budget_left(budget)) {
+            *team = bd_budget_team(core, budget);
+            return false;
+        }
+    }
+    return true;
+}
+
+static bool is_told(const struct bd_ref *ref)
+{
+    const struct bd_task *task = &ref->job->tasks[ref->task];
+    bool holds = task->state == BD_T_LIVE || task->state == BD_T_LAUNCH;
+    return !holds || task->flags & BD_F_STOP;
+}
+
+/* Stops what the budgets bear; the rest follows when those that went run elsewhere. Returns how
+ * many were told, and whose budget the first that was not would have broken. */
+static uint32_t stop_tasks(struct bd_core *core, struct bd_machine *machine, const char **team)
+{
+    uint32_t told = 0;
     for (uint32_t k = machine->nrefs; k > 0; k--) {
         if (k > machine->nrefs) /* a gang's end takes others along */
             continue;
         struct bd_ref ref = machine->refs[k - 1];
-        const struct bd_task *task = &ref.job->tasks[ref.task];
-        bool holds = task->state == BD_T_LIVE || task->state == BD_T_LAUNCH;
-        if (holds && !(task->flags & BD_F_STOP))
-            bd_task_stop(core, ref.job, ref.task, false);
+        if (is_told(&ref) || !within_budgets(core, &ref, team))
+            continue;
+        bd_task_stop(core, ref.job, ref.task, false);
+        told++;
     }
+    return told;
 }
 
-static bool within_budgets(const struct bd_core *core, const struct bd_candidate *candidate,
-                           const char **team)
+static bool any_told(const struct bd_machine *machine)
 {
-    for (uint32_t i = 0; i < candidate->nneeds; i++) {
-        const struct bd_budget *budget = &core->drains->ledger.budgets[candidate->needs[i].budget];
-        if (candidate->needs[i].tasks > bd_budget_left(budget)) {
-            *team = bd_budget_team(core, budget);
-            return false;
-        }
-    }
-    return true;
+    for (uint32_t k = 0; k < machine->nrefs; k++)
+        if (machine->refs[k].job->tasks[machine->refs[k].task].flags & BD_F_STOP)
+            return true;
+    return false;
 }
 
 /* Between the choice and the record's commit a machine may have died: the budgets are asked again
@@ -58,25 +79,29 @@
 {
     struct bd_machine *machine = bd_drain_machine_of(core, m->id);
     const char *team = "";
-    if (!machine || machine->gone || !machine->fenced || bd_overdue(core, machine)) {
-        wait_for(core, drain, m, BD_DRAIN_WAIT_REPORT, "");
+    bool silent = !machine || machine->gone || !machine->fenced || bd_overdue(core, machine);
+    if (silent || drain->record.state == BD_DRAIN_PAUSED) {
+        if (bd_is_zero(m->told))
+            wait_for(core, drain, m, silent ? BD_DRAIN_WAIT_REPORT : BD_DRAIN_WAIT_PAUSED, "");
         return;
     }
-    if (drain->record.state == BD_DRAIN_PAUSED) {
-        wait_for(core, drain, m, BD_DRAIN_WAIT_PAUSED, "");
-        return;
-    }
-    struct bd_candidate candidate = {.machine = machine};
-    if (!bd_candidate_fill(core, &candidate) || !within_budgets(core, &candidate, &team)) {
+    uint32_t told = stop_tasks(core, machine, &team);
+    if (told == 0 && *team && !any_told(machine)) {
         wait_for(core, drain, m, BD_DRAIN_WAIT_BUDGET, team);
         return;
     }
-    stop_tasks(core, machine);
+    bd_drain_set(core, drain, m,
+                 (struct bd_entry_state){BD_STAGE_STOPPING,
+                                         *team ? BD_DRAIN_WAIT_BUDGET : BD_DRAIN_WAIT_NOTHING,
+                                         team});
+    if (told == 0 && !bd_is_zero(m->told))
+        return;
     m->told = core->now;
     core->drains->steps++;
-    bd_say(core->log, BD_INFO, "drain %s: %s stops %u tasks", drain->name, m->id, candidate.tasks);
+    bd_say(core->log, BD_INFO, "drain %s: %s stops %u tasks", drain->name, m->id, told);
 }
 
+/* Whether nothing of its step was told yet. */
 static bool to_tell(const struct bd_core *core, const struct bd_drain_machine *m)
 {
     return m->stage == BD_STAGE_STOPPING && bd_is_zero(m->told) && !bd_drain_mirrors(core, m);
@@ -92,7 +117,8 @@
     {
         for (uint32_t i = 0; bd_drain_goes_on(drain) && i < drain->nmachines; i++) {
             struct bd_drain_machine *m = &drain->machines[i];
-            if (to_tell(core, m) && m->recorded == BD_STAGE_STOPPING)
+            if (m->stage == BD_STAGE_STOPPING && m->recorded == BD_STAGE_STOPPING &&
+                !bd_drain_mirrors(core, m))
                 tell(core, drain, m);
         }
     }
@@ -195,10 +221,9 @@
     }
     struct bd_candidate *candidate = &choice->candidates[choice->problem.n];
     *candidate = (struct bd_candidate){.entry = m, .machine = machine, .zone = machine->zone};
-    if (!bd_candidate_fill(core, candidate))
-        wait = BD_DRAIN_WAIT_STEP;
-    else
-        wait = bd_step_obstacle(&choice->problem, candidate, &budget);
+    bool filled = bd_candidate_fill(core, candidate);
+    bd_candidate_clip(core, candidate);
+    wait = filled ? bd_step_obstacle(&choice->problem, candidate, &budget) : BD_DRAIN_WAIT_STEP;
     if (wait != BD_DRAIN_WAIT_NOTHING) {
         wait_for(core, drain, m, wait, team_of(core, wait, budget));
         return;
--- a/src/drain/replacement.c
+++ b/src/drain/replacement.c
@@ -62,7 +62,9 @@
     if (bd_is_zero(m->asked)) /* an earlier leader asked for it */
         m->asked = core->now;
     const struct bd_machine *machine = bd_drain_machine_of(core, m->replacement);
-    bool lost = machine && (machine->gone || machine->failed || machine->bad || machine->returning);
+    /* another drain may cover the replacement itself */
+    bool lost = machine && (machine->gone || machine->failed || machine->bad ||
+                            machine->returning || bd_drain_cordoned(core, machine));
     bool late = bd_between(m->asked, core->now) > core->drains->rules->replace_s &&
                 (!machine || !machine->fenced);
     if (lost || late)
@@ -71,10 +73,12 @@
 
 /* ---- asking ---- */
 
-static bool wanted(const struct bd_drain *drain, const struct bd_drain_machine *m)
+/* Whether the entry is to have a replacement: it drives its machine, and is not that far yet. */
+static bool wanted(const struct bd_core *core, const struct bd_drain *drain,
+                   const struct bd_drain_machine *m)
 {
     return drain->record.mode == BD_DRAIN_REPLACE && drain->record.state == BD_DRAIN_ACTIVE &&
-           !bd_drain_final(m) && m->stage != BD_STAGE_REPLACED;
+           !bd_drain_final(m) && m->stage != BD_STAGE_REPLACED && !bd_drain_mirrors(core, m);
 }
 
 static uint32_t under_way(const struct bd_core *core)
@@ -82,7 +86,7 @@
     uint32_t n = 0;
     for (const struct bd_drain *drain = core->drains->drains; drain; drain = drain->hh.next)
         for (uint32_t i = 0; bd_drain_goes_on(drain) && i < drain->nmachines; i++)
-            n += wanted(drain, &drain->machines[i]) &&
+            n += wanted(core, drain, &drain->machines[i]) &&
                  (*drain->machines[i].replacement || *drain->machines[i].request);
     return n;
 }
@@ -162,7 +166,7 @@
     {
         for (uint32_t i = 0; bd_drain_goes_on(drain) && i < drain->nmachines; i++) {
             struct bd_drain_machine *m = &drain->machines[i];
-            if (!wanted(drain, m))
+            if (!wanted(core, drain, m))
                 continue;
             check(core, drain, m);
             if (open < most && core->lead.listed_once)
--- /dev/null
+++ b/tests/drain_check.h
@@ -0,0 +1,33 @@
+/* The checker of disruption: a history of replicas that run, are stopped and are lost, against the
+ * teams' budgets. */
+#ifndef BD_TESTS_DRAIN_CHECK_H
+#define BD_TESTS_DRAIN_CHECK_H
+#include <stdbool.h>
+#include <stdint.h>
+
+#define DRAIN_REPLICAS 512
+
+enum drain_replica_state { REPLICA_NONE, REPLICA_UP, REPLICA_STOPPED, REPLICA_LOST };
+
+struct drain_replica {
+    int job, team;
+    uint32_t task;
+    enum drain_replica_state state;
+    double since;
+};
+
+struct drain_check {
+    uint32_t budgets[2], most[2]; /* by team; most: that were down by our doing at once */
+    uint32_t stops;
+    struct drain_replica replicas[DRAIN_REPLICAS];
+    int n;
+};
+
+void drain_check_start(struct drain_check *c, const uint32_t *budgets);
+void drain_check_runs(struct drain_check *c, int job, uint32_t task, int team);
+void drain_check_lost(struct drain_check *c, double now, int job, uint32_t task);
+/* The job was ended by its user. */
+void drain_check_ended(struct drain_check *c, int job);
+/* False: more of the team are down than it declared. */
+bool drain_check_stopped(struct drain_check *c, double now, int job, uint32_t task);
+#endif
--- a/tests/scenario.c
+++ b/tests/scenario.c
@@ -1,14 +1,14 @@
 /* Plays a scenario, a small text file, against the core. One line, one step:
  *
- *   set lease=10 cancel=35 report=2 ttl=3 team=a:0:0:8:16 zones=a,b aim=k:150:0.9      settings, before
- * anything else type small cpus=8 gpus=0 mem=32 boot=10 zones=a,b at 12.5 the time, in seconds job
- * job-1 mark=5 tasks=2 cpus=2 ... [state=cancelled] [needs=job-2,job-3] [parts=HASH:N]   a record
- * change seen by the replica gain 1 [receipt=job-1/0:03] [intent=job-1:@1.1:vm-1:0,1] renew | lose
- * | looked [fail] | tick set zone=a peer=node-1:b; peer node-1 term=0 state=1 deaf=0 hears=1 age=0
- * a status frame of another controller leader node-1 7 (or - 0) [away=1] who holds the lease, by a
- * fresh refresh delegates [p/node-1:mark:vm-1,vm-2]                 the leader's look at the
- * delegates' records watch 28                                           as `at`, with such a
- * refresh every 2 s delegatecommitted STATUS [unknown]                   the fate of our own
+ *   set lease=10 cancel=35 report=2 ttl=3 team=a:0:0:8:16 zones=a,b aim=k:150:0.9      settings,
+ * before anything else type small cpus=8 gpus=0 mem=32 boot=10 zones=a,b at 12.5 the time, in
+ * seconds job job-1 mark=5 tasks=2 cpus=2 ... [state=cancelled] [needs=job-2,job-3] [parts=HASH:N]
+ * a record change seen by the replica gain 1 [receipt=job-1/0:03] [intent=job-1:@1.1:vm-1:0,1]
+ * renew | lose | looked [fail] | tick set zone=a peer=node-1:b; peer node-1 term=0 state=1 deaf=0
+ * hears=1 age=0 a status frame of another controller leader node-1 7 (or - 0) [away=1] who holds
+ * the lease, by a fresh refresh delegates [p/node-1:mark:vm-1,vm-2]                 the leader's
+ * look at the delegates' records watch 28                                           as `at`, with
+ * such a refresh every 2 s delegatecommitted STATUS [unknown]                   the fate of our own
  * delegate's record listed vm-1:small:a[:running|booting|failed] ...   a list of the cloud report
  * vm-1 small a session=1 seq=1 token=1 [notice=5] [job-1/0:@1.1:running ...] forwarded node-1 5
  * vm-1 small a session=1 ... a report that another controller passes on answered 1 200 {text} the
--- a/tests/sim_node.c
+++ b/tests/sim_node.c
@@ -11,6 +11,8 @@
             THEN_LIST,
             THEN_REFRESH,
             THEN_DELEGATES,
+            THEN_DRAINS,
+            THEN_DRAIN_SETS,
             THEN_SEE,
             THEN_LIVENESS,
             THEN_GRANT,
@@ -217,7 +219,7 @@
         return;
     n->next_status = s->now + 0.3;
     double age = bd_between(c->replica.refreshed_at, c->now);
-    uint8_t flags = BD_PEER_DEPS;
+    uint8_t flags = (uint8_t)(BD_PEER_DEPS | (s->draining ? BD_PEER_DRAINS : 0));
     flags |= c->role == BD_LEADER ? BD_PEER_LEADS : 0;
     flags |= bd_core_hears_leader(c) ? BD_PEER_HEARS : 0;
     flags |= c->role == BD_LEADER && c->lead.inbound_cut ? BD_PEER_INBOUND_CUT : 0;
@@ -261,6 +263,11 @@
         (void)call(s, n, SIM_LIST, THEN_DELEGATES, "p/", NULL, 1.5);
         return;
     }
+    if (s->draining && n->core->role == BD_LEADER && s->now > n->next_drains) {
+        n->next_drains = s->now + 1;
+        (void)call(s, n, SIM_LIST, THEN_DRAINS, BD_DRAIN_KEY, NULL, 1.5);
+        return;
+    }
     struct sim_call *c = call(s, n, SIM_REFRESH, THEN_REFRESH, NULL, NULL, 1.5);
     c->number = n->after;
     c->flag = n->want_barrier;
@@ -279,6 +286,24 @@
     }
 }
 
+/* The drains' records, and after them their machines' if those are not known. */
+static void drains_read(struct sim *s, struct sim_node *n, struct sim_call *c, long status,
+                        json_t *o)
+{
+    bool ignored, sets = c->then == THEN_DRAIN_SETS;
+    json_t *pairs = status == 200 ? bd_wire_pairs(o, &ignored) : NULL;
+    if (!sets && pairs && bd_drain_wants_sets(n->core)) {
+        json_decref(n->drains);
+        n->drains = json_incref(pairs);
+        n->refresh_out = true;
+        (void)call(s, n, SIM_LIST, THEN_DRAIN_SETS, BD_DRAIN_SET, NULL, 1.5);
+        return;
+    }
+    if (pairs)
+        bd_drain_records(n->core, sets ? n->drains : pairs, sets ? pairs : NULL);
+    wake(s, n, status == 200 ? 0.2 : 0.25, SIM_READER);
+}
+
 static void refreshed(struct sim *s, struct sim_node *n, struct sim_call *c, long status, json_t *o)
 {
     bool ignored;
@@ -562,6 +587,11 @@
     case THEN_DELEGATES:
         refreshed(s, n, c, status, o);
         break;
+    case THEN_DRAINS:
+    case THEN_DRAIN_SETS:
+        n->refresh_out = false;
+        drains_read(s, n, c, status, o);
+        break;
     case THEN_LIVENESS:
         if (status == 200)
             bd_core_liveness_written(n->core, c->sent);
@@ -883,6 +913,8 @@
     if (n->commit)
         bd_effect_free(n->commit);
     n->commit = NULL;
+    json_decref(n->drains);
+    n->drains = NULL;
     bd_core_free(n->core);
     n->core = NULL;
     n->epoch++;
--- a/tests/sim_state.c
+++ b/tests/sim_state.c
@@ -59,7 +59,7 @@
                    (long long)t, (long long)n0, (long long)t0);
     const char *name =
         leader ? json_string_value(json_object_get(leader->value, "node")) : "nobody";
-    if (strcmp(name, s->nodes[s->writer].settings.node) != 0)
+    if (s->writer >= 0 && strcmp(name, s->nodes[s->writer].settings.node) != 0)
         sim_broken(s, "deposed: %s writes while %s leads", s->nodes[s->writer].settings.node, name);
 }
 
--- a/tests/sim_work.c
+++ b/tests/sim_work.c
@@ -1,5 +1,6 @@
 /* Workers, as the protocol has them: sessions, numbers, tokens, leases, gangs that start and end
  * together. What starts or stays here is held against the rules. */
+#include "sim_drain.h"
 #include "simulation.h"
 #include <stdio.h>
 #include <stdlib.h>
@@ -25,7 +26,7 @@
     int up = 0;
     for (int i = 0; i < s->nworkers; i++)
         up += !s->workers[i].gone;
-    if (up >= 9)
+    if (up >= s->machines_most)
         return -1;
     struct sim_worker *w = &s->workers[s->nworkers];
     memset(w, 0, sizeof *w);
@@ -69,6 +70,7 @@
     if (j->cancelled_at > 0 && s->now > j->cancelled_at + s->lease_s + 2)
         s->late_starts++;
     j->machine[t->task] = at;
+    sim_drain_runs(s, t);
     j->on++;
     s->team_use[j->team] += j->cpus;
     if (s->team_use[j->team] <= s->team_max[j->team] + 1e-6)
@@ -127,8 +129,11 @@
 
 static void kill_all(struct sim *s, struct sim_worker *w)
 {
-    for (int i = 0; i < w->nslots; i++)
+    for (int i = 0; i < w->nslots; i++) {
+        if (w->slots[i].sub == BD_RUNNING)
+            sim_drain_lost(s, &w->slots[i]);
         off_machine(s, w, &w->slots[i]);
+    }
     w->nslots = 0;
 }
 
@@ -208,9 +213,11 @@
         struct sim_slot *t = slot_of(w, job, task, attempt);
         if (strcmp(verb, "launch") == 0)
             launch(s, w, job, task, attempt);
-        else if (strcmp(verb, "halt") == 0 && t && t->sub != BD_EXITED)
+        else if (strcmp(verb, "halt") == 0 && t && t->sub != BD_EXITED) {
+            if (t->sub == BD_RUNNING)
+                sim_drain_stopped(s, w, t);
             exits(s, w, t, BD_WHY_STOPPED);
-        else if (strcmp(verb, "forget") == 0 && t && t->sub == BD_EXITED)
+        } else if (strcmp(verb, "forget") == 0 && t && t->sub == BD_EXITED)
             *t = w->slots[--w->nslots];
     }
 }
--- a/tests/simulation.c
+++ b/tests/simulation.c
@@ -14,8 +14,15 @@
  * - late reports: copies SHARE FOR, next SHARE FOR (to all as the next leader begins)
  * - machines: hang N FOR, deaf N FOR, mute N FOR, cut N FOR, hold N FOR, die N
  * - controllers: crash WHO BACK, all BACK, stall WHO FOR (the process stands still)
- * - users: cancel N, burst N */
+ * - users: cancel N, burst N
+ * - administrators: drain N REPLACES (the first N machines that are up; 1: replaced), pause 0,
+ *   resume 0, calloff 0 (the newest drain)
+ *
+ * `simulation drains FROM N` draws days with drains. In a file `drains 1` switches them on,
+ * `machines N` is how many there are at first, `services N` how many services come first, and
+ * `budget A B` what each team bears. */
 #include "simulation.h"
+#include "sim_drain.h"
 #include "small.h"
 #include <math.h>
 #include <stdarg.h>
@@ -23,6 +30,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#define MACHINES 6 /* at first */
+#define SERVICES 3
 #define STEP_S 0.02
 #define QUIET_S 130.0 /* after the last fault all work is to be served */
 #define WAIT_S 90.0   /* and a lease that may have to lapse first */
@@ -35,8 +44,9 @@
         char verb[16], who[16];
         double a, b;
     } t[128];
-    int n, jobs;
-    bool small;
+    int n, jobs, machines, services;
+    int small, drains;
+    uint32_t budgets[2];
     double cancelled;
 };
 
@@ -241,7 +251,7 @@
     memset(j, 0, sizeof *j);
     snprintf(j->id, sizeof j->id, "job-%d", n);
     double kind = sim_rnd(s);
-    j->shape = n < 3 ? BD_SERVICE : kind < 0.2 ? BD_GANG : BD_ARRAY;
+    j->shape = n < p->services ? BD_SERVICE : kind < 0.2 ? BD_GANG : BD_ARRAY;
     j->team = n % 2;
     j->rank = j->shape == BD_SERVICE ? 3 : (int)(sim_rnd(s) * 3);
     j->tasks = j->shape == BD_ARRAY ? 1 + (uint32_t)(sim_rnd(s) * 5) : 2;
@@ -259,7 +269,7 @@
               : where < 0.1        ? "\"a\""
               : where < 0.2        ? "\"b\""
                                    : "null";
-    if (sim_rnd(s) < p->cancelled)
+    if (sim_rnd(s) < p->cancelled && !(p->drains && j->shape == BD_SERVICE))
         j->cancel_at = sim_rnd(s) < 0.2 ? -1 : s->now + at + sim_between(s, 0.1, 40);
     for (int i = 0; i < SIM_TASKS; i++)
         j->machine[i] = -1;
@@ -365,7 +375,15 @@
     else if (strcmp(t->verb, "burst") == 0) {
         for (int i = 0; i < (int)t->a; i++)
             new_job(s, p, sim_between(s, 0, 5));
-    } else
+    } else if (strcmp(t->verb, "drain") == 0)
+        sim_drain_ask(s, (uint32_t)t->a, t->b > 0);
+    else if (strcmp(t->verb, "pause") == 0)
+        sim_drain_change(s, BD_DRAIN_PAUSED);
+    else if (strcmp(t->verb, "resume") == 0)
+        sim_drain_change(s, BD_DRAIN_ACTIVE);
+    else if (strcmp(t->verb, "calloff") == 0)
+        sim_drain_change(s, BD_DRAIN_CALLED_OFF);
+    else
         machines(s, t);
 }
 
@@ -416,6 +434,8 @@
         settings->teams[k].cpus = 4;
         settings->teams[k].cpus_max = s->team_max[k];
     }
+    if (s->draining)
+        settings->draining = sim_drain_rules(s);
     s->nodes[i].log = (struct bd_log){BD_ERROR, s->nodes[i].settings.node};
 }
 
@@ -431,14 +451,17 @@
     s->lease_s = seed % 2 ? 10 : 32;
     s->cancel_s = seed % 2 ? 35 : 52;
     s->report_s = seed % 2 ? 2 : 3;
-    s->team_max[0] = 20;
-    s->team_max[1] = 16;
+    s->team_max[0] = 20.0 * p->machines / MACHINES;
+    s->team_max[1] = 16.0 * p->machines / MACHINES;
+    s->machines_most = p->machines * 3 / 2;
+    s->draining = p->drains != 0;
+    drain_check_start(&s->check, p->budgets);
     sim_state_start(s);
     for (int i = 0; i < SIM_NODES; i++) {
         settings(s, i);
         sim_node_start(s, i);
     }
-    for (int i = 0; i < 6; i++)
+    for (int i = 0; i < p->machines; i++)
         (void)sim_provision(s, i % 2 ? "b" : "a", 0.1);
     for (int i = 0; i < p->n; i++) {
         const struct trouble *t = &p->t[i];
@@ -447,6 +470,9 @@
         double lasts = shared || t->b > 0 ? t->b : t->a;
         if (strcmp(t->verb, "cancel") == 0 || strcmp(t->verb, "burst") == 0)
             lasts = 5;
+        bool asks = strcmp(t->verb, "drain") == 0;
+        if (asks)
+            lasts = 1;
         if (strcmp(t->verb, "copies") == 0)
             lasts += 25; /* the last copy's way */
         s->trouble_ends = fmax(s->trouble_ends, t->at + lasts);
@@ -548,7 +574,7 @@
             (j->shape == BD_SERVICE ? j->on < (int)j->tasks : j->done_at <= 0))
             return false;
     }
-    return true;
+    return sim_drains_over(s);
 }
 
 static void rules(struct sim *s)
@@ -575,12 +601,16 @@
             sim_broken(s, "not served: %s (%u tasks of %.0f, on %d)", j->id, j->tasks, j->cpus,
                        j->on);
     }
+    if (!sim_drains_over(s))
+        sim_broken(s, "a drain is not over");
 }
 
 static void finish(struct sim *s)
 {
     for (int i = 0; i < SIM_NODES; i++)
         sim_node_end(s, i);
+    for (int i = 0; i < SIM_NODES; i++)
+        free(s->nodes[i].settings.draining);
     while (s->queue) {
         struct sim_event *e = s->queue;
         s->queue = e->next;
@@ -633,11 +663,17 @@
             free(e);
         }
         sim_workers_tick(s);
+        if (s->now > s->trouble_ends && s->now < s->trouble_ends + 2 * STEP_S)
+            sim_drains_resume(s);
         rules(s);
     }
     if (s->broken == 0)
         at_the_end(s);
     int broken = s->broken;
+    if (s->draining)
+        printf("%d drains, %u stops of replicas, at most %u of %u and %u of %u down; ", s->ndrains,
+               s->check.stops, s->check.most[0], s->check.budgets[0], s->check.most[1],
+               s->check.budgets[1]);
     printf("%s seed %lu: %d jobs, %d starts, %d terms, %llu events, %d started long after a "
            "cancellation\n",
            broken ? "FAIL" : "ok  ", seed, s->njobs, s->starts, s->terms,
@@ -649,6 +685,16 @@
 
 /* ---- plans ---- */
 
+static void plain(struct plan *p, int jobs, double cancelled)
+{
+    memset(p, 0, sizeof *p);
+    p->jobs = jobs;
+    p->cancelled = cancelled;
+    p->machines = MACHINES;
+    p->services = SERVICES;
+    p->budgets[0] = p->budgets[1] = 1;
+}
+
 static void drawn(struct plan *p, unsigned long seed)
 {
     static const char *const verbs[] = {
@@ -660,9 +706,7 @@
     if (!r)
         abort();
     gsl_rng_set(r, seed * 104729 + 5);
-    memset(p, 0, sizeof *p);
-    p->jobs = 45;
-    p->cancelled = 0.3;
+    plain(p, 45, 0.3);
     double at = 12;
     while (at < 130 && p->n < 40) {
         struct trouble *t = &p->t[p->n++];
@@ -688,6 +732,37 @@
     gsl_rng_free(r);
 }
 
+/* A drawn day with more services, and drains among its troubles. */
+static void drawn_drains(struct plan *p, unsigned long seed)
+{
+    static const char *const verbs[] = {"drain", "drain", "drain", "pause", "calloff"};
+    drawn(p, seed);
+    gsl_rng *r = gsl_rng_alloc(gsl_rng_taus2);
+    if (!r)
+        abort();
+    gsl_rng_set(r, seed * 15485863 + 3);
+    p->drains = 1;
+    p->services = 12;
+    p->machines = 2 * MACHINES;
+    p->budgets[0] = 1 + (uint32_t)gsl_rng_uniform_int(r, 3);
+    p->budgets[1] = 1 + (uint32_t)gsl_rng_uniform_int(r, 3);
+    for (double at = 20; at < 130 && p->n < 60; at += 5 + 30 * gsl_rng_uniform(r)) {
+        struct trouble *t = &p->t[p->n++];
+        const char *v = verbs[gsl_rng_uniform_int(r, 5)];
+        snprintf(t->verb, sizeof t->verb, "%s", v);
+        t->at = at;
+        t->a = *v == 'd' ? 1 + floor(10 * gsl_rng_uniform(r)) : 1;
+        t->b = gsl_rng_uniform(r) < 0.5;
+        if (*v != 'p')
+            continue;
+        struct trouble *back = &p->t[p->n++];
+        *back = *t;
+        snprintf(back->verb, sizeof back->verb, "resume");
+        back->at = at + 10 * gsl_rng_uniform(r);
+    }
+    gsl_rng_free(r);
+}
+
 static bool has_who(const char *verb)
 {
     return strcmp(verb, "refuse") == 0 || strcmp(verb, "peers") == 0 ||
@@ -698,18 +773,21 @@
 static bool read_plan(struct plan *p, const char *path)
 {
     char line[256];
-    int at_line = 0, small = 0;
+    int at_line = 0;
     FILE *f = fopen(path, "r");
-    memset(p, 0, sizeof *p);
-    p->jobs = 40;
-    p->cancelled = 0.25;
+    plain(p, 40, 0.25);
     bool good = f != NULL;
     while (f && good && fgets(line, sizeof line, f)) {
         struct trouble *t = &p->t[p->n];
         at_line++;
         if (line[0] == '#' || line[strspn(line, " \n")] == '\0')
             continue;
-        if (sscanf(line, "small %d", &small) == 1 || sscanf(line, "jobs %d", &p->jobs) == 1 ||
+        if (sscanf(line, "small %d", &p->small) == 1 ||
+            sscanf(line, "drains %d", &p->drains) == 1 ||
+            sscanf(line, "machines %d", &p->machines) == 1 ||
+            sscanf(line, "services %d", &p->services) == 1 ||
+            sscanf(line, "budget %u %u", &p->budgets[0], &p->budgets[1]) == 2 ||
+            sscanf(line, "jobs %d", &p->jobs) == 1 ||
             sscanf(line, "cancelled %lf", &p->cancelled) == 1)
             continue;
         char rest[128] = "";
@@ -720,7 +798,6 @@
             good = sscanf(rest, "%lf %lf", &t->a, &t->b) >= 1;
         p->n++;
     }
-    p->small = small != 0;
     if (!good)
         fprintf(stderr, "%s:%d: not a day\n", path, at_line);
     if (f)
@@ -733,16 +810,22 @@
     static struct plan p;
     int failed = 0;
     (void)setvbuf(stdout, NULL, _IONBF, 0); /* in step with the log */
-    if (argc == 4 && strcmp(argv[1], "random") == 0) {
+    void (*draw)(struct plan *, unsigned long) =
+        argc >= 3 && (strcmp(argv[1], "drains") == 0 || strcmp(argv[2], "drains") == 0)
+            ? drawn_drains
+            : drawn;
+    if (argc == 2 && strcmp(argv[1], "checker") == 0)
+        return drain_check_works() ? 0 : 1;
+    if (argc == 4 && (strcmp(argv[1], "random") == 0 || strcmp(argv[1], "drains") == 0)) {
         unsigned long from = strtoul(argv[2], NULL, 10), n = strtoul(argv[3], NULL, 10);
         for (unsigned long i = from; i < from + n; i++) {
-            drawn(&p, i);
+            draw(&p, i);
             failed += play(&p, i, false, false) != 0;
         }
     } else if (argc >= 4 && strcmp(argv[1], "seed") == 0) {
         unsigned long seed = strtoul(argv[3], NULL, 10);
-        if (strcmp(argv[2], "random") == 0)
-            drawn(&p, seed);
+        if (strcmp(argv[2], "random") == 0 || strcmp(argv[2], "drains") == 0)
+            draw(&p, seed);
         else if (!read_plan(&p, argv[2]))
             return 2;
         failed += play(&p, seed, true, argc > 4) != 0;
--- a/tests/simulation.h
+++ b/tests/simulation.h
@@ -5,6 +5,8 @@
 #define BD_TESTS_SIM_H
 #include "brambledoor/log.h"
 #include "core.h"
+#include "drain/drain.h"
+#include "drain_check.h"
 #include "frame.h"
 #include "key_table.h"
 #include "timeutil.h"
@@ -12,7 +14,7 @@
 #include <jansson.h>
 
 #define SIM_NODES 4
-#define SIM_MACHINES 48
+#define SIM_MACHINES 160
 #define SIM_JOBS 700
 #define SIM_TASKS 8   /* of a job */
 #define SIM_SLOTS 400 /* what a worker knows */
@@ -84,7 +86,8 @@
     /* reader */
     uint64_t after;
     bool list_again, want_barrier, refresh_out, reads_refused;
-    double next_delegates;
+    double next_delegates, next_drains;
+    json_t *drains; /* as listed, while the machines' records are read */
     /* seat */
     bool leading, election_out, step_down;
     char nonce[BD_LABEL];
@@ -163,6 +166,9 @@
     int njobs;
     double lease_s, cancel_s, report_s, team_max[2], team_use[2];
     int broken, starts, late_starts, terms;
+    bool draining;
+    int machines_most, ndrains; /* up at once; drains that were asked for */
+    struct drain_check check;
     bool loud;
 };
 
