--- a/tests/scenario.c
+++ b/tests/scenario.c
@@ -968,7 +968,9 @@
         seen->task = m->refs[k].task;
         seen->attempt = t->attempt;
         bool stops = t->flags & BD_F_STOP && !yes(p, "deaf");
-        seen->sub = stops ? BD_EXITED : BD_RUNNING;
+        const char *fetches = arg(p, "fetches");
+        bool waits = fetches && strcmp(fetches, id) == 0 && t->sub != BD_RUNNING;
+        seen->sub = stops ? BD_EXITED : waits ? BD_FETCHING : BD_RUNNING;
         seen->why = stops ? BD_WHY_STOPPED : BD_WHY_NONE;
     }
 }
@@ -1015,8 +1017,8 @@
     }
 }
 
-/* passes S [vm-1 ...] [mute=vm-2]: those machines report each second as `running` does; direct
- * commands to the one that is mute get no answer */
+/* passes S [vm-1 ...] [mute=vm-2] [fetches=vm-3]: those machines report each second as `running` does; direct
+ * commands to the one that is mute get no answer; nothing begins to run on one that fetches */
 static void cmd_passes(struct play *p)
 {
     double now = bd_to_secs(p->c->now) - 100, to = now + strtod(p->w[1], NULL);
