--- a/tests/scenario.c
+++ b/tests/scenario.c
@@ -1017,8 +1017,9 @@
     }
 }
 
-/* passes S [vm-1 ...] [mute=vm-2] [fetches=vm-3]: those machines report each second as `running` does; direct
- * commands to the one that is mute get no answer; nothing begins to run on one that fetches */
+/* passes S [vm-1 ...] [mute=vm-2] [fetches=vm-3]: those machines report each second as `running`
+ * does; direct commands to the one that is mute get no answer; nothing begins to run on one that
+ * fetches */
 static void cmd_passes(struct play *p)
 {
     double now = bd_to_secs(p->c->now) - 100, to = now + strtod(p->w[1], NULL);
