--- a/src/drain/drain.c
+++ b/src/drain/drain.c
@@ -49,7 +49,7 @@
     return m->stage == BD_STAGE_RETURNED || m->stage == BD_STAGE_FAILED;
 }
 
-struct bd_machine *bd_drain_machine_of(struct bd_core *core, const char *id)
+struct bd_machine *bd_drain_machine_named(struct bd_core *core, const char *id)
 {
     struct bd_machine *machine = NULL;
     HASH_FIND_STR(core->machines, id, machine);
@@ -59,9 +59,8 @@
 bool bd_drain_mirrors(const struct bd_core *core, const struct bd_drain_machine *m)
 {
     const struct bd_drains *drains = core->drains;
-    struct bd_machine *machine = NULL;
-    HASH_FIND_STR(core->machines, m->id, machine);
-    return machine && machine->index < drains->nowners && drains->owners[machine->index] != m;
+    return m->machine && m->machine->index < drains->nowners &&
+           drains->owners[m->machine->index] != m;
 }
 
 bool bd_drain_cordoned(const struct bd_core *core, const struct bd_machine *machine)
@@ -192,7 +191,7 @@
 
 static void follow(struct bd_core *core, struct bd_drain *drain, struct bd_drain_machine *m)
 {
-    struct bd_machine *machine = bd_drain_machine_of(core, m->id);
+    struct bd_machine *machine = m->machine;
     if (machine ? machine->gone : lists_are_complete(core)) {
         machine_gone(core, drain, m);
         return;
@@ -212,9 +211,11 @@
 static void own(struct bd_core *core, struct bd_drain *drain, struct bd_drain_machine *m)
 {
     struct bd_drains *drains = core->drains;
-    struct bd_machine *machine = bd_drain_machine_of(core, m->id);
+    if (!m->machine) /* machines stay in memory as long as the term */
+        m->machine = bd_drain_machine_named(core, m->id);
+    struct bd_machine *machine = m->machine;
     struct bd_machine *replacement =
-        *m->replacement ? bd_drain_machine_of(core, m->replacement) : NULL;
+        *m->replacement ? bd_drain_machine_named(core, m->replacement) : NULL;
     if (replacement)
         roaring_bitmap_add(drains->kept, replacement->index);
     if (!machine || machine->gone)
@@ -232,7 +233,7 @@
 /* Of two drains that cover a machine the first by name drives it, the other shows the same. */
 static void mirror(struct bd_core *core, struct bd_drain *drain, struct bd_drain_machine *m)
 {
-    const struct bd_machine *machine = bd_drain_machine_of(core, m->id);
+    const struct bd_machine *machine = m->machine;
     if (!machine || !bd_drain_mirrors(core, m) || !core->drains->owners[machine->index])
         return;
     const struct bd_drain_machine *owner = core->drains->owners[machine->index];
@@ -420,7 +421,7 @@
     {
         for (uint32_t i = 0; bd_drain_goes_on(drain) && i < drain->nmachines; i++) {
             const struct bd_drain_machine *m = &drain->machines[i];
-            const struct bd_machine *machine = bd_drain_machine_of(core, m->id);
+            const struct bd_machine *machine = m->machine;
             if (m->wait != BD_DRAIN_WAIT_ROOM || !machine ||
                 machines++ >= core->drains->rules->machines_in_step)
                 continue;
--- a/src/drain/drain.h
+++ b/src/drain/drain.h
@@ -118,6 +118,7 @@
 /* One machine of a drain. */
 struct bd_drain_machine {
     char id[BD_LABEL];
+    struct bd_machine *machine; /* as leader, once it is known; NULL: not yet */
     char replacement[BD_LABEL]; /* empty: none */
     char team[BD_NAME];         /* whose budget it waits for */
     enum bd_drain_stage stage, recorded, sent;
--- a/src/drain/drain_internal.h
+++ b/src/drain/drain_internal.h
@@ -174,7 +174,7 @@
 /* Whether nothing happens to the machine any more. */
 bool bd_drain_final(const struct bd_drain_machine *m);
 /* The machine if it is known by now, or NULL. */
-struct bd_machine *bd_drain_machine_of(struct bd_core *core, const char *id);
+struct bd_machine *bd_drain_machine_named(struct bd_core *core, const char *id);
 /* Whether another drain's entry drives the machine. */
 bool bd_drain_mirrors(const struct bd_core *core, const struct bd_drain_machine *m);
 
--- a/src/drain/plan.c
+++ b/src/drain/plan.c
@@ -69,7 +69,7 @@
  * at the last moment, with all that was told before. */
 static void tell(struct bd_core *core, struct bd_drain *drain, struct bd_drain_machine *m)
 {
-    struct bd_machine *machine = bd_drain_machine_of(core, m->id);
+    struct bd_machine *machine = m->machine;
     const char *team = "";
     bool silent = !machine || machine->gone || !machine->fenced || bd_overdue(core, machine);
     if (silent || drain->record.state == BD_DRAIN_PAUSED) {
@@ -150,7 +150,7 @@
             const struct bd_drain_machine *m = &drain->machines[i];
             bool busy = m->stage == BD_STAGE_STOPPING ||
                         (m->stage == BD_STAGE_EMPTY && drain->record.mode == BD_DRAIN_REPLACE);
-            const struct bd_machine *machine = bd_drain_machine_of(core, m->id);
+            const struct bd_machine *machine = m->machine;
             if (!busy || !machine || bd_drain_mirrors(core, m))
                 continue;
             in_step++;
@@ -204,7 +204,7 @@
 static void consider(struct choice *choice, struct bd_drain *drain, struct bd_drain_machine *m)
 {
     struct bd_core *core = choice->core;
-    struct bd_machine *machine = bd_drain_machine_of(core, m->id);
+    struct bd_machine *machine = m->machine;
     enum bd_drain_wait wait = not_ready(core, drain, m, machine);
     uint32_t budget = 0;
     if (wait != BD_DRAIN_WAIT_NOTHING || choice->problem.n == CANDIDATES_MOST) {
--- a/src/drain/replacement.c
+++ b/src/drain/replacement.c
@@ -21,7 +21,8 @@
 
 bool bd_replacement_up(struct bd_core *core, const struct bd_drain_machine *m)
 {
-    struct bd_machine *machine = *m->replacement ? bd_drain_machine_of(core, m->replacement) : NULL;
+    struct bd_machine *machine =
+        *m->replacement ? bd_drain_machine_named(core, m->replacement) : NULL;
     return machine && bd_machine_usable(core, machine);
 }
 
@@ -37,7 +38,7 @@
 {
     if (!bd_replacement_up(core, m))
         return false;
-    const struct bd_machine *machine = bd_drain_machine_of(core, m->replacement);
+    const struct bd_machine *machine = bd_drain_machine_named(core, m->replacement);
     for (uint32_t k = 0; k < machine->nrefs; k++)
         if (bd_ledger_is_up(&core->drains->ledger, machine->refs[k].job, machine->refs[k].task))
             return true;
@@ -61,7 +62,7 @@
         return;
     if (bd_is_zero(m->asked)) /* an earlier leader asked for it */
         m->asked = core->now;
-    const struct bd_machine *machine = bd_drain_machine_of(core, m->replacement);
+    const struct bd_machine *machine = bd_drain_machine_named(core, m->replacement);
     /* another drain may cover the replacement itself */
     bool lost = machine && (machine->gone || machine->failed || machine->bad ||
                             machine->returning || bd_drain_cordoned(core, machine));
@@ -133,7 +134,7 @@
 static bool join(struct bd_core *core, struct group *groups, uint32_t *n,
                  struct bd_drain_machine *m)
 {
-    const struct bd_machine *machine = bd_drain_machine_of(core, m->id);
+    const struct bd_machine *machine = m->machine;
     struct pool pool;
     if (!machine || machine->gone || machine->type < 0 || machine->zone < 0 || *m->replacement ||
         *m->request || bd_drain_mirrors(core, m) || !choose_pool(core, m, machine, &pool))
