One count of a team's limit for placement and the fleet; names that one file uses are static

Left by earlier work: quota_left and under_quota counted the same with different rounding; bd_gain.clean was set by nobody.

--- a/src/autoscaler.c
+++ b/src/autoscaler.c
@@ -51,13 +51,13 @@
     return &d->bins[d->n++];
 }
 
-bool bd_booting(const struct bd_core *core, const struct bd_machine *machine)
+static bool booting(const struct bd_core *core, const struct bd_machine *machine)
 {
     return !machine->gone && !machine->returning && !machine->failed && !machine->session &&
            machine->type >= 0 && machine->zone >= 0 && core->types[machine->type].known;
 }
 
-double bd_machine_age(const struct bd_core *core, const struct bd_machine *machine)
+static double machine_age(const struct bd_core *core, const struct bd_machine *machine)
 {
     return machine->age_at_known + bd_between(machine->age_known, core->now);
 }
@@ -67,9 +67,8 @@
     struct bd_core *core = d->core;
     for (uint32_t i = 0; i < core->nmachines; i++) {
         struct bd_machine *machine = core->by_index[i];
-        if (bd_booting(core, machine) &&
-            bd_machine_age(core, machine) <
-                BOOT_HOPE * core->types[machine->type].boot + BOOT_EXTRA_S)
+        if (booting(core, machine) &&
+            machine_age(core, machine) < BOOT_HOPE * core->types[machine->type].boot + BOOT_EXTRA_S)
             (void)add_bin(d, machine->type, machine->zone, machine->spot, false);
     }
     for (int k = 0; k < core->cloud.nprovisions; k++)
@@ -137,13 +136,8 @@
 
 static uint32_t under_quota(struct demand *d, const struct bd_spec *spec, uint32_t n)
 {
-    const struct bd_team_limits *t = &d->core->settings->teams[spec->team];
-    if (t->cpus_max > 0 && spec->cpus > 0)
-        n = (uint32_t)fmin(n,
-                           fmax(0, floor((t->cpus_max - d->team_cpus[spec->team]) / spec->cpus)));
-    if (t->gpus_max > 0 && spec->gpus > 0)
-        n = (uint32_t)fmin(n,
-                           fmax(0, floor((t->gpus_max - d->team_gpus[spec->team]) / spec->gpus)));
+    n = bd_team_room(&d->core->settings->teams[spec->team], d->team_cpus[spec->team],
+                     d->team_gpus[spec->team], spec, n);
     d->team_cpus[spec->team] += n * spec->cpus;
     d->team_gpus[spec->team] += n * spec->gpus;
     return n;
@@ -379,8 +373,8 @@
 
 static bool boot_given_up(const struct bd_core *core, const struct bd_machine *machine)
 {
-    return bd_booting(core, machine) && machine->nrefs == 0 &&
-           bd_machine_age(core, machine) >
+    return booting(core, machine) && machine->nrefs == 0 &&
+           machine_age(core, machine) >
                BOOT_PATIENCE * core->types[machine->type].boot + BOOT_EXTRA_S;
 }
 
--- a/src/autoscaler_internal.h
+++ b/src/autoscaler_internal.h
@@ -7,8 +7,6 @@
 void bd_pool_back_off(struct bd_core *core, struct bd_pool *k);
 /* The request's name, or NULL: too many are open. */
 const char *bd_provision_request(struct bd_core *core, int type, int zone, bool spot, int count);
-bool bd_booting(const struct bd_core *core, const struct bd_machine *machine);
-double bd_machine_age(const struct bd_core *core, const struct bd_machine *machine);
 bool bd_only_services(const struct bd_core *core, const struct bd_machine *machine,
                       double *services);
 void bd_gather(struct bd_core *core);
--- a/src/leadership.h
+++ b/src/leadership.h
@@ -30,7 +30,6 @@
     uint64_t term, grant, sequence_revision, sequence;
     const char *nonce;
     struct timespec renewed; /* when the request that made the grant was sent */
-    bool clean;              /* taken over without waiting for the old grant's end */
     json_t *receipts;        /* arrays of pairs */
     json_t *intents;
 };
--- a/src/place.c
+++ b/src/place.c
@@ -31,7 +31,7 @@
     return (struct room){room.cpus - held.cpus, room.gpus - held.gpus, room.mem - held.mem};
 }
 
-uint32_t bd_fit_one(double have, double need, uint32_t most)
+static uint32_t fit_one(double have, double need, uint32_t most)
 {
     if (need <= 0)
         return most;
@@ -41,9 +41,9 @@
 
 uint32_t bd_fit(struct room r, const struct bd_spec *spec, uint32_t most)
 {
-    most = bd_fit_one(r.cpus, spec->cpus, most);
-    most = bd_fit_one(r.gpus, spec->gpus, most);
-    return bd_fit_one(r.mem, spec->mem, most);
+    most = fit_one(r.cpus, spec->cpus, most);
+    most = fit_one(r.gpus, spec->gpus, most);
+    return fit_one(r.mem, spec->mem, most);
 }
 
 bool bd_allowed(const struct bd_spec *spec, int type, int zone, bool spot)
@@ -52,16 +52,23 @@
            (spec->spot || !spot);
 }
 
-static uint32_t quota_left(const struct bd_core *core, const struct bd_spec *spec, uint32_t most)
+uint32_t bd_team_room(const struct bd_team_limits *team, double cpus, double gpus,
+                      const struct bd_spec *spec, uint32_t most)
 {
-    const struct bd_team_limits *t = &core->settings->teams[spec->team];
-    if (t->cpus_max > 0)
-        most = bd_fit_one(t->cpus_max - core->team_cpus[spec->team], spec->cpus, most);
-    if (t->gpus_max > 0)
-        most = bd_fit_one(t->gpus_max - core->team_gpus[spec->team], spec->gpus, most);
+    if (team->cpus_max > 0)
+        most = fit_one(team->cpus_max - cpus, spec->cpus, most);
+    if (team->gpus_max > 0)
+        most = fit_one(team->gpus_max - gpus, spec->gpus, most);
     return most;
 }
 
+static uint32_t quota_left(const struct bd_core *core, const struct bd_spec *spec, uint32_t most)
+{
+    int team = spec->team;
+    return bd_team_room(&core->settings->teams[team], core->team_cpus[team], core->team_gpus[team],
+                        spec, most);
+}
+
 /* Tasks of the job per zone, counting all that hold a place, unknown and stopping ones too. */
 void bd_zone_counts(struct bd_core *core, const struct bd_job *job, uint32_t *n)
 {
--- a/src/placement_internal.h
+++ b/src/placement_internal.h
@@ -39,7 +39,6 @@
     double not_spot;            /* what an ordinary machine costs it that a spot one would not */
 };
 struct room bd_unclaimed_room(const struct round *r, const struct bd_machine *machine);
-uint32_t bd_fit_one(double have, double need, uint32_t most);
 uint32_t bd_fit(struct room r, const struct bd_spec *spec, uint32_t most);
 void bd_zone_counts(struct bd_core *core, const struct bd_job *job, uint32_t *n);
 uint32_t bd_zone_left(const struct bd_core *core, const struct bd_job *job, const uint32_t *n,
