--- a/tests/scenario.c
+++ b/tests/scenario.c
@@ -36,41 +36,22 @@
  *   limits BYTES CHANGES  the largest value and transaction are these now
  *
  * @T.N is the N-th attempt of term T. LOG_LEVEL shows the core's log. */
-#include "brambledoor/log.h"
-#include "core.h"
 #include "drain/drain.h"
 #include "frame.h"
+#include "scenario_play.h"
 #include "small.h"
 #include "timeutil.h"
-#include <sexp.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
-#define WORDS 64
-
-struct play {
-    struct bd_settings settings;
-    struct bd_log log;
-    struct bd_core *c;
-    struct bd_effect *left;
-    char *w[WORDS];
-    int n, line, faults;
-    const char *path, *raw;
-    uint64_t store_revision;
-    uint64_t token_out;
-    struct bd_effect *user; /* the user's transaction in flight */
-    json_t *drains, *sets;  /* their records */
-    uint64_t report_seq;
-};
-
-static void fail(struct play *p, const char *what)
+void play_fail(struct play *p, const char *what)
 {
     fprintf(stderr, "%s:%d: %s: %s\n", p->path, p->line, what, p->raw);
     p->faults++;
 }
 
-static const char *arg(struct play *p, const char *key)
+const char *play_arg(struct play *p, const char *key)
 {
     size_t k = strlen(key);
     for (int i = 1; i < p->n; i++)
@@ -79,9 +60,9 @@
     return NULL;
 }
 
-static double num(struct play *p, const char *key, double otherwise)
+double play_num(struct play *p, const char *key, double otherwise)
 {
-    const char *s = arg(p, key);
+    const char *s = play_arg(p, key);
     return s ? strtod(s, NULL) : otherwise;
 }
 
@@ -131,37 +112,37 @@
 
 static void cmd_set(struct play *p)
 {
-    p->settings.lease = bd_secs(num(p, "lease", bd_to_secs(p->settings.lease)));
-    p->settings.cancel = bd_secs(num(p, "cancel", bd_to_secs(p->settings.cancel)));
-    p->settings.report = bd_secs(num(p, "report", bd_to_secs(p->settings.report)));
-    p->settings.leader_ttl = bd_secs(num(p, "ttl", bd_to_secs(p->settings.leader_ttl)));
-    p->settings.txn_ops = (size_t)num(p, "ops", (double)p->settings.txn_ops);
-    p->settings.value_bytes = (size_t)num(p, "value", (double)p->settings.value_bytes);
-    p->settings.state_write_rps = num(p, "writes", p->settings.state_write_rps);
-    const char *t = arg(p, "team"), *peer = arg(p, "peer");
+    p->settings.lease = bd_secs(play_num(p, "lease", bd_to_secs(p->settings.lease)));
+    p->settings.cancel = bd_secs(play_num(p, "cancel", bd_to_secs(p->settings.cancel)));
+    p->settings.report = bd_secs(play_num(p, "report", bd_to_secs(p->settings.report)));
+    p->settings.leader_ttl = bd_secs(play_num(p, "ttl", bd_to_secs(p->settings.leader_ttl)));
+    p->settings.txn_ops = (size_t)play_num(p, "ops", (double)p->settings.txn_ops);
+    p->settings.value_bytes = (size_t)play_num(p, "value", (double)p->settings.value_bytes);
+    p->settings.state_write_rps = play_num(p, "writes", p->settings.state_write_rps);
+    const char *t = play_arg(p, "team"), *peer = play_arg(p, "peer");
     if (peer) {
         struct bd_peer *b = &p->settings.peers[p->settings.npeers++];
         (void)sscanf(peer, "%63[^:]:%63s", b->name, b->zone);
     }
     char zones[128];
-    snprintf(zones, sizeof zones, "%s", arg(p, "zones") ? arg(p, "zones") : "");
+    snprintf(zones, sizeof zones, "%s", play_arg(p, "zones") ? play_arg(p, "zones") : "");
     for (char *s = NULL, *z = strtok_r(zones, ",", &s); z; z = strtok_r(NULL, ",", &s))
         snprintf(p->settings.zones[p->settings.nzones++], BD_NAME, "%s", z);
-    const char *aim = arg(p, "aim");
+    const char *aim = play_arg(p, "aim");
     if (aim) {
         struct bd_aim *a = &p->settings.aims[p->settings.naims++];
         if (sscanf(aim, "%63[^:]:%lf:%lf", a->job_class, &a->within_s, &a->share) != 3)
-            fail(p, "aim");
+            play_fail(p, "aim");
         a->kind = BD_AIM_WAIT;
     }
-    if (arg(p, "zone"))
-        snprintf(p->settings.zone, sizeof p->settings.zone, "%s", arg(p, "zone"));
+    if (play_arg(p, "zone"))
+        snprintf(p->settings.zone, sizeof p->settings.zone, "%s", play_arg(p, "zone"));
     if (t) {
         struct bd_team_limits *l = &p->settings.teams[p->settings.nteams++];
         char name[BD_NAME];
         if (sscanf(t, "%63[^:]:%lf:%lf:%lf:%lf", name, &l->cpus, &l->cpus_max, &l->gpus,
                    &l->gpus_max) != 5)
-            fail(p, "team");
+            play_fail(p, "team");
         snprintf(l->name, sizeof l->name, "%s", name);
     }
 }
@@ -170,51 +151,52 @@
 {
     struct bd_type_text t = {0};
     snprintf(t.label, sizeof t.label, "%s", p->w[1]);
-    t.cpus = num(p, "cpus", 8);
-    t.gpus = num(p, "gpus", 0);
-    t.mem = num(p, "mem", 64);
-    t.price = num(p, "price", 1);
-    t.spot_price = num(p, "spot", t.price / 3);
-    t.boot = num(p, "boot", 10);
+    t.cpus = play_num(p, "cpus", 8);
+    t.gpus = play_num(p, "gpus", 0);
+    t.mem = play_num(p, "mem", 64);
+    t.price = play_num(p, "price", 1);
+    t.spot_price = play_num(p, "spot", t.price / 3);
+    t.boot = play_num(p, "boot", 10);
     t.fetch = 1;
     t.cache_gb = 50;
     char zones[128];
-    snprintf(zones, sizeof zones, "%s", arg(p, "zones") ? arg(p, "zones") : "a,b");
+    snprintf(zones, sizeof zones, "%s", play_arg(p, "zones") ? play_arg(p, "zones") : "a,b");
     for (char *s = NULL, *z = strtok_r(zones, ",", &s); z; z = strtok_r(NULL, ",", &s))
         snprintf(t.zones[t.nzones++], BD_LABEL, "%s", z);
     bd_core_types(p->c, &t, 1);
 }
 
-static bool yes(struct play *p, const char *key)
+bool play_yes(struct play *p, const char *key)
 {
-    return num(p, key, 0) != 0;
+    return play_num(p, key, 0) != 0;
 }
 
 static void spec(struct play *p, struct bd_spec_text *s)
 {
     memset(s, 0, sizeof *s);
-    snprintf(s->job_class, sizeof s->job_class, "%s", arg(p, "class") ? arg(p, "class") : "k");
-    snprintf(s->team, sizeof s->team, "%s", arg(p, "team") ? arg(p, "team") : "a");
-    snprintf(s->image, sizeof s->image, "%s", arg(p, "image") ? arg(p, "image") : "img");
-    s->image_gb = num(p, "gb", 0);
-    if (arg(p, "zone"))
-        snprintf(s->zone, sizeof s->zone, "%s", arg(p, "zone"));
+    snprintf(s->job_class, sizeof s->job_class, "%s",
+             play_arg(p, "class") ? play_arg(p, "class") : "k");
+    snprintf(s->team, sizeof s->team, "%s", play_arg(p, "team") ? play_arg(p, "team") : "a");
+    snprintf(s->image, sizeof s->image, "%s", play_arg(p, "image") ? play_arg(p, "image") : "img");
+    s->image_gb = play_num(p, "gb", 0);
+    if (play_arg(p, "zone"))
+        snprintf(s->zone, sizeof s->zone, "%s", play_arg(p, "zone"));
     s->ntypes = -1;
-    const char *shape = arg(p, "shape");
+    const char *shape = play_arg(p, "shape");
     if (shape)
         s->shape = *shape == 'g' ? BD_GANG : *shape == 's' ? BD_SERVICE : BD_ARRAY;
-    s->rank = (enum bd_rank)num(p, "rank", BD_STANDARD);
-    s->tasks = (uint32_t)num(p, "tasks", 1);
-    s->cpus = num(p, "cpus", 1);
-    s->gpus = num(p, "gpus", 0);
-    s->mem = num(p, "mem", 1);
-    s->checkpoint = num(p, "checkpoint", 0);
-    s->save = num(p, "save", 0);
-    s->due = num(p, "due", -1);
-    s->estimate = num(p, "guess", 0);
-    s->scatter = yes(p, "scatter");
-    s->together = yes(p, "together");
-    s->spot = yes(p, "spot");
+    s->rank = (enum bd_rank)play_num(p, "rank", BD_STANDARD);
+    s->tasks = (uint32_t)play_num(p, "tasks", 1);
+    s->cpus = play_num(p, "cpus", 1);
+    s->gpus = play_num(p, "gpus", 0);
+    s->mem = play_num(p, "mem", 1);
+    s->checkpoint = play_num(p, "checkpoint", 0);
+    s->save = play_num(p, "save", 0);
+    s->due = play_num(p, "due", -1);
+    s->estimate = play_num(p, "guess", 0);
+    s->scatter = play_yes(p, "scatter");
+    s->together = play_yes(p, "together");
+    s->spot = play_yes(p, "spot");
 }
 
 static json_t *names_in(const char *list)
@@ -233,7 +215,7 @@
     char key[BD_LABEL + 8];
     snprintf(key, sizeof key, "j/%s", p->w[1]);
     json_t *v = bd_wire_prerequisites_part(names_in(p->n > 2 ? p->w[2] : ""));
-    struct bd_change ch = {key, v, (uint64_t)num(p, "mark", 1)};
+    struct bd_change ch = {key, v, (uint64_t)play_num(p, "mark", 1)};
     bd_core_change(p->c, &ch);
     json_decref(v);
 }
@@ -245,7 +227,7 @@
     const char *text = strchr(p->raw, '{');
     json_t *v = text ? json_loads(text, 0, NULL) : NULL;
     if (!v)
-        fail(p, "not JSON");
+        play_fail(p, "not JSON");
     snprintf(key, sizeof key, "j/%s", p->w[1]);
     struct bd_change ch = {key, v, strtoull(p->w[2], NULL, 10)};
     bd_core_change(p->c, &ch);
@@ -259,36 +241,36 @@
     struct bd_job *j = NULL;
     HASH_FIND_STR(p->c->jobs, p->w[1], j);
     if (!j) {
-        fail(p, "no such job");
+        play_fail(p, "no such job");
         return;
     }
     bd_core_weigh(p->c);
     if (strcmp(state_names[j->state], p->w[2]) != 0)
-        fail(p, state_names[j->state]);
-    if (num(p, "rank", j->rank) != (double)j->rank)
-        fail(p, "another rank");
-    if (num(p, "ready", j->open == 0) != (double)(j->open == 0))
-        fail(p, "its readiness is otherwise");
+        play_fail(p, state_names[j->state]);
+    if (play_num(p, "rank", j->rank) != (double)j->rank)
+        play_fail(p, "another rank");
+    if (play_num(p, "ready", j->open == 0) != (double)(j->open == 0))
+        play_fail(p, "its readiness is otherwise");
 }
 
 static void cmd_job(struct play *p)
 {
-    struct bd_record r = {.state = BD_LIVE, .at = num(p, "mark", 1), .has_spec = true};
-    const char *state = arg(p, "state");
+    struct bd_record r = {.state = BD_LIVE, .at = play_num(p, "mark", 1), .has_spec = true};
+    const char *state = play_arg(p, "state");
     char key[BD_LABEL];
     spec(p, &r.spec);
     r.tasks = r.spec.tasks;
     if (state)
         r.state = strcmp(state, "done") == 0 ? BD_DONE : BD_CANCELLED;
     snprintf(key, sizeof key, "j/%s", p->w[1]);
-    json_t *names = arg(p, "needs") ? names_in(arg(p, "needs")) : NULL;
+    json_t *names = play_arg(p, "needs") ? names_in(play_arg(p, "needs")) : NULL;
     r.prerequisites.names = names;
-    if (arg(p, "parts") &&
-        sscanf(arg(p, "parts"), "%15[^:]:%u", r.prerequisites.of, &r.prerequisites.parts) != 2)
-        fail(p, "parts");
-    r.end = num(p, "end", 0);
+    if (play_arg(p, "parts") &&
+        sscanf(play_arg(p, "parts"), "%15[^:]:%u", r.prerequisites.of, &r.prerequisites.parts) != 2)
+        play_fail(p, "parts");
+    r.end = play_num(p, "end", 0);
     json_t *v = bd_wire_record(&r);
-    struct bd_change ch = {key, v, (uint64_t)num(p, "mark", 1)};
+    struct bd_change ch = {key, v, (uint64_t)play_num(p, "mark", 1)};
     bd_core_change(p->c, &ch);
     json_decref(v);
     json_decref(names);
@@ -320,7 +302,7 @@
             json_array_append_new(
                 g.intents, json_pack("{s:s,s:{s:o},s:i}", "k", key, "value", "e", e, "mark", 1));
         } else {
-            fail(p, "gain");
+            play_fail(p, "gain");
         }
     }
     bd_core_gained(p->c, &g);
@@ -348,11 +330,11 @@
     memset(r, 0, sizeof *r);
     snprintf(r->machine, sizeof r->machine, "%s", p->w[1]);
     snprintf(r->addr, sizeof r->addr, "addr-%s", p->w[1]);
-    r->session = (uint64_t)num(p, "session", 1);
-    r->seq = (uint64_t)num(p, "seq", 1);
-    r->token = (uint64_t)num(p, "token", 0);
-    r->notice = num(p, "notice", -1);
-    r->spot = yes(p, "spot");
+    r->session = (uint64_t)play_num(p, "session", 1);
+    r->seq = (uint64_t)play_num(p, "seq", 1);
+    r->token = (uint64_t)play_num(p, "token", 0);
+    r->notice = play_num(p, "notice", -1);
+    r->spot = play_yes(p, "spot");
     r->tasks = tasks;
     for (int i = 2; i < p->n; i++) {
         char name[64], tryn[64], state[64];
@@ -360,7 +342,7 @@
             continue;
         struct bd_seen_task *t = &tasks[r->n];
         if (!bd_wire_task_name(name, t->job, &t->task)) {
-            fail(p, "task name");
+            play_fail(p, "task name");
             return;
         }
         t->attempt = attempt(tryn);
@@ -410,15 +392,15 @@
     memset(tasks, 0, sizeof tasks);
     HASH_FIND_STR(p->c->machines, p->w[1], m);
     if (!m) {
-        fail(p, "no such machine");
+        play_fail(p, "no such machine");
         return;
     }
     fill_report(p, &r, tasks);
     snprintf(r.type, sizeof r.type, "%s", m->type < 0 ? "?" : p->c->types[m->type].label);
     snprintf(r.zone, sizeof r.zone, "%s", m->zone < 0 ? "?" : p->c->zones[m->zone]);
-    long status = (long)num(p, "status", 200);
-    bd_core_did(p->c, m->index, (uint64_t)num(p, "token", 0), num(p, "launch", 1) != 0, status,
-                status ? &r : NULL);
+    long status = (long)play_num(p, "status", 200);
+    bd_core_did(p->c, m->index, (uint64_t)play_num(p, "token", 0), play_num(p, "launch", 1) != 0,
+                status, status ? &r : NULL);
 }
 
 static void cmd_listed(struct play *p)
@@ -430,7 +412,7 @@
         char state[32] = "running";
         if (sscanf(p->w[i], "%63[^:]:%63[^:]:%63[^:]:%31s", l[n].id, l[n].type, l[n].zone, state) <
             3)
-            fail(p, "listed");
+            play_fail(p, "listed");
         l[n].state = *state == 'r' ? BD_UP : *state == 'f' ? BD_FAILED : BD_BOOTING;
     }
     bd_core_machines(p->c, l, n, p->c->now);
@@ -438,14 +420,14 @@
 
 static void cmd_peer(struct play *p)
 {
-    uint8_t flags = num(p, "state", 1) != 0 ? BD_PEER_STATE : 0;
-    flags |= num(p, "hears", 1) != 0 ? BD_PEER_HEARS : 0;
-    flags |= num(p, "deaf", 0) != 0 ? BD_PEER_INBOUND_CUT : 0;
-    flags |= yes(p, "cut") ? BD_PEER_CUT : 0;
-    flags |= num(p, "deps", 1) != 0 ? BD_PEER_DEPS : 0;
-    flags |= num(p, "drains", 1) != 0 ? BD_PEER_DRAINS : 0;
-    bd_core_peer(p->c, p->w[1], (uint64_t)num(p, "term", 0), flags, num(p, "age", 0),
-                 p->c->wall - num(p, "late", 0), p->c->now);
+    uint8_t flags = play_num(p, "state", 1) != 0 ? BD_PEER_STATE : 0;
+    flags |= play_num(p, "hears", 1) != 0 ? BD_PEER_HEARS : 0;
+    flags |= play_num(p, "deaf", 0) != 0 ? BD_PEER_INBOUND_CUT : 0;
+    flags |= play_yes(p, "cut") ? BD_PEER_CUT : 0;
+    flags |= play_num(p, "deps", 1) != 0 ? BD_PEER_DEPS : 0;
+    flags |= play_num(p, "drains", 1) != 0 ? BD_PEER_DRAINS : 0;
+    bd_core_peer(p->c, p->w[1], (uint64_t)play_num(p, "term", 0), flags, play_num(p, "age", 0),
+                 p->c->wall - play_num(p, "late", 0), p->c->now);
 }
 
 static void cmd_heard(struct play *p)
@@ -459,14 +441,14 @@
         p->c->limits.txn_ops != strtoull(p->w[2], NULL, 10)) {
         fprintf(stderr, "values of %zu bytes, %zu changes\n", p->c->limits.value_bytes,
                 p->c->limits.txn_ops);
-        fail(p, "limits");
+        play_fail(p, "limits");
     }
 }
 
 static void cmd_leader(struct play *p)
 {
     const char *name = strcmp(p->w[1], "-") == 0 ? "" : p->w[1];
-    bd_core_leader_is(p->c, name, strtoull(p->w[2], NULL, 10), p->c->now, yes(p, "away"));
+    bd_core_leader_is(p->c, name, strtoull(p->w[2], NULL, 10), p->c->now, play_yes(p, "away"));
 }
 
 static void cmd_delegates(struct play *p)
@@ -476,7 +458,7 @@
         char key[64], names[256];
         unsigned revision = 0;
         if (sscanf(p->w[i], "%63[^:]:%u:%255s", key, &revision, names) != 3)
-            fail(p, "delegates");
+            play_fail(p, "delegates");
         json_t *m = json_array();
         for (char *s = NULL, *v = strtok_r(names, ",", &s); v; v = strtok_r(NULL, ",", &s))
             json_array_append_new(m, json_string(v));
@@ -530,7 +512,7 @@
         char node[64], key[BD_LABEL + 8];
         double seen = 0;
         if (sscanf(p->w[i], "%63[^:]:%lf", node, &seen) != 2)
-            fail(p, "touched");
+            play_fail(p, "touched");
         snprintf(key, sizeof key, "p/%s/at", node);
         json_array_append_new(
             pairs, json_pack("{s:s,s:{s:f},s:i}", "k", key, "value", "at", 1000 + seen, "mark", 1));
@@ -577,7 +559,7 @@
                               : strcmp(p->w[1], "large") == 0 ? BD_COMMIT_MALFORMED
                                                               : BD_COMMIT_REFUSED;
     if (!p->c->lead.commit)
-        fail(p, "nothing is being committed");
+        play_fail(p, "nothing is being committed");
     p->store_revision = p->store_revision < 1000 ? 1000 : p->store_revision + 1;
     bd_core_committed(p->c, outcome, p->store_revision, failed);
     json_decref(failed);
@@ -590,7 +572,7 @@
         at = &(*at)->next;
     struct bd_effect *e = *at;
     if (!e) {
-        fail(p, "no user's transaction");
+        play_fail(p, "no user's transaction");
         return;
     }
     *at = e->next;
@@ -605,7 +587,7 @@
     char names[WORDS][BD_LABEL];
     int n = 0;
     if (p->c->cloud.nprovisions == 0) {
-        fail(p, "no rental is open");
+        play_fail(p, "no rental is open");
         return;
     }
     char request[BD_LABEL];
@@ -655,7 +637,7 @@
 {
     struct bd_effect **at = find(p);
     if (!at) {
-        fail(p, "not among the effects");
+        play_fail(p, "not among the effects");
         show(p->left);
         return;
     }
@@ -668,7 +650,7 @@
 {
     struct bd_effect **at = find(p);
     if (at) {
-        fail(p, "must not happen");
+        play_fail(p, "must not happen");
         show(*at);
     }
 }
@@ -691,17 +673,17 @@
     if (bd_wire_task_name(p->w[1], id, &i))
         HASH_FIND_STR(p->c->jobs, id, j);
     if (!j || !j->tasks || i >= j->ntasks) {
-        fail(p, "no such task");
+        play_fail(p, "no such task");
         return;
     }
     struct bd_task *t = &j->tasks[i];
     if (strcmp(states[t->state], p->w[2]) != 0) {
-        fail(p, states[t->state]);
+        play_fail(p, states[t->state]);
         return;
     }
     if (p->n > 3 &&
         (t->machine == BD_NO_MACHINE || strcmp(p->c->by_index[t->machine]->id, p->w[3]) != 0))
-        fail(p, "on another machine");
+        play_fail(p, "on another machine");
 }
 
 static void cmd_team(struct play *p)
@@ -709,12 +691,12 @@
     for (int i = 0; i < p->settings.nteams; i++) {
         if (strcmp(p->settings.teams[i].name, p->w[1]) != 0)
             continue;
-        if (num(p, "cpus", p->c->team_cpus[i]) != p->c->team_cpus[i] ||
-            num(p, "gpus", p->c->team_gpus[i]) != p->c->team_gpus[i])
-            fail(p, "the team uses another amount");
+        if (play_num(p, "cpus", p->c->team_cpus[i]) != p->c->team_cpus[i] ||
+            play_num(p, "gpus", p->c->team_gpus[i]) != p->c->team_gpus[i])
+            play_fail(p, "the team uses another amount");
         return;
     }
-    fail(p, "no such team");
+    play_fail(p, "no such team");
 }
 
 static void cmd_looked(struct play *p)
@@ -770,308 +752,11 @@
         bd_core_seed(p->c, p->n > 1 ? strtoull(p->w[1], NULL, 10) : 0);
     else if (strcmp(v, "up") == 0) {
         if (p->n < 2 || bd_core_up(p->c) != (atoi(p->w[1]) != 0))
-            fail(p, "up is otherwise");
+            play_fail(p, "up is otherwise");
     } else if (strcmp(v, "ready") == 0)
         bd_core_relisted(p->c, 10, p->c->now);
     else
-        fail(p, "unknown step");
-}
-
-/* ---- draining ---- */
-
-static void cmd_draining(struct play *p)
-{
-    struct bd_rules_fault fault = {"", ""};
-    char text[4096];
-    snprintf(text, sizeof text, "(%s)", strchr(p->raw, '('));
-    sexp_t *e = parse_sexp(text, strlen(text));
-    if (e)
-        p->settings.draining = bd_drain_rules_read(&p->settings, e->list, &fault);
-    if (!p->settings.draining)
-        fail(p, *fault.field ? fault.field : "not an S-expression");
-    if (e)
-        destroy_sexp(e);
-    sexp_cleanup();
-}
-
-static json_t *pair(const char *key, json_t *value, double revision)
-{
-    return json_pack("{s:s,s:o,s:I}", "k", key, "value", value, "mark", (json_int_t)revision);
-}
-
-static void replace_pair(json_t *pairs, json_t *with)
-{
-    json_t *v;
-    size_t i;
-    const char *key = json_string_value(json_object_get(with, "k"));
-    json_array_foreach(pairs, i, v)
-    {
-        if (strcmp(json_string_value(json_object_get(v, "k")), key) != 0)
-            continue;
-        json_array_set_new(pairs, i, with);
-        return;
-    }
-    json_array_append_new(pairs, with);
-}
-
-static void add_set(struct play *p, const char *set)
-{
-    char key[BD_LABEL];
-    struct bd_drain_machine machines[WORDS];
-    uint32_t n = 0;
-    memset(machines, 0, sizeof machines);
-    for (int i = 3; i < p->n; i++)
-        if (!strchr(p->w[i], '='))
-            snprintf(machines[n++].id, BD_LABEL, "%s", p->w[i]);
-    if (n == 0)
-        return;
-    bd_drain_part_key(key, sizeof key, set, 0);
-    json_array_append_new(p->sets, pair(key, bd_drain_part_value(machines, n), 1));
-}
-
-static enum bd_drain_state drain_state(const char *s)
-{
-    for (int i = 0; s && i < 4; i++)
-        if (strncmp(bd_drain_state_name((enum bd_drain_state)i), s, 4) == 0)
-            return (enum bd_drain_state)i;
-    return BD_DRAIN_ACTIVE;
-}
-
-static void cmd_drain(struct play *p)
-{
-    char key[BD_LABEL + 8];
-    struct bd_drain_record record = {.parts = 1, .machines = 1, .asked = json_object()};
-    snprintf(record.name, sizeof record.name, "%s", p->w[1]);
-    snprintf(record.set, sizeof record.set, "%.15s", p->w[1]);
-    record.mode = strcmp(p->w[2], "retire") == 0 ? BD_DRAIN_RETIRE : BD_DRAIN_REPLACE;
-    record.state = drain_state(arg(p, "state"));
-    record.at = num(p, "at", p->c->wall);
-    snprintf(key, sizeof key, BD_DRAIN_KEY "%s", p->w[1]);
-    if (!p->drains) {
-        p->drains = json_array();
-        p->sets = json_array();
-    }
-    replace_pair(p->drains, pair(key, bd_drain_record_value(&record), num(p, "mark", 1)));
-    add_set(p, record.set);
-    json_decref(record.asked);
-}
-
-static void cmd_drains(struct play *p)
-{
-    bd_drain_records(p->c, p->drains, bd_drain_wants_sets(p->c) ? p->sets : NULL);
-    if (bd_drain_wants_sets(p->c)) /* one that is new: its machines come with the next look */
-        bd_drain_records(p->c, p->drains, p->sets);
-}
-
-/* stage NAME vm-1 STAGE: how far the machine is by the records, as a leader wrote them */
-static void cmd_stage(struct play *p)
-{
-    struct bd_drain_machine *machines = NULL;
-    uint32_t n = 0;
-    json_t *v;
-    size_t i;
-    char key[BD_LABEL];
-    bd_drain_part_key(key, sizeof key, p->w[1], 0);
-    json_array_foreach(p->sets, i, v)
-    {
-        if (strcmp(json_string_value(json_object_get(v, "k")), key) != 0 ||
-            !bd_drain_part_read(json_object_get(v, "value"), &machines, &n))
-            continue;
-        for (uint32_t k = 0; k < n; k++)
-            for (int stage = 0; strcmp(machines[k].id, p->w[2]) == 0 && stage < BD_STAGES; stage++)
-                if (strcmp(bd_drain_stage_name((enum bd_drain_stage)stage), p->w[3]) == 0)
-                    machines[k].stage = (enum bd_drain_stage)stage;
-        json_object_set_new(v, "value", bd_drain_part_value(machines, n));
-    }
-    if (n == 0)
-        fail(p, "no such drain");
-    free(machines);
-}
-
-/* drainrecord NAME JSON: as it stands in the state service */
-static void cmd_drainrecord(struct play *p)
-{
-    char key[BD_LABEL + 8];
-    snprintf(key, sizeof key, BD_DRAIN_KEY "%s", p->w[1]);
-    json_t *v = json_loads(strstr(p->raw, p->w[2]), JSON_DECODE_ANY, NULL);
-    if (!v)
-        fail(p, "not JSON");
-    replace_pair(p->drains, pair(key, v, 3));
-}
-
-/* The words of a reason, with dashes for spaces, against the one in the record that the leader
- * would write. */
-static bool same_words(const char *dashed, const char *spaced)
-{
-    for (; *dashed && *spaced; dashed++, spaced++)
-        if (*dashed != *spaced && !(*dashed == '-' && *spaced == ' '))
-            return false;
-    return *dashed == *spaced;
-}
-
-static void cmd_entry(struct play *p)
-{
-    struct bd_drain_machine m;
-    if (!bd_drain_look(p->c, p->w[1], p->w[2], &m)) {
-        fail(p, "no such entry");
-        return;
-    }
-    const char *wait = arg(p, "wait"), *team = arg(p, "team"), *by = arg(p, "by");
-    if (strcmp(bd_drain_stage_name(m.stage), p->w[3]) != 0)
-        fail(p, bd_drain_stage_name(m.stage));
-    if (wait && !same_words(wait, bd_drain_wait_name(m.wait)))
-        fail(p, bd_drain_wait_name(m.wait));
-    if ((team && strcmp(team, m.team) != 0) || (by && strcmp(by, m.replacement) != 0))
-        fail(p, team ? m.team : m.replacement);
-}
-
-static void cmd_ledger(struct play *p)
-{
-    char team[BD_NAME] = "", job_class[BD_NAME] = "";
-    uint32_t down, up;
-    (void)sscanf(p->w[1], "%63[^:]:%63s", team, job_class);
-    bd_ledger_count(p->c, team, job_class, &down, &up);
-    if (num(p, "down", down) != down || num(p, "up", up) != up) {
-        fprintf(stderr, "%u down, %u up\n", down, up);
-        fail(p, "the ledger counts otherwise");
-    }
-}
-
-/* The machine's report: all that it holds runs, what was told to stop has stopped. */
-static void fill_running(struct play *p, const char *id, struct bd_report *r,
-                         struct bd_seen_task *tasks)
-{
-    struct bd_machine *m = NULL;
-    HASH_FIND_STR(p->c->machines, id, m);
-    memset(tasks, 0, WORDS * sizeof *tasks);
-    *r = (struct bd_report){.session = (uint64_t)num(p, "session", 1),
-                            .notice = num(p, "notice", -1),
-                            .token = p->c->lead.term,
-                            .tasks = tasks};
-    snprintf(r->machine, sizeof r->machine, "%s", id);
-    snprintf(r->addr, sizeof r->addr, "addr-%s", id);
-    bool typed = m && m->type >= 0 && m->zone >= 0;
-    const char *type = arg(p, "type"), *zone = arg(p, "zone");
-    snprintf(r->type, sizeof r->type, "%s",
-             type    ? type
-             : typed ? p->c->types[m->type].label
-                     : "small");
-    snprintf(r->zone, sizeof r->zone, "%s", zone ? zone : typed ? p->c->zones[m->zone] : "a");
-    r->seq = ++p->report_seq + 1000;
-    for (uint32_t k = 0; m && k < m->nrefs && r->n < WORDS; k++) {
-        const struct bd_job *j = m->refs[k].job;
-        const struct bd_task *t = &j->tasks[m->refs[k].task];
-        if (t->state == BD_T_PLAN)
-            continue;
-        struct bd_seen_task *seen = &tasks[r->n++];
-        snprintf(seen->job, sizeof seen->job, "%s", j->id);
-        seen->task = m->refs[k].task;
-        seen->attempt = t->attempt;
-        bool stops = t->flags & BD_F_STOP && !yes(p, "deaf");
-        const char *fetches = arg(p, "fetches");
-        bool waits = fetches && strcmp(fetches, id) == 0 && t->sub != BD_RUNNING;
-        seen->sub = stops ? BD_EXITED : waits ? BD_FETCHING : BD_RUNNING;
-        seen->why = stops ? BD_WHY_STOPPED : BD_WHY_NONE;
-    }
-}
-
-static void report_running(struct play *p, const char *id)
-{
-    struct bd_report r;
-    struct bd_seen_task tasks[WORDS];
-    struct bd_machine *m = NULL;
-    HASH_FIND_STR(p->c->machines, id, m);
-    if (m && m->gone)
-        return;
-    fill_running(p, id, &r, tasks);
-    bd_core_checkin(p->c, NULL, &r, "{}", 2);
-}
-
-static void cmd_running(struct play *p)
-{
-    report_running(p, p->w[1]);
-}
-
-/* Direct commands are carried out and answered, and returned machines are gone. The effects stay,
- * for `expect`. */
-static void answer_effects(struct play *p)
-{
-    struct bd_effect **at = &p->left;
-    while (*at)
-        at = &(*at)->next;
-    *at = bd_core_effects(p->c);
-    for (const struct bd_effect *e = *at; e; e = e->next) {
-        struct bd_report r;
-        struct bd_seen_task tasks[WORDS];
-        if (e->kind == BD_E_DO) {
-            const char *id = p->c->by_index[e->machine]->id, *mute = arg(p, "mute");
-            bool answers = !mute || strcmp(mute, id) != 0;
-            fill_running(p, id, &r, tasks);
-            bd_core_did(p->c, e->machine, e->token, e->launch, answers ? 200 : 0, &r);
-        } else if (e->kind == BD_E_RETURN) {
-            json_t *o = json_loads(e->body, 0, NULL);
-            char names[128][BD_LABEL];
-            bd_core_returned(p->c, names, bd_wire_machine_names(o, names, 128), true);
-            json_decref(o);
-        }
-    }
-}
-
-/* passes S [vm-1 ...] [mute=vm-2] [fetches=vm-3]: those machines report each second as `running`
- * does; direct commands to the one that is mute get no answer; nothing begins to run on one that
- * fetches */
-static void cmd_passes(struct play *p)
-{
-    double now = bd_to_secs(p->c->now) - 100, to = now + strtod(p->w[1], NULL);
-    for (int half = 0; now < to; half++) {
-        now = now + 0.5 < to ? now + 0.5 : to;
-        bd_core_time(p->c, bd_secs(100 + now), 1000 + now);
-        bd_core_renewed(p->c, 7, p->c->now);
-        bd_core_delegates(p->c, NULL, p->c->now);
-        bd_core_followed(p->c, p->c->replica.store_revision, p->c->replica.store_revision,
-                         p->c->now, p->c->replica.barrier_out, true);
-        for (int i = 2; i < p->n && half % 2 == 0; i++)
-            if (!strchr(p->w[i], '='))
-                report_running(p, p->w[i]);
-        cmd_drains(p);
-        bd_core_tick(p->c);
-        p->store_revision = p->store_revision < 1000 ? 1000 : p->store_revision + 1;
-        if (p->c->lead.commit)
-            bd_core_committed(p->c, BD_COMMIT_APPLIED, p->store_revision, NULL);
-        answer_effects(p);
-    }
-}
-
-/* asks {json} => [STATUS FIELD]; means {json} vm-1:small:a ... => STATUS FIELD | ids */
-static void cmd_request(struct play *p)
-{
-    const char *from = strchr(p->raw, '{'), *to = strrchr(p->raw, '}');
-    struct bd_drain_request request;
-    struct bd_drain_refusal no = {0, "", ""};
-    struct bd_cloud_machine listed[WORDS];
-    char got[1024] = "ok";
-    size_t n = 0;
-    const char *expected = to ? strstr(to, "=>") : NULL;
-    json_t *o = from && to ? json_loadb(from, (size_t)(to - from) + 1, 0, NULL) : NULL;
-    memset(listed, 0, sizeof listed);
-    for (int i = 1; i < p->n; i++)
-        if (sscanf(p->w[i], "%63[a-z0-9-]:%63[^:]:%63s", listed[n].id, listed[n].type,
-                   listed[n].zone) == 3)
-            n++;
-    json_t *ids = NULL;
-    bool ok = bd_drain_request_read(o, &request, &no);
-    if (ok && strcmp(p->w[0], "means") == 0) {
-        ids = bd_drain_request_machines(&request, p->settings.draining, listed, n, &no);
-        for (size_t i = 0; i < json_array_size(ids); i++)
-            snprintf(got + strlen(got), sizeof got - strlen(got), " %s",
-                     json_string_value(json_array_get(ids, i)));
-    }
-    if (no.status)
-        snprintf(got, sizeof got, "%d %s", no.status, no.field);
-    if (!expected || strcmp(expected + 3, got) != 0)
-        fail(p, got);
-    json_decref(ids);
-    json_decref(o);
+        play_fail(p, "unknown step");
 }
 
 static void step(struct play *p)
@@ -1112,19 +797,9 @@
                  {"finals", 2, cmd_finals},
                  {"lookedup", 4, cmd_lookedup},
                  {"watch", 2, cmd_watch},
-                 {"submit", 2, cmd_submit},
-                 {"drain", 3, cmd_drain},
-                 {"drains", 1, cmd_drains},
-                 {"stage", 4, cmd_stage},
-                 {"drainrecord", 3, cmd_drainrecord},
-                 {"entry", 4, cmd_entry},
-                 {"ledger", 2, cmd_ledger},
-                 {"running", 2, cmd_running},
-                 {"passes", 2, cmd_passes},
-                 {"asks", 2, cmd_request},
-                 {"means", 2, cmd_request}};
+                 {"submit", 2, cmd_submit}};
     if (strcmp(p->w[0], "set") == 0 || strcmp(p->w[0], "draining") == 0) {
-        (*p->w[0] == 's' ? cmd_set : cmd_draining)(p);
+        (*p->w[0] == 's' ? cmd_set : play_draining)(p);
         return;
     }
     start(p);
@@ -1132,13 +807,14 @@
         if (strcmp(p->w[0], steps[i].verb) != 0)
             continue;
         if (p->n < steps[i].words)
-            fail(p, "too few words");
+            play_fail(p, "too few words");
         else
             steps[i].run(p);
         collect(p);
         return;
     }
-    cmd_simple(p);
+    if (!play_drain_step(p))
+        cmd_simple(p);
     collect(p);
 }
 
