--- a/cli/drain_command.c
+++ b/cli/drain_command.c
@@ -253,7 +253,9 @@
         0,
         0,
         0};
+    char name[] = "brambledoor drain";
     struct arguments a = {.request = json_object()};
+    argv[0] = name; /* in what argp says */
     argp_err_exit_status = EXIT_USAGE;
     if (argp_parse(&argp, argc, argv, 0, 0, &a) != 0 || bd_http_start() != 0)
         return EXIT_USAGE;
--- a/tests/fake_server.c
+++ b/tests/fake_server.c
@@ -11,6 +11,7 @@
 #include <string.h>
 
 #define WORKERS 100 /* machines that the cloud ever has: what went back does not come again */
+#define CAPACITY 40 /* at once, unless the test says otherwise */
 #define DOORS 3
 #define TASKS 64
 #define RUN_S 0.6
@@ -78,7 +79,7 @@
         double ttl;
     } grant[64];
     int ngrants, nworkers, worker_port, nnodes;
-    int capacity; /* machines at once; 0: as many as it ever has */
+    int capacity; /* machines at once */
     bool down;
     const char *const *nodes;
     void (*watch)(void *arg, enum world_event event, const char *task);
@@ -609,7 +610,7 @@
     int alive = 0;
     for (int i = 0; i < w->nworkers; i++)
         alive += !w->workers[i].stop;
-    if (w->nworkers == WORKERS || (w->capacity > 0 && alive >= w->capacity))
+    if (w->nworkers == WORKERS || alive >= w->capacity)
         return;
     struct worker *k = &w->workers[w->nworkers];
     k->w = w;
@@ -693,6 +694,7 @@
     w->table.owner = w;
     w->table.grant_lives = grant_lives;
     w->worker_port = worker_port;
+    w->capacity = CAPACITY;
     w->nodes = nodes;
     w->nnodes = nnodes;
     w->cloud = listen_on(w, cloud_port, cloud_answer, w);
