One check for an older controller, one for a task that can be stopped; dead state gone

Need: on reading the change again, admission and draining each had the loop over controllers that lack a flag; candidate.c and plan.c each the question whether a task can be told to stop. A look counted silent tasks twice, a pointer to the settings was never read, and a guard stood twice on one path. Change: bd_older_heard, bd_candidate_stoppable; the rest removed. Behaviour as before, no test touched.

--- a/src/admission.c
+++ b/src/admission.c
@@ -7,7 +7,6 @@
 #include <stdio.h>
 
 /* named defaults */
-#define OLD_HEARD_S 3.0   /* an older controller's word counts so long */
 #define TXN_BYTES 50000u  /* of a transaction of parts */
 #define LOOKUPS_EXTRA 16u /* beyond one for each name a submission is sent away */
 
@@ -242,16 +241,6 @@
     }
 }
 
-/* An older controller that leads would start the job too early, and forget what it waits for. */
-static bool older_heard(const struct bd_core *core)
-{
-    for (int i = 0; i < core->settings->npeers; i++)
-        if (bd_peer_heard(core, i, OLD_HEARD_S) && !bd_is_zero(core->peers[i].heard) &&
-            !(core->peers[i].flags & BD_PEER_DEPS))
-            return true;
-    return false;
-}
-
 /* The first name that is not in memory, or NULL; *never: the job can never run, *cancelled: a job
  * that it needs is. */
 static const char *find_prerequisites(struct bd_core *core, const struct bd_admission *admission,
@@ -303,7 +292,8 @@
         bd_refuse(core, admission->request, 422, "awaits a job that was never accepted", 0);
     else if (never)
         bd_refuse(core, admission->request, 422, "awaits a service, which is never done", 0);
-    else if (admission->prerequisites && older_heard(core))
+    /* an older controller that leads would start the job too early, and forget what it waits for */
+    else if (admission->prerequisites && bd_older_heard(core, BD_PEER_DEPS))
         bd_refuse(core, admission->request, 503, "an older controller serves beside this one",
                   OUTAGE_RETRY_S);
     else {
--- a/src/core_internal.h
+++ b/src/core_internal.h
@@ -68,6 +68,18 @@
     return bd_between(core->peers[peer].heard, core->now) < within_s;
 }
 
+#define BD_OLDER_HEARD_S 3.0 /* an older controller's word counts so long */
+
+/* Whether a controller is heard whose status lacks the flag: one of a version before it. */
+static inline bool bd_older_heard(const struct bd_core *core, uint8_t flag)
+{
+    for (int i = 0; i < core->settings->npeers; i++)
+        if (bd_peer_heard(core, i, BD_OLDER_HEARD_S) && !bd_is_zero(core->peers[i].heard) &&
+            !(core->peers[i].flags & flag))
+            return true;
+    return false;
+}
+
 static inline bool bd_peer_near(const struct bd_core *core, int peer) /* of our own zone */
 {
     return strcmp(core->settings->peers[peer].zone, core->settings->zone) == 0;
--- a/src/drain/candidate.c
+++ b/src/drain/candidate.c
@@ -21,10 +21,7 @@
     return true;
 }
 
-/* Whether stopping the task would take something down. One that is down but has been launched may
- * run by now: stopping it would keep it down by our doing, so that it counts like one that is up.
- */
-static bool would_fall(const struct bd_job *job, uint32_t i)
+bool bd_candidate_stoppable(const struct bd_job *job, uint32_t i)
 {
     const struct bd_task *task = &job->tasks[i];
     bool holds = task->state == BD_T_LIVE || task->state == BD_T_LAUNCH;
@@ -38,9 +35,9 @@
     if (!entry)
         return 0;
     if (job->spec.shape != BD_GANG)
-        return would_fall(job, task);
+        return bd_candidate_stoppable(job, task);
     for (uint32_t i = 0; i < job->ntasks; i++)
-        n += would_fall(job, i);
+        n += bd_candidate_stoppable(job, i);
     return n;
 }
 
--- a/src/drain/drain.c
+++ b/src/drain/drain.c
@@ -12,7 +12,6 @@
     struct bd_drains *drains = calloc(1, sizeof *drains);
     if (!drains)
         return NULL;
-    drains->settings = settings;
     drains->rules = settings->draining;
     drains->cordoned = roaring_bitmap_create();
     drains->kept = roaring_bitmap_create();
@@ -345,7 +344,6 @@
     cordon(core);
     if (!any_goes_on(drains))
         return;
-    bd_ledger_silent(core);
     each_entry(core, follow);
     bd_replacements_tick(core);
     bd_drain_tell(core);
--- a/src/drain/drain_internal.h
+++ b/src/drain/drain_internal.h
@@ -77,6 +77,10 @@
 /* A machine with more of a team's tasks than the team ever bears at once is emptied by and by: it
  * then needs the team's whole budget to begin. */
 void bd_candidate_clip(const struct bd_core *core, struct bd_candidate *candidate);
+/* Whether stopping the task would take something down. One that is down but has been launched may
+ * run by now: stopping it would keep it down by our doing, so that it counts like one that is up.
+ */
+bool bd_candidate_stoppable(const struct bd_job *job, uint32_t i);
 /* How many tasks go down with this one: a gang stops as a whole, wherever its tasks are. */
 uint32_t bd_candidate_falls(struct bd_core *core, const struct bd_job *job, uint32_t task);
 
@@ -146,7 +150,6 @@
 };
 
 struct bd_drains {
-    const struct bd_settings *settings;
     const struct bd_drain_rules *rules;
     bool apart[BD_MAX_ZONES][BD_MAX_ZONES];
     struct bd_ledger ledger;
--- a/src/drain/plan.c
+++ b/src/drain/plan.c
@@ -6,7 +6,6 @@
 #include <stdio.h>
 
 #define CANDIDATES_MOST 96u
-#define OLDER_HEARD_S 3.0 /* an older controller's word counts so long */
 
 static void wait_for(struct bd_core *core, struct bd_drain *drain, struct bd_drain_machine *m,
                      enum bd_drain_wait wait, const char *team)
@@ -41,13 +40,6 @@
     return true;
 }
 
-static bool is_told(const struct bd_ref *ref)
-{
-    const struct bd_task *task = &ref->job->tasks[ref->task];
-    bool holds = task->state == BD_T_LIVE || task->state == BD_T_LAUNCH;
-    return !holds || task->flags & BD_F_STOP;
-}
-
 /* Stops what the budgets bear; the rest follows when those that went run elsewhere. Returns how
  * many were told, and whose budget the first that was not would have broken. */
 static uint32_t stop_tasks(struct bd_core *core, struct bd_machine *machine, const char **team)
@@ -57,7 +49,7 @@
         if (k > machine->nrefs) /* a gang's end takes others along */
             continue;
         struct bd_ref ref = machine->refs[k - 1];
-        if (is_told(&ref) || !within_budgets(core, &ref, team))
+        if (!bd_candidate_stoppable(ref.job, ref.task) || !within_budgets(core, &ref, team))
             continue;
         bd_task_stop(core, ref.job, ref.task, false);
         told++;
@@ -127,16 +119,6 @@
     struct bd_bins bins;
 };
 
-/* An older leader would place on cordoned machines, and knows of no budget. */
-static bool older_heard(const struct bd_core *core)
-{
-    for (int i = 0; i < core->settings->npeers; i++)
-        if (!bd_is_zero(core->peers[i].heard) && bd_peer_heard(core, i, OLDER_HEARD_S) &&
-            !(core->peers[i].flags & BD_PEER_DRAINS))
-            return true;
-    return false;
-}
-
 /* Machines in a step, and their zones; false: a step is still to be told. */
 static bool steps_now(struct choice *choice)
 {
@@ -308,7 +290,8 @@
 {
     struct bd_drains *drains = core->drains;
     struct choice choice = {.core = core};
-    if (older_heard(core)) {
+    /* an older leader would place on cordoned machines, and knows of no budget */
+    if (bd_older_heard(core, BD_PEER_DRAINS)) {
         all_wait(core, BD_DRAIN_WAIT_OLDER);
         return;
     }
--- a/src/drain/replacement.c
+++ b/src/drain/replacement.c
@@ -137,7 +137,7 @@
     const struct bd_machine *machine = m->machine;
     struct pool pool;
     if (!machine || machine->gone || machine->type < 0 || machine->zone < 0 || *m->replacement ||
-        *m->request || bd_drain_mirrors(core, m) || !choose_pool(core, m, machine, &pool))
+        *m->request || !choose_pool(core, m, machine, &pool))
         return false;
     struct group *group = group_of(groups, n, &pool);
     if (!group || group->count == GROUP_MOST)
