Reproduction of ran_cancelled: halts withheld while a direct command waits in our own queue

In each, the leader had put a direct command into a sender's queue at the end of the outage; behind commands to machines that did not answer (1.5 s each) it waited for up to 60 s. All that time the answers to the machine's check-ins renewed its lease without the halt that the leader knew of, since one message at a time was to say it. Change: tests only.

--- a/tests/sim_node.c
+++ b/tests/sim_node.c
@@ -110,18 +110,35 @@
     return m;
 }
 
+/* Into the queue of the controller's own senders, which may be slow to take it out. */
 static void direct(struct sim *s, struct sim_node *n, struct bd_effect *e)
 {
     struct sim_try *t = calloc(1, sizeof *t);
     if (!t)
         abort();
-    *t = (struct sim_try){.refs = 2, .machine = e->machine, .token = e->token, .launch = e->launch};
-    bool held = sim_held_up(s);
-    struct sim_event *d = wake(s, n, sim_delay(s) + (held ? sim_between(s, 0.5, 6) : 0), SIM_DO_IN);
-    d->who = atoi(e->addr + 2); /* "w-N" */
+    *t = (struct sim_try){.refs = 1, .machine = e->machine, .token = e->token, .launch = e->launch};
+    t->worker = atoi(e->addr + 2); /* "w-N" */
+    struct sim_event *d = wake(s, n, n->senders_stalled - s->now, SIM_DO_SEND);
     d->text = e->body;
     d->data = t;
     e->body = NULL;
+}
+
+static void send_direct(struct sim *s, struct sim_event *e)
+{
+    struct sim_node *n = &s->nodes[e->node];
+    struct sim_try *t = e->data;
+    if (!n->core || n->epoch != e->epoch) {
+        free(t);
+        return;
+    }
+    t->refs = 2;
+    bool held = sim_held_up(s);
+    struct sim_event *d = wake(s, n, sim_delay(s) + (held ? sim_between(s, 0.5, 6) : 0), SIM_DO_IN);
+    d->who = t->worker;
+    d->text = e->text;
+    d->data = t;
+    e->text = NULL;
     struct sim_event *g = wake(s, n, 1.5, SIM_DO_GIVEN_UP);
     g->data = t;
 }
@@ -847,6 +864,9 @@
     case SIM_REPORT_COPY:
         report_in(s, e);
         break;
+    case SIM_DO_SEND:
+        send_direct(s, e);
+        break;
     case SIM_DO_BACK:
     case SIM_DO_GIVEN_UP:
         did(s, e);
--- a/tests/simulation.c
+++ b/tests/simulation.c
@@ -13,7 +13,8 @@
  * - network: peers WHO FOR, alone WHO FOR (from peers and state service), zones FOR, held FOR
  * - late reports: copies SHARE FOR, next SHARE FOR (to all as the next leader begins)
  * - machines: hang N FOR, deaf N FOR, mute N FOR, cut N FOR, hold N FOR, die N
- * - controllers: crash WHO BACK, all BACK, stall WHO FOR (the process stands still)
+ * - controllers: crash WHO BACK, all BACK, stall WHO FOR (the process stands still), senders WHO
+ * FOR (its direct commands wait in its own queue)
  * - users: cancel N, burst N
  * - administrators: drain N REPLACES (the first N machines that are up; 1: replaced), pause 0,
  *   resume 0, calloff 0 (the newest drain)
@@ -344,6 +345,8 @@
         s->refuses[who_is(s, t->who)] = until;
     else if (strcmp(t->verb, "stall") == 0)
         s->nodes[who_is(s, t->who)].stalled = until;
+    else if (strcmp(t->verb, "senders") == 0)
+        s->nodes[who_is(s, t->who)].senders_stalled = until;
     else if (strcmp(t->verb, "blind") == 0)
         s->blind[who_is(s, t->who)] = until;
     else if (strcmp(t->verb, "peers") == 0)
@@ -500,6 +503,7 @@
     case SIM_NODE_TICK:
     case SIM_REPORT_IN:
     case SIM_REPORT_COPY:
+    case SIM_DO_SEND:
     case SIM_DO_BACK:
     case SIM_DO_GIVEN_UP:
     case SIM_CLOUD_BACK:
@@ -618,7 +622,8 @@
             json_decref(e->data);
         if (e->kind == SIM_FRAME)
             free(e->data);
-        if (e->kind == SIM_DO_IN || e->kind == SIM_DO_BACK || e->kind == SIM_DO_GIVEN_UP) {
+        if (e->kind == SIM_DO_SEND || e->kind == SIM_DO_IN || e->kind == SIM_DO_BACK ||
+            e->kind == SIM_DO_GIVEN_UP) {
             struct sim_try *t = e->data;
             if (--t->refs == 0)
                 free(t);
@@ -767,7 +772,7 @@
 {
     return strcmp(verb, "refuse") == 0 || strcmp(verb, "peers") == 0 ||
            strcmp(verb, "crash") == 0 || strcmp(verb, "alone") == 0 || strcmp(verb, "blind") == 0 ||
-           strcmp(verb, "stall") == 0;
+           strcmp(verb, "stall") == 0 || strcmp(verb, "senders") == 0;
 }
 
 static bool read_plan(struct plan *p, const char *path)
--- a/tests/simulation.h
+++ b/tests/simulation.h
@@ -31,6 +31,7 @@
     SIM_REPORT_IN,
     SIM_REPORT_BACK,
     SIM_REPORT_GIVEN_UP,
+    SIM_DO_SEND,
     SIM_DO_IN,
     SIM_REPORT_COPY,
     SIM_DO_BACK,
@@ -82,7 +83,8 @@
     struct bd_core *core; /* NULL: not running */
     uint64_t epoch;
     double began, clock_rate, clock_from, wall_off;
-    double stalled; /* until then the process stands still */
+    double stalled;         /* until then the process stands still */
+    double senders_stalled; /* ... and its direct commands wait in its own queue */
     /* reader */
     uint64_t after;
     bool list_again, want_barrier, refresh_out, reads_refused;
@@ -202,7 +204,7 @@
 };
 struct sim_try { /* a direct command */
     bool over, launch;
-    int refs;
+    int refs, worker;
     uint32_t machine;
     uint64_t token;
 };
