One way to answer a check-in, and direct commands are asked again for their right when sent

Cause (class): an act on a right that may have lapsed since it was decided, and a check in one path and not in another. Change: bd_orders_answer is the only way to answer a check-in with 200, for leaders, delegates and controllers standing by, and adds a halt of all that the report shows of cancelled jobs. A direct command carries the moment until which the right to it holds (the lease; with launches also the two seconds of the view they were decided on: grace.c); the sender asks at the moment of sending, and tells the owner what it did not send, whose launch is excluded at once.

--- a/src/core_internal.h
+++ b/src/core_internal.h
@@ -172,6 +172,7 @@
 bool bd_in_grace(const struct bd_core *core, struct timespec seen);
 bool bd_may_renew(const struct bd_core *core);
 bool bd_may_launch(const struct bd_core *core);
+struct timespec bd_command_until(const struct bd_core *core, bool launch);
 
 /* prices: which machines a job may take, by how long it has waited */
 enum bd_reach { BD_REACH_SPOT, BD_REACH_CHEAP, BD_REACH_ANY };
--- a/src/delegate.c
+++ b/src/delegate.c
@@ -14,6 +14,7 @@
  * and no such record is written once it has its key. */
 #include "core_internal.h"
 #include "frame.h"
+#include "orders.h"
 #include <stdio.h>
 
 /* named defaults */
@@ -233,26 +234,12 @@
     return bd_before(core->now, core->delegate.confirmed_until) && bd_may_renew(core);
 }
 
-/* Halts of what users have cancelled: nobody's leave is needed for these. */
-static char *orders(struct bd_core *core, const struct bd_report *report, uint64_t term)
+static void answer(struct bd_core *core, void *request, const struct bd_report *report,
+                   uint64_t token)
 {
-    struct bd_order *o = calloc(report->n + 1, sizeof *o);
-    size_t n = 0;
-    if (!o)
-        abort();
-    for (size_t i = 0; i < report->n; i++) {
-        const struct bd_seen_task *s = &report->tasks[i];
-        struct bd_job *job = bd_job_find(core, s->job);
-        if (!job || job->state != BD_CANCELLED || s->sub == BD_EXITED)
-            continue;
-        o[n].verb = BD_HALT;
-        memcpy(o[n].job, s->job, sizeof o[n].job);
-        o[n].task = s->task;
-        o[n++].attempt = s->attempt;
-    }
-    char *text = bd_wire_orders(term, 0, o, n);
-    free(o);
-    return text;
+    struct orders l = {0};
+    bd_orders_answer(core, request, report, &l, token);
+    free(l.o);
 }
 
 /* Answers who asked; those who came while the record was being written wait for the next one. */
@@ -272,10 +259,10 @@
             w = next;
             continue;
         }
-        uint64_t term = ready ? core->delegate.term : core->last_term;
-        bool good = ready || stands_by;
-        bd_reply(core, w->request, good ? 200 : 421,
-                 good ? orders(core, w->report, term) : bd_wire_redirect(""), 0);
+        if (ready || stands_by)
+            answer(core, w->request, w->report, ready ? core->delegate.term : core->last_term);
+        else
+            bd_reply(core, w->request, 421, bd_wire_redirect(""), 0);
         bd_report_free(w->report);
         free(w);
         w = next;
@@ -449,7 +436,7 @@
 {
     struct bd_delegate *delegate = &core->delegate;
     if (bd_standby_answers(core, report)) {
-        bd_reply(core, request, 200, orders(core, report, core->last_term), 0);
+        answer(core, request, report, core->last_term);
         return true;
     }
     if (!called_for(core)) {
@@ -465,7 +452,7 @@
         return false;
     k->heard = core->now;
     if (k->confirmed && delegate->leader == core->leader_term && may_answer(core)) {
-        bd_reply(core, request, 200, orders(core, report, delegate->term), 0);
+        answer(core, request, report, delegate->term);
         return true;
     }
     let_wait(core, request, report);
--- a/src/effect.h
+++ b/src/effect.h
@@ -29,6 +29,10 @@
 
 enum { BD_LOST_TAKEN, BD_LOST_GIVEN_UP }; /* given up: the grant still lives and is to be ended */
 
+/* Instead of a direct command's HTTP status: it was still in our own queue when the right to it was
+ * over, and was not sent. Nothing of it is on its way. */
+#define BD_DIRECT_NOT_SENT (-1L)
+
 struct bd_effect {
     enum bd_effect_kind kind;
     void *request;   /* REPLY, USER_COMMIT */
@@ -36,13 +40,14 @@
     int retry_after; /* REPLY: 0 none */
     char key[BD_LABEL];
     char *body;
-    char addr[BD_LABEL]; /* DO */
-    uint64_t token;      /* DO */
-    uint32_t machine;    /* DO */
-    bool launch;         /* DO: launches are among the commands */
-    uint64_t sequence;   /* COMMIT; key is the term */
-    uint64_t forward_id; /* FORWARD, ANSWER */
-    int peer;            /* FORWARD, ANSWER: to whom */
+    char addr[BD_LABEL];   /* DO */
+    uint64_t token;        /* DO */
+    struct timespec until; /* DO: by our steady clock; later the right to it may be over */
+    uint32_t machine;      /* DO */
+    bool launch;           /* DO: launches are among the commands */
+    uint64_t sequence;     /* COMMIT; key is the term */
+    uint64_t forward_id;   /* FORWARD, ANSWER */
+    int peer;              /* FORWARD, ANSWER: to whom */
     struct bd_effect *next;
 };
 #endif
--- a/src/grace.c
+++ b/src/grace.c
@@ -44,3 +44,12 @@
 {
     return bd_core_valid(core) && bd_between(core->replica.refreshed_at, core->now) < KNOWN_S;
 }
+
+/* A direct command waits in a queue before it is sent, perhaps behind machines that do not answer:
+ * whoever sends it asks again then. Until this moment the right by which it was decided holds. */
+struct timespec bd_command_until(const struct bd_core *core, bool launch)
+{
+    struct timespec until = core->lead.valid_until;
+    struct timespec known = bd_add(core->replica.refreshed_at, bd_secs(KNOWN_S));
+    return launch && bd_before(known, until) ? known : until;
+}
--- a/src/orders.c
+++ b/src/orders.c
@@ -32,32 +32,79 @@
     return job->spec.save + 1.0;
 }
 
-/* Halts and launches that the machine owes us, from the states of the tasks on it. An attempt that
- * an earlier token's direct launch may have carried is launched in answers only: see forget. */
-bool bd_orders_owed(struct bd_core *core, struct bd_machine *machine, struct orders *l, bool direct)
+static void add_halts(struct bd_machine *machine, struct orders *l)
 {
-    bool launch = false;
     for (uint32_t k = 0; k < machine->nrefs; k++) {
+        const struct bd_job *job = machine->refs[k].job;
+        uint32_t i = machine->refs[k].task;
+        const struct bd_task *task = &job->tasks[i];
+        bool force = task->flags & BD_F_FORCE;
+        if (task->flags & BD_F_STOP && !(task->flags & BD_F_EXITED) && task->state == BD_T_LIVE &&
+            (task->sub != BD_SAVING || force))
+            bd_orders_add(l, BD_HALT, job->id, i, task->attempt, grace_of(job, task));
+    }
+}
+
+/* An attempt that an earlier token's direct launch may have carried is launched in answers only:
+ * see forget. */
+static bool add_launches(struct bd_core *core, struct bd_machine *machine, struct orders *l,
+                         bool direct)
+{
+    bool launch = false;
+    for (uint32_t k = 0; k < machine->nrefs && bd_may_launch(core); k++) {
         struct bd_job *job = machine->refs[k].job;
         uint32_t i = machine->refs[k].task;
         struct bd_task *task = &job->tasks[i];
-        if (task->flags & BD_F_EXITED)
+        if (task->state != BD_T_LAUNCH || task->flags & (BD_F_EXITED | BD_F_STOP) ||
+            job->state != BD_LIVE || bd_cancel_heard(core, job) ||
+            (direct && task->attempt <= core->lead.fenced_attempt))
             continue;
-        if (task->flags & BD_F_STOP) {
-            bool force = task->flags & BD_F_FORCE;
-            if (task->state == BD_T_LIVE && (task->sub != BD_SAVING || force))
-                bd_orders_add(l, BD_HALT, job->id, i, task->attempt, grace_of(job, task));
-        } else if (task->state == BD_T_LAUNCH && bd_may_launch(core) && job->state == BD_LIVE &&
-                   !bd_cancel_heard(core, job) &&
-                   (!direct || task->attempt > core->lead.fenced_attempt)) {
-            bd_orders_add(l, BD_LAUNCH, job->id, i, task->attempt, 0);
-            task->flags |= direct ? BD_F_SENT | BD_F_DO : BD_F_SENT | BD_F_TOLD;
-            launch = true;
-        }
+        bd_orders_add(l, BD_LAUNCH, job->id, i, task->attempt, 0);
+        task->flags |= direct ? BD_F_SENT | BD_F_DO : BD_F_SENT | BD_F_TOLD;
+        launch = true;
     }
     return launch;
 }
 
+/* Nothing while a direct command is under way: one message at a time says it. What must not wait
+ * for that is added by bd_orders_answer. */
+void bd_orders_owed(struct bd_core *core, struct bd_machine *machine, struct orders *l)
+{
+    if (machine->do_busy)
+        return;
+    add_halts(machine, l);
+    (void)add_launches(core, machine, l, false);
+}
+
+static bool has_halt(const struct orders *l, const struct bd_seen_task *s)
+{
+    for (size_t i = 0; i < l->n; i++)
+        if (l->o[i].verb == BD_HALT && l->o[i].attempt == s->attempt && l->o[i].task == s->task &&
+            strcmp(l->o[i].job, s->job) == 0)
+            return true;
+    return false;
+}
+
+/* Halts of what users have cancelled: nobody's leave is needed for these, and the machine need not
+ * have seen our term. A direct command that was to say it may wait in our own queue, while each
+ * answer renews the lease. */
+static void halt_cancelled(struct bd_core *core, const struct bd_report *report, struct orders *l)
+{
+    for (size_t i = 0; i < report->n; i++) {
+        const struct bd_seen_task *s = &report->tasks[i];
+        const struct bd_job *job = s->sub == BD_EXITED ? NULL : bd_job_find(core, s->job);
+        if (job && job->state == BD_CANCELLED && !has_halt(l, s))
+            bd_orders_add(l, BD_HALT, s->job, s->task, s->attempt, 0);
+    }
+}
+
+void bd_orders_answer(struct bd_core *core, void *request, const struct bd_report *report,
+                      struct orders *l, uint64_t token)
+{
+    halt_cancelled(core, report, l);
+    bd_reply(core, request, 200, bd_wire_orders(token, 0, l->o, l->n), 0);
+}
+
 /* Whether the zone's machines do not answer directly, as when it is cut off from us: each try would
  * hang a sender. One is let through now and then. */
 static bool zone_closed(struct bd_core *core, const struct bd_machine *machine)
@@ -78,13 +125,15 @@
         machine->gone || !*machine->addr || !bd_core_valid(core) || bd_overdue(core, machine) ||
         zone_closed(core, machine))
         return;
-    bool launch = bd_orders_owed(core, machine, &l, true);
+    add_halts(machine, &l);
+    bool launch = add_launches(core, machine, &l, true);
     if (l.n == 0)
         return;
     struct bd_effect *effect = bd_emit(core, BD_E_DO);
     effect->machine = machine->index;
     effect->token = core->lead.term;
     effect->launch = launch;
+    effect->until = bd_command_until(core, launch);
     snprintf(effect->addr, sizeof effect->addr, "%s", machine->addr);
     effect->body = bd_wire_orders(core->lead.term, machine->session, l.o, l.n);
     machine->do_busy = true;
--- a/src/reports.c
+++ b/src/reports.c
@@ -295,15 +295,14 @@
 }
 
 static void answer_checkin(struct bd_core *core, void *request, struct bd_machine *machine,
-                           struct orders *l)
+                           const struct bd_report *report, struct orders *l)
 {
-    /* no launch here while a direct one is on its way: one message at a time says it */
-    if (machine->fenced && !machine->do_busy)
-        (void)bd_orders_owed(core, machine, l, false);
+    if (machine->fenced)
+        bd_orders_owed(core, machine, l);
     machine->lapse_at = bd_lease_end(core, core->now);
     if (!machine->fenced) /* if this answer is lost, an earlier term may still renew it */
         machine->lapse_at = bd_max(machine->lapse_at, core->lead.others_lapse);
-    bd_reply(core, request, 200, bd_wire_orders(core->lead.term, 0, l->o, l->n), 0);
+    bd_orders_answer(core, request, report, l, core->lead.term);
 }
 
 /* A worker has one check-in under way and numbers them upwards; one that is not newer than the
@@ -374,7 +373,7 @@
     machine->asked = core->now;
     if (!bd_core_valid(core))
         l.n = 0;
-    answer_checkin(core, request, machine, &l);
+    answer_checkin(core, request, machine, report, &l);
     free(l.o);
     bd_orders_send(core, machine);
 }
@@ -438,6 +437,15 @@
     core->lead.outbound_cut_many = outbound_cut > OUTBOUND_CUT_SHARE * known;
 }
 
+/* Nothing of the command is on its way. The machine is not to blame; what it is owed it gets with
+ * its next check-in. */
+static void direct_not_sent(struct bd_core *core, struct bd_machine *machine, bool launch)
+{
+    if (launch && machine->late_token == 0)
+        exclude_late(machine);
+    machine->do_after = bd_add(core->now, core->settings->report);
+}
+
 void bd_core_did(struct bd_core *core, uint32_t machine, uint64_t token, bool launch, long status,
                  const struct bd_report *report)
 {
@@ -445,6 +453,10 @@
     if (core->role != BD_LEADER || !m || token < core->lead.base_term)
         return;
     m->do_busy = false;
+    if (status == BD_DIRECT_NOT_SENT) {
+        direct_not_sent(core, m, launch);
+        return;
+    }
     bool answered = report && (status == 200 || status == 409);
     if (!answered) {
         direct_failed(core, m);
--- a/src/worker_client.c
+++ b/src/worker_client.c
@@ -57,17 +57,23 @@
     return sender_count(settings) * kept_connections(settings);
 }
 
-/* Sends one command; the answer, or that there was none, goes to the owner. */
+/* Sends one command; the answer, or that there was none, goes to the owner. One that waited here
+ * for longer than the right to it lasted is not sent: it would start what was cancelled meanwhile,
+ * and hold up those behind it. */
 static void send_command(struct sender *s, struct bd_http *http, struct bd_effect *effect)
 {
     char url[128];
     struct bd_reply r;
     struct bd_cmd *command = bd_cmd_new(BD_C_DID);
     snprintf(url, sizeof url, "http://%s" BD_PATH_COMMANDS, effect->addr);
-    bd_http_call(http, "POST", url, effect->body, ANSWER_S, &r);
-    command->status = r.status;
-    command->text = r.body;
-    command->len = r.len;
+    if (bd_before(bd_now(), effect->until)) {
+        bd_http_call(http, "POST", url, effect->body, ANSWER_S, &r);
+        command->status = r.status;
+        command->text = r.body;
+        command->len = r.len;
+    } else {
+        command->status = BD_DIRECT_NOT_SENT;
+    }
     command->machine = effect->machine;
     command->number = effect->token;
     command->flag = effect->launch;
--- /dev/null
+++ b/tests/direct_commands.c
@@ -0,0 +1,134 @@
+/* The real senders of direct commands against a machine that takes connections and never answers:
+ * what waits in a sender's queue for longer than the right to it lasts is not sent, the owner is
+ * told so, and nothing holds up what comes after it. */
+#include "http.h"
+#include "metrics.h"
+#include "node.h"
+#include "timeutil.h"
+#include <arpa/inet.h>
+#include <poll.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#define COMMANDS 48
+#define RIGHT_S 2.0
+#define MOST_S 6.0   /* the right, one answer's time after it, and a slow machine's share */
+#define MOST_SENT 24 /* six senders, an answer's time of 1.5 s each */
+
+struct machine {
+    int listener;
+    atomic_int requests;
+};
+
+/* Takes every connection, counts those that ask something, and answers none. */
+static void *never_answer(void *arg)
+{
+    struct machine *machine = arg;
+    static struct pollfd fds[COMMANDS + 1];
+    nfds_t n = 1;
+    fds[0] = (struct pollfd){machine->listener, POLLIN, 0};
+    while (poll(fds, n, -1) > 0) {
+        for (nfds_t i = 1; i < n; i++) {
+            char text[1024];
+            if (fds[i].revents == 0)
+                continue;
+            if (recv(fds[i].fd, text, sizeof text, 0) > 0)
+                atomic_fetch_add(&machine->requests, 1);
+            else
+                fds[i].fd = -1 - fds[i].fd; /* closed: not looked at any more */
+        }
+        if (fds[0].revents && n <= COMMANDS)
+            fds[n++] = (struct pollfd){accept(machine->listener, NULL, NULL), POLLIN, 0};
+    }
+    return NULL;
+}
+
+static int listen_anywhere(struct machine *machine)
+{
+    struct sockaddr_in addr = {.sin_family = AF_INET, .sin_addr.s_addr = htonl(INADDR_LOOPBACK)};
+    socklen_t len = sizeof addr;
+    machine->listener = socket(AF_INET, SOCK_STREAM, 0);
+    if (machine->listener < 0 || bind(machine->listener, (struct sockaddr *)&addr, len) != 0 ||
+        listen(machine->listener, COMMANDS) != 0 ||
+        getsockname(machine->listener, (struct sockaddr *)&addr, &len) != 0)
+        return -1;
+    return ntohs(addr.sin_port);
+}
+
+static struct bd_node *new_node(void)
+{
+    struct bd_node *node = calloc(1, sizeof *node);
+    if (!node)
+        abort();
+    node->settings.max_sockets = 400;
+    node->log = (struct bd_log){BD_ERROR, "node-0"};
+    node->metrics = bd_metrics_new();
+    if (!node->metrics || bd_http_start() != 0 || bd_queue_init(&node->commands, 4096) != 0 ||
+        bd_worker_client_start(node) != 0)
+        abort();
+    return node;
+}
+
+static void command(struct bd_node *node, uint32_t number, int port, double right_s)
+{
+    struct bd_effect *effect = calloc(1, sizeof *effect);
+    if (!effect)
+        abort();
+    effect->kind = BD_E_DO;
+    effect->machine = number;
+    effect->launch = true;
+    effect->until = bd_add(bd_now(), bd_secs(right_s));
+    effect->body = strdup("{}");
+    snprintf(effect->addr, sizeof effect->addr, "127.0.0.1:%d", port);
+    bd_worker_client_send(node, effect);
+}
+
+/* Takes what the owner would be told, until `most` answers or MOST_S. */
+static int outcomes(struct bd_node *node, int most, int *not_sent)
+{
+    struct timespec end = bd_add(bd_now(), bd_secs(MOST_S));
+    int got = 0;
+    while (got < most && bd_before(bd_now(), end)) {
+        void *item;
+        if (bd_queue_take(&node->commands, &item, 1, end) == 0)
+            continue;
+        struct bd_cmd *told = item;
+        got++;
+        *not_sent += told->status == BD_DIRECT_NOT_SENT;
+        bd_cmd_free(told);
+    }
+    return got;
+}
+
+static int check(const char *what, bool good)
+{
+    printf("%s: %s\n", good ? "ok  " : "FAIL", what);
+    return good ? 0 : 1;
+}
+
+int main(void)
+{
+    static struct machine machine;
+    int failed = 0, not_sent = 0;
+    int port = listen_anywhere(&machine);
+    struct bd_node *node = new_node();
+    if (port < 0 || bd_thread(never_answer, &machine, 131072) != 0)
+        return 2;
+    for (uint32_t i = 0; i < COMMANDS; i++)
+        command(node, i, port, RIGHT_S);
+    int got = outcomes(node, COMMANDS, &not_sent);
+    int requests = atomic_load(&machine.requests);
+    printf("%d outcomes, %d not sent, %d requests\n", got, not_sent, requests);
+    failed += check("every command has its outcome soon after its right is over", got == COMMANDS);
+    failed += check("what waited too long was not sent", not_sent >= COMMANDS - MOST_SENT);
+    failed += check("what is told as not sent was not sent", requests <= COMMANDS - not_sent);
+    failed += check("what was sent in time was sent", requests > 0);
+    not_sent = 0;
+    command(node, 0, port, -0.001);
+    failed += check("a right that is over already sends nothing",
+                    outcomes(node, 1, &not_sent) == 1 && not_sent == 1 &&
+                        atomic_load(&machine.requests) == requests);
+    return failed ? 1 : 0;
+}
--- a/tests/sim_node.c
+++ b/tests/sim_node.c
@@ -118,31 +118,13 @@
         abort();
     *t = (struct sim_try){.refs = 1, .machine = e->machine, .token = e->token, .launch = e->launch};
     t->worker = atoi(e->addr + 2); /* "w-N" */
+    t->until = e->until;
     struct sim_event *d = wake(s, n, n->senders_stalled - s->now, SIM_DO_SEND);
     d->text = e->body;
     d->data = t;
     e->body = NULL;
 }
 
-static void send_direct(struct sim *s, struct sim_event *e)
-{
-    struct sim_node *n = &s->nodes[e->node];
-    struct sim_try *t = e->data;
-    if (!n->core || n->epoch != e->epoch) {
-        free(t);
-        return;
-    }
-    t->refs = 2;
-    bool held = sim_held_up(s);
-    struct sim_event *d = wake(s, n, sim_delay(s) + (held ? sim_between(s, 0.5, 6) : 0), SIM_DO_IN);
-    d->who = t->worker;
-    d->text = e->text;
-    d->data = t;
-    e->text = NULL;
-    struct sim_event *g = wake(s, n, 1.5, SIM_DO_GIVEN_UP);
-    g->data = t;
-}
-
 static void cloud(struct sim *s, struct sim_node *n, struct bd_effect *e)
 {
     struct sim_event *b = wake(s, n, sim_between(s, 0.1, 0.4), SIM_CLOUD_BACK);
@@ -723,6 +705,33 @@
     settle(s, n);
 }
 
+/* Taken out of the queue: sent, if the right to it still holds, as worker_client.c asks too. */
+static void send_direct(struct sim *s, struct sim_event *e)
+{
+    struct sim_node *n = &s->nodes[e->node];
+    struct sim_try *t = e->data;
+    if (!n->core || n->epoch != e->epoch) {
+        free(t);
+        return;
+    }
+    if (!bd_before(steady(s, n), t->until)) {
+        clock_core(s, n);
+        bd_core_did(n->core, t->machine, t->token, t->launch, BD_DIRECT_NOT_SENT, NULL);
+        settle(s, n);
+        free(t);
+        return;
+    }
+    t->refs = 2;
+    bool held = sim_held_up(s);
+    struct sim_event *d = wake(s, n, sim_delay(s) + (held ? sim_between(s, 0.5, 6) : 0), SIM_DO_IN);
+    d->who = t->worker;
+    d->text = e->text;
+    d->data = t;
+    e->text = NULL;
+    struct sim_event *g = wake(s, n, 1.5, SIM_DO_GIVEN_UP);
+    g->data = t;
+}
+
 static void did(struct sim *s, struct sim_event *e)
 {
     struct sim_node *n = &s->nodes[e->node];
--- a/tests/sim_work.c
+++ b/tests/sim_work.c
@@ -7,7 +7,6 @@
 #include <string.h>
 
 #define GANG_WAIT_S 30.0
-#define FETCH_S 0.6
 
 static const char *const subs[] = {"pulling", "gathering", "running", "saving", "exited"};
 static const char *const whys[] = {"",      "done",    "stopped", "peers",  "alone",
@@ -186,7 +185,7 @@
         if (w->slots[i].job == job && w->slots[i].task == task && w->slots[i].sub != BD_EXITED)
             old = &w->slots[i];
     struct sim_slot *t = &w->slots[w->nslots++];
-    *t = (struct sim_slot){job, task, attempt, BD_FETCHING, BD_WHY_NONE, s->now + FETCH_S};
+    *t = (struct sim_slot){job, task, attempt, BD_FETCHING, BD_WHY_NONE, s->now + s->fetch_s};
     if (old) {
         t->sub = BD_EXITED;
         t->why = BD_WHY_BUSY;
--- a/tests/simulation.c
+++ b/tests/simulation.c
@@ -6,7 +6,8 @@
  *
  * A file has lines `at SECONDS TROUBLE ...`. The day ends long enough after the last fault for
  * all work to be served. `jobs N`: how many come; `cancelled SHARE`; `small 1`: jobs of one short
- * task. Troubles, with FOR in seconds and WHO a controller's number, `leader` or `any`:
+ * task; `fetch SECONDS` of an image. Troubles, with FOR in seconds and WHO a controller's number,
+ * `leader` or `any`:
  *
  * - state service: outage FOR, slow FOR, refuse WHO FOR, blind WHO FOR (its refreshes of the
  * records fail), late SHARE FOR, lost SHARE FOR
@@ -34,6 +35,7 @@
 #define MACHINES 6 /* at first */
 #define SERVICES 3
 #define STEP_S 0.02
+#define FETCH_S 0.6
 #define QUIET_S 130.0 /* after the last fault all work is to be served */
 #define WAIT_S 90.0   /* and a lease that may have to lapse first */
 #define MOST_S 400.0  /* ... and then the day is over */
@@ -48,7 +50,7 @@
     int n, jobs, machines, services;
     int small, drains;
     uint32_t budgets[2];
-    double cancelled;
+    double cancelled, fetch;
 };
 
 double sim_rnd(struct sim *s)
@@ -454,6 +456,7 @@
     s->lease_s = seed % 2 ? 10 : 32;
     s->cancel_s = seed % 2 ? 35 : 52;
     s->report_s = seed % 2 ? 2 : 3;
+    s->fetch_s = p->fetch;
     s->team_max[0] = 20.0 * p->machines / MACHINES;
     s->team_max[1] = 16.0 * p->machines / MACHINES;
     s->machines_most = p->machines * 3 / 2;
@@ -695,6 +698,7 @@
     memset(p, 0, sizeof *p);
     p->jobs = jobs;
     p->cancelled = cancelled;
+    p->fetch = FETCH_S;
     p->machines = MACHINES;
     p->services = SERVICES;
     p->budgets[0] = p->budgets[1] = 1;
@@ -792,7 +796,7 @@
             sscanf(line, "machines %d", &p->machines) == 1 ||
             sscanf(line, "services %d", &p->services) == 1 ||
             sscanf(line, "budget %u %u", &p->budgets[0], &p->budgets[1]) == 2 ||
-            sscanf(line, "jobs %d", &p->jobs) == 1 ||
+            sscanf(line, "jobs %d", &p->jobs) == 1 || sscanf(line, "fetch %lf", &p->fetch) == 1 ||
             sscanf(line, "cancelled %lf", &p->cancelled) == 1)
             continue;
         char rest[128] = "";
--- a/tests/simulation.h
+++ b/tests/simulation.h
@@ -166,7 +166,7 @@
     int nworkers;
     struct sim_job jobs[SIM_JOBS];
     int njobs;
-    double lease_s, cancel_s, report_s, team_max[2], team_use[2];
+    double lease_s, cancel_s, report_s, fetch_s, team_max[2], team_use[2];
     int broken, starts, late_starts, terms;
     bool draining;
     int machines_most, ndrains; /* up at once; drains that were asked for */
@@ -205,6 +205,7 @@
 struct sim_try { /* a direct command */
     bool over, launch;
     int refs, worker;
+    struct timespec until;
     uint32_t machine;
     uint64_t token;
 };
