Evidence log: what allowed each start, stop, adoption, answer and confirmation, and how holds end

Need: in the incident's records no line tells why a task was free, or why an answer renewed a lease; a new session and a report that does not show a task freed it silently. Change: src/audit.c, one format (event=NAME key=value ...) for the leader's gain with what it was read from, tokens, the end of a term, placed, unknown, adopted, started, stopped and freed tasks with session, report's number, token seen and term, the first answers of leaders, delegates and controllers standing by, confirmations, and direct commands that were not sent. Each caller that ends a hold or stops a task has to name its reason (enum bd_hold_end, bd_stop_reason). Lines of tasks that share all else are one; 40 lines a second and 400 at once, beyond that they are counted.

--- /dev/null
+++ b/src/audit.c
@@ -0,0 +1,171 @@
+#include "audit.h"
+#include "core_internal.h"
+#include <stdarg.h>
+#include <stdio.h>
+
+/* named defaults */
+#define LINES_A_SECOND 40.0
+#define LINES_AT_ONCE 400.0 /* a takeover of some hundred machines */
+
+static const char *const ends[] = {[BD_END_NOT_COMMITTED] = "not_committed",
+                                   [BD_END_NOT_SENT] = "not_sent",
+                                   [BD_END_EXITED] = "exited",
+                                   [BD_END_NOT_SHOWN] = "not_shown",
+                                   [BD_END_NEW_SESSION] = "new_session",
+                                   [BD_END_LEASE_OVER] = "lease_over",
+                                   [BD_END_MACHINE_GONE] = "machine_gone",
+                                   [BD_END_MACHINE_FAILED] = "machine_failed",
+                                   [BD_END_MOVED] = "moved",
+                                   [BD_END_DONE] = "done"};
+static const char *const stops[] = {
+    [BD_STOP_CANCELLED] = "cancelled", [BD_STOP_PREEMPTED] = "preempted",
+    [BD_STOP_GATHERED] = "gathered",   [BD_STOP_DRAINED] = "drained",
+    [BD_STOP_EVACUATED] = "evacuated", [BD_STOP_GANG] = "gang"};
+static const char *const states[] = {"wait", "plan", "launch", "live", "unknown", "done"};
+
+static bool wanted(const struct bd_core *core)
+{
+    return core->log && core->log->level >= BD_INFO;
+}
+
+static void write_line(struct bd_core *core, const char *text)
+{
+    struct bd_audit *audit = &core->audit;
+    audit->lines += LINES_A_SECOND * bd_between(audit->lines_at, core->now);
+    audit->lines = audit->lines > LINES_AT_ONCE ? LINES_AT_ONCE : audit->lines;
+    audit->lines_at = core->now;
+    if (audit->lines < 1) {
+        audit->suppressed++;
+        return;
+    }
+    if (audit->suppressed > 0)
+        bd_say(core->log, BD_INFO, "event=suppressed lines=%u", audit->suppressed);
+    audit->suppressed = 0;
+    audit->lines--;
+    bd_say(core->log, BD_INFO, "%s", text);
+}
+
+/* The open range behind those that are closed. False: there is no room for it. */
+static bool close_range(struct bd_audit *audit)
+{
+    size_t len = strlen(audit->ranges), room = sizeof audit->ranges - len;
+    const char *comma = len > 0 ? "," : "";
+    int n = audit->from == audit->to
+                ? snprintf(audit->ranges + len, room, "%s%u", comma, audit->from)
+                : snprintf(audit->ranges + len, room, "%s%u-%u", comma, audit->from, audit->to);
+    if (n >= 0 && (size_t)n < room)
+        return true;
+    audit->ranges[len] = '\0';
+    return false;
+}
+
+void bd_audit_flush(struct bd_core *core)
+{
+    struct bd_audit *audit = &core->audit;
+    char line[sizeof audit->head + sizeof audit->tail + sizeof audit->ranges + 16];
+    if (!audit->open)
+        return;
+    audit->open = false;
+    (void)close_range(audit);
+    snprintf(line, sizeof line, "%s task=%s %s", audit->head, audit->ranges, audit->tail);
+    write_line(core, line);
+}
+
+/* Adds the task to the line that is being gathered, if all else is the same. */
+static bool joins(struct bd_audit *audit, const char *head, const char *tail, uint32_t task)
+{
+    if (!audit->open || strcmp(audit->head, head) != 0 || strcmp(audit->tail, tail) != 0)
+        return false;
+    if (task == audit->to + 1) {
+        audit->to = task;
+        return true;
+    }
+    if (strlen(audit->ranges) + 32 > sizeof audit->ranges || !close_range(audit))
+        return false;
+    audit->from = audit->to = task;
+    return true;
+}
+
+/* What is known of the machine: its session, the number of its newest report, the highest token
+ * that it has seen; and the token by which we lead. */
+static void evidence(const struct bd_core *core, const struct bd_machine *machine, const char *why,
+                     char *out, size_t cap)
+{
+    const char *space = why && *why ? " " : "";
+    if (machine)
+        snprintf(out, cap, "machine=%s %s%ssession=%llu seq=%llu seen=%llu term=%llu", machine->id,
+                 why ? why : "", space, (unsigned long long)machine->session,
+                 (unsigned long long)machine->seq, (unsigned long long)machine->token,
+                 (unsigned long long)core->lead.term);
+    else
+        snprintf(out, cap, "machine=- %s%sterm=%llu", why ? why : "", space,
+                 (unsigned long long)core->lead.term);
+}
+
+void bd_audit_task(struct bd_core *core, const char *event, const struct bd_job *job, uint32_t task,
+                   uint64_t attempt, const struct bd_machine *machine, const char *why)
+{
+    struct bd_audit *audit = &core->audit;
+    char head[sizeof audit->head], tail[sizeof audit->tail];
+    if (!wanted(core))
+        return;
+    snprintf(head, sizeof head, "event=%s job=%s attempt=%llu", event, job->id,
+             (unsigned long long)attempt);
+    evidence(core, machine, why, tail, sizeof tail);
+    if (joins(audit, head, tail, task))
+        return;
+    bd_audit_flush(core);
+    memcpy(audit->head, head, sizeof head);
+    memcpy(audit->tail, tail, sizeof tail);
+    audit->ranges[0] = '\0';
+    audit->from = audit->to = task;
+    audit->open = true;
+}
+
+void bd_audit_machine(struct bd_core *core, const char *event, const struct bd_machine *machine,
+                      const char *why)
+{
+    char line[384], tail[256];
+    if (!wanted(core))
+        return;
+    bd_audit_flush(core);
+    evidence(core, machine, why, tail, sizeof tail);
+    snprintf(line, sizeof line, "event=%s %s", event, tail);
+    write_line(core, line);
+}
+
+void bd_audit_note(struct bd_core *core, const char *event, const char *fmt, ...)
+{
+    char line[384];
+    if (!wanted(core))
+        return;
+    bd_audit_flush(core);
+    int n = snprintf(line, sizeof line, "event=%s ", event);
+    va_list ap;
+    va_start(ap, fmt);
+    (void)vsnprintf(line + n, sizeof line - (size_t)n, fmt, ap);
+    va_end(ap);
+    write_line(core, line);
+}
+
+void bd_audit_end(struct bd_core *core, const struct bd_job *job, uint32_t task,
+                  enum bd_hold_end why)
+{
+    const struct bd_task *held = &job->tasks[task];
+    char text[64];
+    if (!wanted(core))
+        return;
+    snprintf(text, sizeof text, "why=%s state=%s", ends[why], states[held->state]);
+    bd_audit_task(core, "free", job, task, held->attempt, bd_machine_of(core, held->machine), text);
+}
+
+void bd_audit_stop(struct bd_core *core, const struct bd_job *job, uint32_t task,
+                   enum bd_stop_reason why, bool force)
+{
+    const struct bd_task *held = &job->tasks[task];
+    char text[64];
+    if (!wanted(core))
+        return;
+    snprintf(text, sizeof text, "why=%s force=%d state=%s", stops[why], force, states[held->state]);
+    bd_audit_task(core, "stop", job, task, held->attempt, bd_machine_of(core, held->machine), text);
+}
--- a/src/autoscaler.c
+++ b/src/autoscaler.c
@@ -440,7 +440,7 @@
             struct bd_task *task = &r.job->tasks[r.task];
             if ((task->state == BD_T_LIVE || task->state == BD_T_LAUNCH) &&
                 !(task->flags & BD_F_STOP) && (r.job->spec.checkpoint > 0 || machine->bad))
-                bd_task_stop(core, r.job, r.task, false);
+                bd_task_stop(core, r.job, r.task, BD_STOP_EVACUATED, false);
         }
     }
 }
--- a/src/commit.c
+++ b/src/commit.c
@@ -109,7 +109,7 @@
                                           commit->parts[commit->nparts - 1].n
                                     : 0;
     for (uint32_t i = named; i < commit->nplan; i++)
-        bd_task_free(core, commit->plan[i].job, commit->plan[i].task);
+        bd_task_free(core, commit->plan[i].job, commit->plan[i].task, BD_END_NOT_COMMITTED);
     if (named < commit->nplan)
         bd_say(core->log, BD_ERROR, "%u starts did not fit the intent records",
                commit->nplan - named);
--- a/src/commit_outcome.c
+++ b/src/commit_outcome.c
@@ -23,6 +23,9 @@
 
 static void launch_planned(struct bd_core *core, struct bd_commit *commit)
 {
+    char committed[48];
+    snprintf(committed, sizeof committed, "committed=%llu",
+             (unsigned long long)core->lead.sequence_revision);
     for (uint32_t i = 0; i < commit->nplan; i++) {
         struct bd_intent *e = &commit->plan[i];
         struct bd_task *task = e->job->tasks ? &e->job->tasks[e->task] : NULL;
@@ -31,10 +34,11 @@
         struct bd_machine *machine = bd_machine_of(core, task->machine);
         if (e->job->state != BD_LIVE || bd_cancel_heard(core, e->job) || !machine ||
             machine->gone || machine->returning) {
-            bd_task_free(core, e->job, e->task);
+            bd_task_free(core, e->job, e->task, BD_END_NOT_SENT);
             continue;
         }
         bd_task_set(core, e->job, e->task, BD_T_LAUNCH);
+        bd_audit_task(core, "place", e->job, e->task, e->attempt, machine, committed);
         if (!e->job->started)
             bd_metrics_time(core->metrics, BD_TIMING_START, core->wall - e->job->ready);
         e->job->started = true;
@@ -98,6 +102,8 @@
         job->id, job->ntasks, (int)job->spec.rank, job->spec.estimate,
         age - bd_between(job->last_placed, core->now), age - bd_between(job->last_begun, core->now),
         age, job->restarts);
+    bd_audit_note(core, "confirm", "job=%s state=done revision=%llu by=commit", job->id,
+                  (unsigned long long)store_revision);
     job->revision = store_revision;
     job->state = BD_DONE;
     job->end = core->wall;
@@ -116,6 +122,8 @@
         core->lead.last_token_raise = core->now;
         core->lead.fenced_attempt = (core->lead.base_term << 20) + core->lead.counter;
         core->lead.withheld = 0;
+        bd_audit_note(core, "token", "base=%llu term=%llu",
+                      (unsigned long long)core->lead.base_term, (unsigned long long)store_revision);
     }
     for (uint32_t i = 0; i < commit->nreceipts; i++)
         receipt_kept(&commit->receipts[i]);
@@ -145,7 +153,7 @@
         struct bd_intent *e = &commit->plan[n];
         if (e->job->tasks && e->job->tasks[e->task].state == BD_T_PLAN &&
             e->job->tasks[e->task].attempt == e->attempt)
-            bd_task_free(core, e->job, e->task);
+            bd_task_free(core, e->job, e->task, BD_END_NOT_COMMITTED);
     }
     core->lead.want_token_raise = core->lead.want_token_raise || commit->raises_token;
     /* the same number is never used for another content */
--- a/src/core.c
+++ b/src/core.c
@@ -154,6 +154,7 @@
 
 struct bd_effect *bd_core_effects(struct bd_core *core)
 {
+    bd_audit_flush(core); /* what allowed them is in the log before they are carried out */
     struct bd_effect *effect = core->first;
     core->first = core->last = NULL;
     return effect;
--- a/src/core.h
+++ b/src/core.h
@@ -2,6 +2,7 @@
  * clock and no threads live here, so that scenarios can play any order of events. */
 #ifndef BD_CORE_H
 #define BD_CORE_H
+#include "audit.h"
 #include "autoscaler.h"
 #include "brambledoor/log.h"
 #include "brambledoor/settings.h"
@@ -74,6 +75,7 @@
     struct bd_delegate delegate;   /* as follower: what we answer for the leader */
     struct bd_delegate_view delegates;
     struct bd_forwarding forwarding;
+    struct bd_audit audit;
     enum bd_role role;
     char leader_name[BD_LABEL];
     uint64_t leader_term, last_term; /* 0 while nobody leads; the last that was not 0 */
--- a/src/delegate.c
+++ b/src/delegate.c
@@ -30,6 +30,7 @@
 #define SOON_S 1.5         /* ... when no other controller is heard at all */
 #define GATHER_S 2.5       /* in which the workers of one batch are sent */
 #define PATIENT_S 40.0     /* then one with tasks may be sent too */
+#define STANDBY_SAID_S 5.0 /* between lines of the log about those we stand by for */
 #define WORKER_WAITS_S 4.0 /* the platform's: a worker waits so long for an answer, */
 #define WORKER_PAUSE_S 1.0 /* and goes to the next node after this */
 
@@ -234,10 +235,31 @@
     return bd_before(core->now, core->delegate.confirmed_until) && bd_may_renew(core);
 }
 
+/* The first answer to each machine of our record; of those that we stand by for, one at a time. */
+static void audit_answer(struct bd_core *core, const struct bd_report *report, uint64_t token,
+                         struct bd_served *served)
+{
+    struct timespec *said = &core->audit.standby_said;
+    if (served ? served->answered : bd_between(*said, core->now) < STANDBY_SAID_S)
+        return;
+    if (served)
+        served->answered = true;
+    else
+        *said = core->now;
+    bd_audit_note(core, "answer",
+                  "machine=%s by=%s session=%llu seq=%llu seen=%llu term=%llu refreshed_s=%.2f",
+                  report->machine, served ? "delegate" : "standby",
+                  (unsigned long long)report->session, (unsigned long long)report->seq,
+                  (unsigned long long)report->token, (unsigned long long)token,
+                  bd_between(core->replica.refreshed_at, core->now));
+}
+
+/* `served`: its entry in our record; NULL: we stand by. */
 static void answer(struct bd_core *core, void *request, const struct bd_report *report,
-                   uint64_t token)
+                   uint64_t token, struct bd_served *served)
 {
     struct orders l = {0};
+    audit_answer(core, report, token, served);
     bd_orders_answer(core, request, report, &l, token);
     free(l.o);
 }
@@ -260,7 +282,8 @@
             continue;
         }
         if (ready || stands_by)
-            answer(core, w->request, w->report, ready ? core->delegate.term : core->last_term);
+            answer(core, w->request, w->report, ready ? core->delegate.term : core->last_term,
+                   ready ? k : NULL);
         else
             bd_reply(core, w->request, 421, bd_wire_redirect(""), 0);
         bd_report_free(w->report);
@@ -436,7 +459,7 @@
 {
     struct bd_delegate *delegate = &core->delegate;
     if (bd_standby_answers(core, report)) {
-        answer(core, request, report, core->last_term);
+        answer(core, request, report, core->last_term, NULL);
         return true;
     }
     if (!called_for(core)) {
@@ -452,7 +475,7 @@
         return false;
     k->heard = core->now;
     if (k->confirmed && delegate->leader == core->leader_term && may_answer(core)) {
-        answer(core, request, report, delegate->term);
+        answer(core, request, report, delegate->term, k);
         return true;
     }
     let_wait(core, request, report);
--- a/src/delegate.h
+++ b/src/delegate.h
@@ -20,7 +20,7 @@
     UT_hash_handle hh; /* by id: thousands of machines check in */
     char id[BD_LABEL];
     struct timespec heard;
-    bool confirmed, sent;
+    bool confirmed, sent, answered;
 };
 
 struct bd_delegate {
--- a/src/drain/drain.c
+++ b/src/drain/drain.c
@@ -147,7 +147,7 @@
         struct bd_ref ref = machine->refs[k - 1];
         uint8_t flags = ref.job->tasks[ref.task].flags;
         if (flags & BD_F_STOP && !(flags & BD_F_FORCE))
-            bd_task_stop(core, ref.job, ref.task, true);
+            bd_task_stop(core, ref.job, ref.task, BD_STOP_DRAINED, true);
     }
 }
 
--- a/src/drain/plan.c
+++ b/src/drain/plan.c
@@ -51,7 +51,7 @@
         struct bd_ref ref = machine->refs[k - 1];
         if (!bd_candidate_stoppable(ref.job, ref.task) || !within_budgets(core, &ref, team))
             continue;
-        bd_task_stop(core, ref.job, ref.task, false);
+        bd_task_stop(core, ref.job, ref.task, BD_STOP_DRAINED, false);
         told++;
     }
     return told;
--- a/src/gathering.c
+++ b/src/gathering.c
@@ -214,7 +214,7 @@
         t->taken = true;
         s->m->emptying = true;
         bd_say(g->core->log, BD_INFO, "%s/%u moves off %s", r.job->id, r.task, s->m->id);
-        bd_task_stop(g->core, r.job, r.task, false);
+        bd_task_stop(g->core, r.job, r.task, BD_STOP_GATHERED, false);
     }
     return away;
 }
--- a/src/machine.h
+++ b/src/machine.h
@@ -19,6 +19,9 @@
     int type, zone; /* -1: not known yet */
     bool spot, listed_now, failed, fenced, gone, returning;
     uint64_t session, seq, lapsed_session;
+    uint64_t token;     /* the highest that it has seen, by its newest report */
+    bool answered;      /* in this term, */
+    bool answered_seen; /* ... since it has seen it: for the evidence log */
     uint64_t asked_seq; /* of its newest check-in: what is not newer is a copy */
     int via;            /* the controller that the check-in came to: a peer's number, or -1 */
     uint32_t misrouted; /* times in a row that it went elsewhere although it was answered */
--- a/src/orders.c
+++ b/src/orders.c
@@ -60,6 +60,8 @@
             (direct && task->attempt <= core->lead.fenced_attempt))
             continue;
         bd_orders_add(l, BD_LAUNCH, job->id, i, task->attempt, 0);
+        bd_audit_task(core, "start", job, i, task->attempt, machine,
+                      direct ? "via=direct" : "via=answer");
         task->flags |= direct ? BD_F_SENT | BD_F_DO : BD_F_SENT | BD_F_TOLD;
         launch = true;
     }
@@ -85,6 +87,13 @@
     return false;
 }
 
+static void add_halt_of_cancelled(struct bd_core *core, const struct bd_job *job,
+                                  const struct bd_seen_task *s, struct orders *l)
+{
+    bd_orders_add(l, BD_HALT, s->job, s->task, s->attempt, 0);
+    bd_audit_task(core, "halt", job, s->task, s->attempt, NULL, "why=cancelled via=answer");
+}
+
 /* Halts of what users have cancelled: nobody's leave is needed for these, and the machine need not
  * have seen our term. A direct command that was to say it may wait in our own queue, while each
  * answer renews the lease. */
@@ -94,7 +103,7 @@
         const struct bd_seen_task *s = &report->tasks[i];
         const struct bd_job *job = s->sub == BD_EXITED ? NULL : bd_job_find(core, s->job);
         if (job && job->state == BD_CANCELLED && !has_halt(l, s))
-            bd_orders_add(l, BD_HALT, s->job, s->task, s->attempt, 0);
+            add_halt_of_cancelled(core, job, s, l);
     }
 }
 
--- a/src/preemption.c
+++ b/src/preemption.c
@@ -105,7 +105,7 @@
             return;
         bd_room_add(&soon, &pick.job->spec, 1);
         r->nstops++;
-        bd_task_stop(r->core, pick.job, pick.task, false);
+        bd_task_stop(r->core, pick.job, pick.task, BD_STOP_PREEMPTED, false);
     }
 }
 
--- a/src/recovery.c
+++ b/src/recovery.c
@@ -86,6 +86,8 @@
 {
     uint32_t unknown = 0;
     for (uint32_t r = 0; r < core->lead.nrounds; r++) {
+        char intent[BD_LABEL + 8];
+        snprintf(intent, sizeof intent, "intent=%s", core->lead.rounds[r].key);
         for (uint32_t k = 0; k < core->lead.rounds[r].n; k++) {
             struct bd_intent *e = &core->lead.rounds[r].e[k];
             struct bd_task *task = &e->job->tasks[e->task];
@@ -94,6 +96,7 @@
                 continue;
             bd_task_assign(core, e->job, e->task, machine, e->attempt, BD_T_UNKNOWN);
             task->flags |= BD_F_SENT;
+            bd_audit_task(core, "unknown", e->job, e->task, e->attempt, machine, intent);
             if (e->job->state != BD_LIVE)
                 task->flags |= BD_F_STOP | BD_F_FORCE;
             unknown++;
@@ -142,6 +145,14 @@
     }
     load_intents(core, g->intents);
     classify(core);
+    bd_audit_note(core, "lead",
+                  "term=%llu grant=%llu replica=%llu replica_age_ms=%.0f w=%llu receipts=%zu "
+                  "intents=%zu others_lapse_s=%.1f",
+                  (unsigned long long)g->term, (unsigned long long)g->grant,
+                  (unsigned long long)core->replica.store_revision,
+                  1000 * bd_between(core->replica.refreshed_at, core->now),
+                  (unsigned long long)g->sequence_revision, json_array_size(g->receipts),
+                  json_array_size(g->intents), bd_between(core->now, core->lead.others_lapse));
     bd_drain_gained(core);
     core->lead.valid_until = core->lead.renewed = g->renewed;
     bd_core_renewed(core, g->grant, g->renewed);
--- a/src/replica.c
+++ b/src/replica.c
@@ -11,7 +11,7 @@
     for (uint32_t i = 0; job->tasks && i < job->ntasks; i++) {
         enum bd_task_state st = (enum bd_task_state)job->tasks[i].state;
         if (st == BD_T_LAUNCH || st == BD_T_LIVE || st == BD_T_UNKNOWN)
-            bd_task_stop(core, job, i, true);
+            bd_task_stop(core, job, i, BD_STOP_CANCELLED, true);
     }
 }
 
@@ -252,5 +252,8 @@
 {
     core->replica.store_revision = store_revision;
     core->replica.ready = true;
+    bd_audit_note(core, "relist", "revision=%llu age_ms=%.0f jobs=%u",
+                  (unsigned long long)store_revision, 1000 * bd_between(sent, core->now),
+                  HASH_COUNT(core->jobs));
     core->replica.refreshed_at = bd_max(core->replica.refreshed_at, sent);
 }
--- a/src/reports.c
+++ b/src/reports.c
@@ -95,7 +95,7 @@
     } else if (s->why == BD_WHY_UNKNOWN) {
         job->hold_until = bd_add(core->now, bd_secs(RETRY_FIRST_S));
     }
-    bd_task_free(core, job, i);
+    bd_task_free(core, job, i, BD_END_EXITED);
 }
 
 /* Even a direct launch that was answered may come once more, as a late copy. The worker ignores it
@@ -154,9 +154,12 @@
         }
         /* no intent names it, yet it runs: holding it here is what keeps it from running twice */
         bd_task_assign(core, job, s->task, machine, s->attempt, BD_T_LIVE);
+        bd_audit_task(core, "adopt", job, s->task, s->attempt, machine, "why=shown_without_intent");
         if (job->state != BD_LIVE)
             task->flags |= BD_F_STOP | BD_F_FORCE;
     }
+    if (task->state == BD_T_UNKNOWN)
+        bd_audit_task(core, "adopt", job, s->task, s->attempt, machine, "why=intent_and_report");
     uint8_t flags = task->flags;
     if (s->sub == BD_RUNNING && (task->sub != BD_RUNNING || task->state != BD_T_LIVE)) {
         job->last_begun = core->now;
@@ -189,8 +192,7 @@
             k++;
             continue;
         }
-        bd_say(core->log, BD_DEBUG, "%s/%u is not on %s", job->id, i, machine->id);
-        bd_task_free(core, job, i);
+        bd_task_free(core, job, i, BD_END_NOT_SHOWN);
         k = 0;
     }
 }
@@ -259,7 +261,7 @@
 static void session_rose(struct bd_core *core, struct bd_machine *machine)
 {
     if (machine->fenced)
-        bd_machine_lapse(core, machine);
+        bd_machine_lapse(core, machine, BD_END_NEW_SESSION);
     machine->asked_seq = 0;
     machine->outbound_cut =
         true; /* until it shows that it hears: its lease ran out, answered or not */
@@ -278,6 +280,7 @@
     identify(core, machine, report);
     machine->session = report->session;
     machine->seq = report->seq;
+    machine->token = report->token;
     if (bd_between(machine->heard, core->now) > 2 * bd_to_secs(core->settings->report))
         machine->steady = core->now;
     machine->heard = core->now;
@@ -294,11 +297,23 @@
     return true;
 }
 
+/* The first answer in our term, and the first since the machine has seen it. */
+static void audit_answer(struct bd_core *core, struct bd_machine *machine)
+{
+    if (machine->answered && (machine->answered_seen || !machine->fenced))
+        return;
+    bd_audit_machine(core, "answer", machine,
+                     machine->fenced ? "by=leader evidence=yes" : "by=leader evidence=no");
+    machine->answered = true;
+    machine->answered_seen = machine->fenced;
+}
+
 static void answer_checkin(struct bd_core *core, void *request, struct bd_machine *machine,
                            const struct bd_report *report, struct orders *l)
 {
     if (machine->fenced)
         bd_orders_owed(core, machine, l);
+    audit_answer(core, machine);
     machine->lapse_at = bd_lease_end(core, core->now);
     if (!machine->fenced) /* if this answer is lost, an earlier term may still renew it */
         machine->lapse_at = bd_max(machine->lapse_at, core->lead.others_lapse);
@@ -441,6 +456,7 @@
  * its next check-in. */
 static void direct_not_sent(struct bd_core *core, struct bd_machine *machine, bool launch)
 {
+    bd_audit_machine(core, "unsent", machine, launch ? "launch=1" : "launch=0");
     if (launch && machine->late_token == 0)
         exclude_late(machine);
     machine->do_after = bd_add(core->now, core->settings->report);
--- a/src/task.h
+++ b/src/task.h
@@ -25,6 +25,30 @@
     BD_F_SHOWN = 128  /* in the report being read */
 };
 
+/* Why a task's hold on a machine ended. */
+enum bd_hold_end {
+    BD_END_NOT_COMMITTED, /* its intent was not: nothing was sent */
+    BD_END_NOT_SENT,      /* its intent was, but nothing was ever sent */
+    BD_END_EXITED,        /* a report shows its attempt exited */
+    BD_END_NOT_SHOWN,     /* a report that has seen our term does not show it */
+    BD_END_NEW_SESSION,   /* ... is of a later session */
+    BD_END_LEASE_OVER,
+    BD_END_MACHINE_GONE, /* returned, or missing from the cloud's list */
+    BD_END_MACHINE_FAILED,
+    BD_END_MOVED, /* a report shows it elsewhere */
+    BD_END_DONE
+};
+
+/* Why a task is told to stop. */
+enum bd_stop_reason {
+    BD_STOP_CANCELLED,
+    BD_STOP_PREEMPTED,
+    BD_STOP_GATHERED, /* moves, so that its machine can go back */
+    BD_STOP_DRAINED,
+    BD_STOP_EVACUATED, /* its machine is taken by the cloud, or fails its tasks */
+    BD_STOP_GANG       /* another task of its gang is gone */
+};
+
 struct bd_task {
     uint64_t attempt;
     uint32_t machine;
--- a/src/tasks.c
+++ b/src/tasks.c
@@ -188,7 +188,7 @@
 {
     struct bd_task *task = &job->tasks[i];
     if (holds(task))
-        bd_task_free(core, job, i);
+        bd_task_free(core, job, i, BD_END_MOVED);
     task->machine = machine->index;
     task->attempt = attempt;
     task->flags = 0;
@@ -235,15 +235,17 @@
     for (uint32_t i = 0; i < job->ntasks; i++) {
         if (!stoppable(&job->tasks[i]))
             continue;
-        bd_task_stop(core, job, i, false); /* and with it all others */
+        bd_task_stop(core, job, i, BD_STOP_GANG, false); /* and with it all others */
         return;
     }
 }
 
-void bd_task_free(struct bd_core *core, struct bd_job *job, uint32_t i)
+void bd_task_free(struct bd_core *core, struct bd_job *job, uint32_t i, enum bd_hold_end why)
 {
     struct bd_task *task = &job->tasks[i];
     bool was_sent = task->state != BD_T_PLAN && task->state != BD_T_WAIT;
+    if (was_sent)
+        bd_audit_end(core, job, i, why);
     job->restarts += was_sent;
     let_go(core, job, i);
     if (task->state == BD_T_DONE)
@@ -261,6 +263,7 @@
 {
     if (job->tasks[i].state == BD_T_DONE)
         return;
+    bd_audit_end(core, job, i, BD_END_DONE);
     let_go(core, job, i);
     job->tasks[i].flags = 0;
     bd_task_set(core, job, i, BD_T_DONE);
@@ -281,29 +284,33 @@
         one_done(core, job, k);
 }
 
-static void stop_one(struct bd_core *core, struct bd_job *job, uint32_t i, bool force)
+static void stop_one(struct bd_core *core, struct bd_job *job, uint32_t i, enum bd_stop_reason why,
+                     bool force)
 {
     struct bd_task *task = &job->tasks[i];
     struct bd_machine *machine = bd_machine_of(core, task->machine);
+    if (!(task->flags & BD_F_STOP) || (force && !(task->flags & BD_F_FORCE)))
+        bd_audit_stop(core, job, i, why, force);
     if (force)
         task->flags |= BD_F_FORCE;
     task->flags |= BD_F_STOP;
     bd_ledger_task(core, job, i);
     if (task->state == BD_T_LAUNCH && !(task->flags & BD_F_SENT))
-        bd_task_free(core, job, i); /* nothing was ever sent: nothing can start */
+        bd_task_free(core, job, i, BD_END_NOT_SENT); /* nothing was ever sent: nothing can start */
     else if (machine)
         bd_orders_send(core, machine);
 }
 
 /* A gang saves only if all its members are told within a short time: they are stopped together. */
-void bd_task_stop(struct bd_core *core, struct bd_job *job, uint32_t i, bool force)
+void bd_task_stop(struct bd_core *core, struct bd_job *job, uint32_t i, enum bd_stop_reason why,
+                  bool force)
 {
-    stop_one(core, job, i, force);
+    stop_one(core, job, i, why, force);
     if (job->spec.shape != BD_GANG)
         return;
     for (uint32_t k = 0; k < job->ntasks; k++)
         if (stoppable(&job->tasks[k]))
-            stop_one(core, job, k, force);
+            stop_one(core, job, k, why, force);
 }
 
 struct bd_machine *bd_machine_of(struct bd_core *core, uint32_t index)
@@ -347,7 +354,7 @@
 }
 
 /* Everything the machine's last session had is gone. */
-void bd_machine_lapse(struct bd_core *core, struct bd_machine *machine)
+void bd_machine_lapse(struct bd_core *core, struct bd_machine *machine, enum bd_hold_end why)
 {
     uint32_t k = 0;
     while (k < machine->nrefs) {
@@ -358,7 +365,7 @@
             k++;
             continue;
         }
-        bd_task_free(core, r.job, r.task);
+        bd_task_free(core, r.job, r.task, why);
         k = 0; /* freeing one may move the others */
     }
     machine->late_token = 0;
@@ -366,7 +373,7 @@
 
 void bd_machine_gone(struct bd_core *core, struct bd_machine *machine)
 {
-    bd_machine_lapse(core, machine);
+    bd_machine_lapse(core, machine, BD_END_MACHINE_GONE);
     machine->gone = true;
     machine->addr[0] = '\0';
 }
