--- a/tests/simulation.c
+++ b/tests/simulation.c
@@ -20,9 +20,10 @@
  * - administrators: drain N REPLACES (the first N machines that are up; 1: replaced), pause 0,
  *   resume 0, calloff 0 (the newest drain)
  *
- * `simulation drains FROM N` draws days with drains. In a file `drains 1` switches them on,
- * `machines N` is how many there are at first, `services N` how many services come first, and
- * `budget A B` what each team bears. */
+ * `simulation delays FROM N` draws days with delays inside the controllers (`senders`, `stall`)
+ * among machines that hang and cancellations. `simulation drains FROM N` draws days with drains. In
+ * a file `drains 1` switches them on, `machines N` is how many there are at first, `services N` how
+ * many services come first, and `budget A B` what each team bears. */
 #include "simulation.h"
 #include "sim_drain.h"
 #include "small.h"
@@ -741,6 +742,36 @@
     gsl_rng_free(r);
 }
 
+/* A drawn day on which the controllers' own queues and processes are late as well. */
+static void drawn_delays(struct plan *p, unsigned long seed)
+{
+    static const char *const verbs[] = {"senders", "senders", "stall", "hang", "cancel", "burst"};
+    drawn(p, seed);
+    gsl_rng *r = gsl_rng_alloc(gsl_rng_taus2);
+    if (!r)
+        abort();
+    gsl_rng_set(r, seed * 49979687 + 7);
+    p->cancelled = 0.5;
+    p->machines = 2 * MACHINES;
+    p->fetch = gsl_rng_uniform(r) < 0.5 ? 0.01 : FETCH_S;
+    for (double at = 15; at < 130 && p->n < 80; at += 2 + 12 * gsl_rng_uniform(r)) {
+        struct trouble *t = &p->t[p->n++];
+        const char *v = verbs[gsl_rng_uniform_int(r, sizeof verbs / sizeof *verbs)];
+        double u = gsl_rng_uniform(r);
+        *t = (struct trouble){.at = at};
+        snprintf(t->verb, sizeof t->verb, "%s", v);
+        snprintf(t->who, sizeof t->who, "%s", u < 0.8 ? "leader" : "any");
+        t->a = 2 + floor(5 * u);
+        if (strcmp(v, "senders") == 0)
+            t->a = 3 + 70 * gsl_rng_uniform(r);
+        else if (strcmp(v, "stall") == 0)
+            t->a = 1 + 8 * u;
+        else if (strcmp(v, "hang") == 0)
+            t->b = 1 + 14 * gsl_rng_uniform(r);
+    }
+    gsl_rng_free(r);
+}
+
 /* A drawn day with more services, and drains among its troubles. */
 static void drawn_drains(struct plan *p, unsigned long seed)
 {
@@ -814,27 +845,39 @@
     return good && p->n > 0;
 }
 
+static const struct kind {
+    const char *name;
+    void (*draw)(struct plan *, unsigned long seed);
+} kinds[] = {{"random", drawn}, {"drains", drawn_drains}, {"delays", drawn_delays}};
+
+static const struct kind *kind_named(const char *name)
+{
+    for (size_t i = 0; i < sizeof kinds / sizeof *kinds; i++)
+        if (strcmp(kinds[i].name, name) == 0)
+            return &kinds[i];
+    return NULL;
+}
+
 int main(int argc, char **argv)
 {
     static struct plan p;
     int failed = 0;
     (void)setvbuf(stdout, NULL, _IONBF, 0); /* in step with the log */
-    void (*draw)(struct plan *, unsigned long) =
-        argc >= 3 && (strcmp(argv[1], "drains") == 0 || strcmp(argv[2], "drains") == 0)
-            ? drawn_drains
-            : drawn;
+    const struct kind *kind = argc >= 4 ? kind_named(argv[1]) : NULL;
+    if (argc >= 4 && strcmp(argv[1], "seed") == 0)
+        kind = kind_named(argv[2]);
     if (argc == 2 && strcmp(argv[1], "checker") == 0)
         return drain_check_works() ? 0 : 1;
-    if (argc == 4 && (strcmp(argv[1], "random") == 0 || strcmp(argv[1], "drains") == 0)) {
+    if (argc == 4 && kind && strcmp(argv[1], "seed") != 0) {
         unsigned long from = strtoul(argv[2], NULL, 10), n = strtoul(argv[3], NULL, 10);
         for (unsigned long i = from; i < from + n; i++) {
-            draw(&p, i);
+            kind->draw(&p, i);
             failed += play(&p, i, false, false) != 0;
         }
     } else if (argc >= 4 && strcmp(argv[1], "seed") == 0) {
         unsigned long seed = strtoul(argv[3], NULL, 10);
-        if (strcmp(argv[2], "random") == 0 || strcmp(argv[2], "drains") == 0)
-            draw(&p, seed);
+        if (kind)
+            kind->draw(&p, seed);
         else if (!read_plan(&p, argv[2]))
             return 2;
         failed += play(&p, seed, true, argc > 4) != 0;
