--- a/src/audit.c
+++ b/src/audit.c
@@ -34,7 +34,9 @@
     audit->lines += LINES_A_SECOND * bd_between(audit->lines_at, core->now);
     audit->lines = audit->lines > LINES_AT_ONCE ? LINES_AT_ONCE : audit->lines;
     audit->lines_at = core->now;
-    if (audit->lines < 1) {
+    /* once it is used up, not line by line: a second's lines at a time */
+    double enough = audit->suppressed > 0 ? LINES_A_SECOND : 1;
+    if (audit->lines < enough) {
         audit->suppressed++;
         return;
     }
@@ -134,20 +136,39 @@
     write_line(core, line);
 }
 
+static void format(char *line, size_t cap, const char *event, const char *fmt, va_list ap)
+{
+    int n = snprintf(line, cap, "event=%s ", event);
+    if (n > 0 && (size_t)n < cap)
+        (void)vsnprintf(line + n, cap - (size_t)n, fmt, ap);
+}
+
 void bd_audit_note(struct bd_core *core, const char *event, const char *fmt, ...)
 {
     char line[384];
+    va_list ap;
     if (!wanted(core))
         return;
     bd_audit_flush(core);
-    int n = snprintf(line, sizeof line, "event=%s ", event);
-    va_list ap;
     va_start(ap, fmt);
-    (void)vsnprintf(line + n, sizeof line - (size_t)n, fmt, ap);
+    format(line, sizeof line, event, fmt, ap);
     va_end(ap);
     write_line(core, line);
 }
 
+void bd_audit_term(struct bd_core *core, const char *event, const char *fmt, ...)
+{
+    char line[384];
+    va_list ap;
+    if (!wanted(core))
+        return;
+    bd_audit_flush(core);
+    va_start(ap, fmt);
+    format(line, sizeof line, event, fmt, ap);
+    va_end(ap);
+    bd_say(core->log, BD_INFO, "%s", line);
+}
+
 void bd_audit_end(struct bd_core *core, const struct bd_job *job, uint32_t task,
                   enum bd_hold_end why)
 {
--- a/src/audit.h
+++ b/src/audit.h
@@ -37,6 +37,9 @@
 /* Any other event; the text is key=value. */
 void bd_audit_note(struct bd_core *core, const char *event, const char *fmt, ...)
     __attribute__((format(printf, 3, 4)));
+/* ... of who leads, with which token and on which records: few, and written beyond the rate too. */
+void bd_audit_term(struct bd_core *core, const char *event, const char *fmt, ...)
+    __attribute__((format(printf, 3, 4)));
 /* Writes the line that is being gathered. */
 void bd_audit_flush(struct bd_core *core);
 
--- a/src/commit_outcome.c
+++ b/src/commit_outcome.c
@@ -122,7 +122,7 @@
         core->lead.last_token_raise = core->now;
         core->lead.fenced_attempt = (core->lead.base_term << 20) + core->lead.counter;
         core->lead.withheld = 0;
-        bd_audit_note(core, "token", "base=%llu term=%llu",
+        bd_audit_term(core, "token", "base=%llu term=%llu",
                       (unsigned long long)core->lead.base_term, (unsigned long long)store_revision);
     }
     for (uint32_t i = 0; i < commit->nreceipts; i++)
--- a/src/leadership.c
+++ b/src/leadership.c
@@ -129,7 +129,7 @@
     if (core->role != BD_LEADER)
         return;
     bd_say(core->log, BD_INFO, "term %llu is over", (unsigned long long)core->lead.term);
-    bd_audit_note(core, "lost", "base=%llu term=%llu valid_s=%.2f refreshed_s=%.2f",
+    bd_audit_term(core, "lost", "base=%llu term=%llu valid_s=%.2f refreshed_s=%.2f",
                   (unsigned long long)core->lead.base_term, (unsigned long long)core->lead.term,
                   bd_between(core->now, core->lead.valid_until),
                   bd_between(core->replica.refreshed_at, core->now));
--- a/src/recovery.c
+++ b/src/recovery.c
@@ -145,7 +145,7 @@
     }
     load_intents(core, g->intents);
     classify(core);
-    bd_audit_note(core, "lead",
+    bd_audit_term(core, "lead",
                   "term=%llu grant=%llu replica=%llu replica_age_ms=%.0f w=%llu receipts=%zu "
                   "intents=%zu others_lapse_s=%.1f",
                   (unsigned long long)g->term, (unsigned long long)g->grant,
