--- a/src/admission.c
+++ b/src/admission.c
@@ -104,14 +104,6 @@
 
 /* ---- writing ---- */
 
-static size_t bytes_of(json_t *v)
-{
-    char *text = json_dumps(v, JSON_COMPACT | JSON_ENCODE_ANY);
-    size_t n = text ? strlen(text) : 0;
-    free(text);
-    return n;
-}
-
 static json_t *record_of(struct bd_admission *admission, bool inline_names)
 {
     admission->record.prerequisites.names = inline_names ? admission->prerequisites : NULL;
@@ -190,7 +182,7 @@
 
 static bool fits_value(const struct bd_core *core, json_t *v)
 {
-    return (double)bytes_of(v) <= BD_VALUE_SHARE * (double)core->limits.value_bytes;
+    return (double)bd_wire_bytes(v) <= BD_VALUE_SHARE * (double)core->limits.value_bytes;
 }
 
 /* All that the acceptance writes, a transaction a line, the record that counts last. NULL: it
--- a/src/audit.c
+++ b/src/audit.c
@@ -136,37 +136,35 @@
     write_line(core, line);
 }
 
-static void format(char *line, size_t cap, const char *event, const char *fmt, va_list ap)
+/* `always`: beyond the rate too. */
+static void note(struct bd_core *core, bool always, const char *event, const char *fmt, va_list ap)
 {
-    int n = snprintf(line, cap, "event=%s ", event);
-    if (n > 0 && (size_t)n < cap)
-        (void)vsnprintf(line + n, cap - (size_t)n, fmt, ap);
+    char line[384];
+    if (!wanted(core))
+        return;
+    bd_audit_flush(core);
+    int n = snprintf(line, sizeof line, "event=%s ", event);
+    (void)vsnprintf(line + n, sizeof line - (size_t)n, fmt, ap);
+    if (always)
+        bd_say(core->log, BD_INFO, "%s", line);
+    else
+        write_line(core, line);
 }
 
 void bd_audit_note(struct bd_core *core, const char *event, const char *fmt, ...)
 {
-    char line[384];
     va_list ap;
-    if (!wanted(core))
-        return;
-    bd_audit_flush(core);
     va_start(ap, fmt);
-    format(line, sizeof line, event, fmt, ap);
+    note(core, false, event, fmt, ap);
     va_end(ap);
-    write_line(core, line);
 }
 
 void bd_audit_term(struct bd_core *core, const char *event, const char *fmt, ...)
 {
-    char line[384];
     va_list ap;
-    if (!wanted(core))
-        return;
-    bd_audit_flush(core);
     va_start(ap, fmt);
-    format(line, sizeof line, event, fmt, ap);
+    note(core, true, event, fmt, ap);
     va_end(ap);
-    bd_say(core->log, BD_INFO, "%s", line);
 }
 
 void bd_audit_end(struct bd_core *core, const struct bd_job *job, uint32_t task,
--- a/src/delegate.c
+++ b/src/delegate.c
@@ -258,10 +258,10 @@
 static void answer(struct bd_core *core, void *request, const struct bd_report *report,
                    uint64_t token, struct bd_served *served)
 {
-    struct orders l = {0};
+    struct bd_order_list orders = {0};
     audit_answer(core, report, token, served);
-    bd_orders_answer(core, request, report, &l, token);
-    free(l.o);
+    bd_orders_answer(core, request, report, &orders, token);
+    free(orders.items);
 }
 
 /* Answers who asked; those who came while the record was being written wait for the next one. */
--- a/src/drain/candidate.c
+++ b/src/drain/candidate.c
@@ -2,8 +2,6 @@
  * Part of the pure core. */
 #include "drain_internal.h"
 
-#define ROOM_EPS 1e-6
-
 /* ---- needs ---- */
 
 static bool add_need(struct bd_candidate *candidate, uint32_t budget, uint32_t tasks)
@@ -61,9 +59,7 @@
         if (!add_need(candidate, entry->budgets[i], falls))
             return false;
     candidate->tasks += falls;
-    candidate->moves.cpus += job->spec.cpus;
-    candidate->moves.gpus += job->spec.gpus;
-    candidate->moves.mem += job->spec.mem;
+    bd_room_add(&candidate->moves, &job->spec, 1);
     return true;
 }
 
@@ -99,10 +95,7 @@
         struct bd_machine *machine = core->by_index[i];
         if (!bd_machine_usable(core, machine))
             continue;
-        const struct bd_type *type = &core->types[machine->type];
-        bins->bins[bins->n++] = (struct bd_bin){
-            machine,
-            {type->cpus - machine->cpus, type->gpus - machine->gpus, type->mem - machine->mem}};
+        bins->bins[bins->n++] = (struct bd_bin){machine, bd_room_left(core, machine)};
     }
 }
 
@@ -127,15 +120,7 @@
 static bool fits(const struct bd_bin *bin, const struct bd_spec *spec)
 {
     return bd_allowed(spec, bin->machine->type, bin->machine->zone, bin->machine->spot) &&
-           bin->room.cpus + ROOM_EPS >= spec->cpus && bin->room.gpus + ROOM_EPS >= spec->gpus &&
-           bin->room.mem + ROOM_EPS >= spec->mem;
-}
-
-static void take(struct bd_bin *bin, const struct bd_spec *spec, double sign)
-{
-    bin->room.cpus -= sign * spec->cpus;
-    bin->room.gpus -= sign * spec->gpus;
-    bin->room.mem -= sign * spec->mem;
+           bd_room_fits(bin->room, spec, 1) > 0;
 }
 
 static struct bd_bin *first_fit(struct bd_bins *bins, const struct bd_spec *spec)
@@ -154,13 +139,13 @@
         abort();
     uint32_t n = 0;
     while (n < machine->nrefs && (took[n] = first_fit(bins, &machine->refs[n].job->spec))) {
-        take(took[n], &machine->refs[n].job->spec, 1);
+        bd_room_add(&took[n]->room, &machine->refs[n].job->spec, -1);
         n++;
     }
     bool all = n == machine->nrefs;
     while (!all && n > 0) {
         n--;
-        take(took[n], &machine->refs[n].job->spec, -1);
+        bd_room_add(&took[n]->room, &machine->refs[n].job->spec, 1);
     }
     free(took);
     return all;
--- a/src/drain/drain_internal.h
+++ b/src/drain/drain_internal.h
@@ -2,6 +2,7 @@
 #ifndef BD_DRAIN_INTERNAL_H
 #define BD_DRAIN_INTERNAL_H
 #include "../core_internal.h"
+#include "../room.h"
 #include "drain/drain.h"
 #include <roaring/roaring.h>
 #include <uthash.h>
@@ -58,10 +59,6 @@
 
 #define BD_NEEDS_MOST 64 /* budgets that one machine's tasks draw on */
 
-struct bd_room {
-    double cpus, gpus, mem;
-};
-
 /* A machine that could be in the next step. */
 struct bd_candidate {
     struct bd_drain_machine *entry;
--- a/src/drain/durable.c
+++ b/src/drain/durable.c
@@ -159,14 +159,6 @@
            (part->urgent || bd_between(part->written, core->now) > REASONS_S);
 }
 
-static size_t bytes_of(json_t *value)
-{
-    char *text = json_dumps(value, JSON_COMPACT);
-    size_t bytes = text ? strlen(text) : SIZE_MAX;
-    free(text);
-    return bytes;
-}
-
 /* False: the limit on values was lowered below it. It waits until that rises again; a transaction
  * with it would be refused, and all that the leader starts with it. */
 static bool write_part(struct bd_core *core, struct bd_drain *drain, uint32_t number,
@@ -175,7 +167,7 @@
     struct bd_drain_part *part = &drain->parts[number];
     struct bd_drain_machine *machines = drain->machines + part->from;
     out->value = bd_drain_part_value(machines, part->n);
-    out->bytes = bytes_of(out->value);
+    out->bytes = bd_wire_bytes(out->value);
     part->written = core->now;
     if (out->bytes > core->limits.value_bytes) {
         bd_say(core->log, BD_ERROR, "drain %s: a record of %zu bytes is larger than a value may be",
--- a/src/place.c
+++ b/src/place.c
@@ -17,33 +17,11 @@
 #define FORCE_AGAIN_S 0.5    /* a job that nothing can be stopped for asks again after this */
 #define HOLD_AFTER_S 10.0    /* a gang waits so long before room is held and made for it */
 
-static struct room free_room(const struct bd_core *core, const struct bd_machine *machine)
-{
-    const struct bd_type *type = &core->types[machine->type];
-    return (struct room){type->cpus - machine->cpus, type->gpus - machine->gpus,
-                         type->mem - machine->mem};
-}
-
 /* Free room that is not kept for a task whose place is being vacated. */
-struct room bd_unclaimed_room(const struct round *r, const struct bd_machine *machine)
-{
-    struct room room = free_room(r->core, machine), held = r->claimed[machine->index];
-    return (struct room){room.cpus - held.cpus, room.gpus - held.gpus, room.mem - held.mem};
-}
-
-static uint32_t fit_one(double have, double need, uint32_t most)
-{
-    if (need <= 0)
-        return most;
-    double n = floor((have + EPS) / need);
-    return n <= 0 ? 0 : n < most ? (uint32_t)n : most;
-}
-
-uint32_t bd_fit(struct room r, const struct bd_spec *spec, uint32_t most)
+struct bd_room bd_unclaimed_room(const struct round *r, const struct bd_machine *machine)
 {
-    most = fit_one(r.cpus, spec->cpus, most);
-    most = fit_one(r.gpus, spec->gpus, most);
-    return fit_one(r.mem, spec->mem, most);
+    struct bd_room room = bd_room_left(r->core, machine), held = r->claimed[machine->index];
+    return (struct bd_room){room.cpus - held.cpus, room.gpus - held.gpus, room.mem - held.mem};
 }
 
 bool bd_allowed(const struct bd_spec *spec, int type, int zone, bool spot)
@@ -56,9 +34,9 @@
                       const struct bd_spec *spec, uint32_t most)
 {
     if (team->cpus_max > 0)
-        most = fit_one(team->cpus_max - cpus, spec->cpus, most);
+        most = bd_amount_fits(team->cpus_max - cpus, spec->cpus, most);
     if (team->gpus_max > 0)
-        most = fit_one(team->gpus_max - gpus, spec->gpus, most);
+        most = bd_amount_fits(team->gpus_max - gpus, spec->gpus, most);
     return most;
 }
 
@@ -110,14 +88,14 @@
     const struct bd_type *type = &core->types[machine->type];
     if (spec->gpus > 0 || g->gpus <= 0)
         return most;
-    struct room r = {type->cpus - machine->pinned_cpus, type->gpus - machine->pinned_gpus,
-                     type->mem - machine->pinned_mem};
-    uint32_t gpu_tasks = bd_fit(r, g, 64);
+    struct bd_room r = {type->cpus - machine->pinned_cpus, type->gpus - machine->pinned_gpus,
+                        type->mem - machine->pinned_mem};
+    uint32_t gpu_tasks = bd_room_fits(r, g, 64);
     if (gpu_tasks == 0) /* services alone keep GPU work away: they are to move together here */
         return machine->gpus > 0 || spec->shape == BD_SERVICE ? most : 0;
-    struct room left = {type->cpus - machine->cpus - gpu_tasks * g->cpus, 0,
-                        type->mem - machine->mem - gpu_tasks * g->mem};
-    return left.cpus < 0 || left.mem < 0 ? 0 : bd_fit(left, spec, most);
+    struct bd_room left = {type->cpus - machine->cpus - gpu_tasks * g->cpus, 0,
+                           type->mem - machine->mem - gpu_tasks * g->mem};
+    return left.cpus < 0 || left.mem < 0 ? 0 : bd_room_fits(left, spec, most);
 }
 
 /* Whether it is known what GPU work could do here: before any has come, nothing is harmless. */
@@ -137,7 +115,7 @@
 }
 
 double bd_place_cost(const struct round *d, const struct bd_spec *spec,
-                     const struct bd_machine *machine, struct room r, bool harm)
+                     const struct bd_machine *machine, struct bd_room r, bool harm)
 {
     const struct bd_core *core = d->core;
     const struct bd_type *type = &core->types[machine->type];
@@ -190,8 +168,8 @@
             continue;
         if (r->quick && !bd_quick_there(core, &job->spec, machine))
             continue;
-        struct room room = bd_unclaimed_room(r, machine);
-        if (!bd_fit(room, &job->spec, 1) || !bd_zone_left(core, job, zones, machine->zone, 1))
+        struct bd_room room = bd_unclaimed_room(r, machine);
+        if (!bd_room_fits(room, &job->spec, 1) || !bd_zone_left(core, job, zones, machine->zone, 1))
             continue;
         bool harm = harmless(core, &job->spec, machine, 1) == 0;
         if (harm && !may_harm)
@@ -253,8 +231,8 @@
         struct bd_machine *machine = best(r, job, zones, any_price, may_harm);
         if (!machine)
             break;
-        struct room room = bd_unclaimed_room(r, machine);
-        uint32_t n = bd_fit(room, &job->spec, most - placed),
+        struct bd_room room = bd_unclaimed_room(r, machine);
+        uint32_t n = bd_room_fits(room, &job->spec, most - placed),
                  kind = harmless(r->core, &job->spec, machine, n);
         if (kind > 0) /* the next ones may do better elsewhere */
             n = kind;
--- a/src/placement_internal.h
+++ b/src/placement_internal.h
@@ -2,13 +2,10 @@
 #ifndef BD_PLACEMENT_INTERNAL_H
 #define BD_PLACEMENT_INTERNAL_H
 #include "core_internal.h"
+#include "room.h"
 
 #define EPS 1e-6
 
-struct room {
-    double cpus, gpus, mem;
-};
-
 /* What could be stopped on a machine, in sum: most machines have nothing of the kind, and to look
  * at every task of every machine for every job that waits takes most of a round at a thousand
  * machines. */
@@ -29,7 +26,7 @@
     double *fetch;              /* by machine: seconds of fetching that this round's plans add */
     double *cost;               /* by machine: of making room for the job that is being placed */
     uint32_t nstops;            /* tasks stopped in this round, and one more */
-    struct room *claimed;       /* by machine: room that waits for tasks being stopped */
+    struct bd_room *claimed;    /* by machine: room that waits for tasks being stopped */
     int only_zone;              /* -1: any */
     bool quick;                 /* only where no long fetch comes first */
     bool *open;                 /* by machine: new work may come to it */
@@ -38,18 +35,16 @@
     double spot_lost;           /* what a spot one costs it that an ordinary one would not */
     double not_spot;            /* what an ordinary machine costs it that a spot one would not */
 };
-struct room bd_unclaimed_room(const struct round *r, const struct bd_machine *machine);
-uint32_t bd_fit(struct room r, const struct bd_spec *spec, uint32_t most);
+struct bd_room bd_unclaimed_room(const struct round *r, const struct bd_machine *machine);
 void bd_zone_counts(struct bd_core *core, const struct bd_job *job, uint32_t *n);
 uint32_t bd_zone_left(const struct bd_core *core, const struct bd_job *job, const uint32_t *n,
                       int z, uint32_t most);
 double bd_place_cost(const struct round *d, const struct bd_spec *spec,
-                     const struct bd_machine *machine, struct room r, bool harm);
+                     const struct bd_machine *machine, struct bd_room r, bool harm);
 bool bd_zone_open(const struct round *r, const struct bd_machine *machine);
 bool bd_quick_there(const struct bd_core *core, const struct bd_spec *spec,
                     const struct bd_machine *machine);
 bool bd_stoppable(const struct bd_job *job, const struct bd_task *task);
-void bd_room_add(struct room *r, const struct bd_spec *spec, double sign);
 void bd_stop_costs(struct round *r, const struct bd_job *job, const uint32_t *zones,
                    bool only_cheap, bool with_image);
 bool bd_vacate(struct round *r, struct bd_job *job, uint32_t *zones, bool only_cheap);
--- a/src/preemption.c
+++ b/src/preemption.c
@@ -23,13 +23,6 @@
     return (job->rank < want->rank || owed) && bd_stoppable(job, task);
 }
 
-void bd_room_add(struct room *r, const struct bd_spec *spec, double sign)
-{
-    r->cpus += sign * spec->cpus;
-    r->gpus += sign * spec->gpus;
-    r->mem += sign * spec->mem;
-}
-
 static const struct stops *sum_up(struct round *r, const struct bd_machine *machine)
 {
     struct stops *s = &r->stops[machine->index];
@@ -51,7 +44,7 @@
 
 /* Room on the machine once what is stopping has gone, and what else could be stopped. */
 static void later_room(struct round *r, const struct bd_job *want, struct bd_machine *machine,
-                       struct room *soon, struct room *most)
+                       struct bd_room *soon, struct bd_room *most)
 {
     const struct stops *s = sum_up(r, machine);
     *soon = bd_unclaimed_room(r, machine);
@@ -97,9 +90,9 @@
 }
 
 static void stop_for(struct round *r, const struct bd_job *want, struct bd_machine *machine,
-                     struct room soon)
+                     struct bd_room soon)
 {
-    while (!bd_fit(soon, &want->spec, 1)) {
+    while (!bd_room_fits(soon, &want->spec, 1)) {
         struct bd_ref pick = least_valuable(want, machine);
         if (!pick.job)
             return;
@@ -114,14 +107,14 @@
                         const uint32_t *zones, bool only_cheap)
 {
     struct bd_core *core = r->core;
-    struct room soon, most;
+    struct bd_room soon, most;
     if (!r->open[machine->index] || !bd_zone_open(r, machine) ||
         !bd_allowed(&job->spec, machine->type, machine->zone, machine->spot) ||
         (only_cheap && r->dear[machine->type][machine->spot]) ||
         !bd_zone_left(core, job, zones, machine->zone, 1))
         return INFINITY;
     later_room(r, job, machine, &soon, &most);
-    if (!bd_fit(most, &job->spec, 1))
+    if (!bd_room_fits(most, &job->spec, 1))
         return INFINITY;
     double v = bd_fetch_s(core, machine, &job->spec);
     double lacking = fmax(0, fmax(job->spec.cpus - soon.cpus, 0) / fmax(job->spec.cpus, 1) +
@@ -147,7 +140,7 @@
 bool bd_vacate(struct round *r, struct bd_job *job, uint32_t *zones, bool only_cheap)
 {
     for (;;) {
-        struct room soon, most;
+        struct bd_room soon, most;
         uint32_t pick = 0;
         for (uint32_t i = 1; i < r->core->nmachines; i++)
             if (r->cost[i] < r->cost[pick])
--- a/src/reports.c
+++ b/src/reports.c
@@ -102,16 +102,17 @@
  * while it knows the attempt, or once it has seen a higher token: what a token's direct launches
  * may have carried is not forgotten before. */
 static void forget(struct bd_core *core, const struct bd_report *report,
-                   const struct bd_seen_task *s, struct orders *l)
+                   const struct bd_seen_task *s, struct bd_order_list *orders)
 {
     if (s->attempt <= core->lead.fenced_attempt && report->token >= core->lead.term)
-        bd_orders_add(l, BD_FORGET, s->job, s->task, s->attempt, 0);
+        bd_orders_add(orders, BD_FORGET, s->job, s->task, s->attempt, 0);
     else if (core->lead.withheld++ == 0)
         core->lead.withheld_at = core->now;
 }
 
 static void exited(struct bd_core *core, struct bd_machine *machine, struct bd_job *job,
-                   const struct bd_report *report, const struct bd_seen_task *s, struct orders *l)
+                   const struct bd_report *report, const struct bd_seen_task *s,
+                   struct bd_order_list *orders)
 {
     struct bd_task *task = &job->tasks[s->task];
     bool current = is_current(machine, task, s->attempt);
@@ -131,7 +132,7 @@
         }
         bd_task_done(core, job, s->task);
         if (task->flags & BD_F_RECEIPT)
-            forget(core, report, s, l);
+            forget(core, report, s, orders);
         return;
     }
     if (late) {
@@ -140,16 +141,16 @@
     }
     if (current)
         ended(core, machine, job, s->task, s);
-    forget(core, report, s, l);
+    forget(core, report, s, orders);
 }
 
 static void alive(struct bd_core *core, struct bd_machine *machine, struct bd_job *job,
-                  const struct bd_seen_task *s, struct orders *l)
+                  const struct bd_seen_task *s, struct bd_order_list *orders)
 {
     struct bd_task *task = &job->tasks[s->task];
     if (!is_current(machine, task, s->attempt)) {
         if (task->state != BD_T_WAIT) { /* the task is elsewhere or done: this one must not be */
-            bd_orders_add(l, BD_HALT, s->job, s->task, s->attempt, 0);
+            bd_orders_add(orders, BD_HALT, s->job, s->task, s->attempt, 0);
             return;
         }
         /* no intent names it, yet it runs: holding it here is what keeps it from running twice */
@@ -229,7 +230,7 @@
 }
 
 static void evidence(struct bd_core *core, struct bd_machine *machine,
-                     const struct bd_report *report, struct orders *l)
+                     const struct bd_report *report, struct bd_order_list *orders)
 {
     for (size_t k = 0; k < report->n; k++) {
         const struct bd_seen_task *s = &report->tasks[k];
@@ -237,15 +238,15 @@
         if (!job || !job->tasks || s->task >= job->ntasks) {
             /* done jobs' results may be forgotten; of others nothing is known here */
             if (s->sub == BD_EXITED && job && job->state == BD_DONE)
-                forget(core, report, s, l);
+                forget(core, report, s, orders);
             else if (s->sub != BD_EXITED)
-                bd_orders_add(l, BD_HALT, s->job, s->task, s->attempt, 0);
+                bd_orders_add(orders, BD_HALT, s->job, s->task, s->attempt, 0);
             continue;
         }
         if (s->sub == BD_EXITED)
-            exited(core, machine, job, report, s, l);
+            exited(core, machine, job, report, s, orders);
         else
-            alive(core, machine, job, s, l);
+            alive(core, machine, job, s, orders);
     }
 }
 
@@ -271,7 +272,7 @@
 
 /* Takes a report in. False: stale, nothing changed. */
 static bool take_report(struct bd_core *core, struct bd_machine *machine,
-                        const struct bd_report *report, struct orders *l)
+                        const struct bd_report *report, struct bd_order_list *orders)
 {
     if (!newer(machine, report))
         return false;
@@ -293,7 +294,7 @@
         exclude_late(machine);
     mark_shown(core, machine, report);
     missing(core, machine);
-    evidence(core, machine, report, l);
+    evidence(core, machine, report, orders);
     return true;
 }
 
@@ -309,15 +310,15 @@
 }
 
 static void answer_checkin(struct bd_core *core, void *request, struct bd_machine *machine,
-                           const struct bd_report *report, struct orders *l)
+                           const struct bd_report *report, struct bd_order_list *orders)
 {
     if (machine->fenced)
-        bd_orders_owed(core, machine, l);
+        bd_orders_owed(core, machine, orders);
     audit_answer(core, machine);
     machine->lapse_at = bd_lease_end(core, core->now);
     if (!machine->fenced) /* if this answer is lost, an earlier term may still renew it */
         machine->lapse_at = bd_max(machine->lapse_at, core->lead.others_lapse);
-    bd_orders_answer(core, request, report, l, core->lead.term);
+    bd_orders_answer(core, request, report, orders, core->lead.term);
 }
 
 /* A worker has one check-in under way and numbers them upwards; one that is not newer than the
@@ -379,17 +380,17 @@
     }
     if (direct && machine->delegated)
         bd_delegate_needless(core, machine);
-    struct orders l = {0};
+    struct bd_order_list orders = {0};
     hears_us(machine, report, via);
     answers_settled(machine);
-    if (take_report(core, machine, report, &l))
+    if (take_report(core, machine, report, &orders))
         machine->direct = direct;
     machine->asked_seq = report->seq;
     machine->asked = core->now;
     if (!bd_core_valid(core))
-        l.n = 0;
-    answer_checkin(core, request, machine, report, &l);
-    free(l.o);
+        orders.count = 0;
+    answer_checkin(core, request, machine, report, &orders);
+    free(orders.items);
     bd_orders_send(core, machine);
 }
 
@@ -488,13 +489,13 @@
         direct_failed(core, m); /* the address serves another machine now */
         return;
     }
-    struct orders l = {0};
+    struct bd_order_list orders = {0};
     if (launch && m->late_token == 0)
         exclude_late(m); /* answered: nothing of it is on its way any more */
     if (m->gone)
         return;
-    (void)take_report(core, m, report, &l);
-    free(l.o); /* said again with the next report */
+    (void)take_report(core, m, report, &orders);
+    free(orders.items); /* said again with the next report */
     if (m->nrefs)
         bd_orders_send(core, m);
 }
--- a/src/wire.c
+++ b/src/wire.c
@@ -137,6 +137,14 @@
     return s;
 }
 
+size_t bd_wire_bytes(const json_t *value)
+{
+    char *text = json_dumps(value, JSON_COMPACT | JSON_ENCODE_ANY);
+    size_t bytes = text ? strlen(text) : SIZE_MAX;
+    free(text);
+    return bytes;
+}
+
 void bd_wire_set_revision(json_t *change, uint64_t revision)
 {
     json_object_set_new(change, "mark", json_integer((json_int_t)revision));
--- a/src/wire.h
+++ b/src/wire.h
@@ -149,6 +149,8 @@
 /* False: not to be told without reading the text as JSON. */
 bool bd_wire_report_number(const char *text, size_t len, struct bd_report_number *out);
 /* session 0: an answer to a report, else the body of a direct command */
+/* Bytes of the value as it is sent; SIZE_MAX: out of memory. */
+size_t bd_wire_bytes(const json_t *value);
 char *bd_wire_orders(uint64_t token, uint64_t session, const struct bd_order *o, size_t n);
 int bd_wire_types(json_t *o, struct bd_type_text *out, int max);
 int bd_wire_machines(json_t *o, struct bd_cloud_machine *out, int max, bool *more);
--- a/tests/simulation.c
+++ b/tests/simulation.c
@@ -26,6 +26,7 @@
  * many services come first, and `budget A B` what each team bears. */
 #include "simulation.h"
 #include "sim_drain.h"
+#include "sim_plan.h"
 #include "small.h"
 #include <math.h>
 #include <stdarg.h>
@@ -33,27 +34,12 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define MACHINES 6 /* at first */
-#define SERVICES 3
 #define STEP_S 0.02
-#define FETCH_S 0.6
 #define QUIET_S 130.0 /* after the last fault all work is to be served */
 #define WAIT_S 90.0   /* and a lease that may have to lapse first */
 #define MOST_S 400.0  /* ... and then the day is over */
 #define LOST_S 75.0   /* without an answer a job counts as forgotten */
 
-struct plan {
-    struct trouble {
-        double at;
-        char verb[16], who[16];
-        double a, b;
-    } t[128];
-    int n, jobs, machines, services;
-    int small, drains;
-    uint32_t budgets[2];
-    double cancelled, fetch;
-};
-
 double sim_rnd(struct sim *s)
 {
     return gsl_rng_uniform(s->rng);
@@ -246,7 +232,7 @@
     json_decref(o);
 }
 
-static void new_job(struct sim *s, const struct plan *p, double at)
+static void new_job(struct sim *s, const struct sim_plan *p, double at)
 {
     if (s->njobs == SIM_JOBS)
         return;
@@ -298,7 +284,7 @@
     sim_post(s, back, SIM_NODE_UP)->node = i;
 }
 
-static void machines(struct sim *s, const struct trouble *t)
+static void machines(struct sim *s, const struct sim_trouble *t)
 {
     int n = (int)t->a;
     for (int tries = 0; n > 0 && tries < 100; tries++) {
@@ -336,7 +322,7 @@
     }
 }
 
-static void trouble(struct sim *s, const struct plan *p, const struct trouble *t)
+static void trouble(struct sim *s, const struct sim_plan *p, const struct sim_trouble *t)
 {
     double until = s->now + t->a;
     sim_note(s, "trouble: %s %s %.2f %.2f", t->verb, t->who, t->a, t->b);
@@ -445,7 +431,7 @@
     s->nodes[i].log = (struct bd_log){BD_ERROR, s->nodes[i].settings.node};
 }
 
-static void begin(struct sim *s, const struct plan *p, unsigned long seed)
+static void begin(struct sim *s, const struct sim_plan *p, unsigned long seed)
 {
     memset(s, 0, sizeof *s);
     s->seed = seed;
@@ -458,8 +444,8 @@
     s->cancel_s = seed % 2 ? 35 : 52;
     s->report_s = seed % 2 ? 2 : 3;
     s->fetch_s = p->fetch;
-    s->team_max[0] = 20.0 * p->machines / MACHINES;
-    s->team_max[1] = 16.0 * p->machines / MACHINES;
+    s->team_max[0] = 20.0 * p->machines / SIM_PLAN_MACHINES;
+    s->team_max[1] = 16.0 * p->machines / SIM_PLAN_MACHINES;
     s->machines_most = p->machines * 3 / 2;
     s->draining = p->drains != 0;
     drain_check_start(&s->check, p->budgets);
@@ -471,7 +457,7 @@
     for (int i = 0; i < p->machines; i++)
         (void)sim_provision(s, i % 2 ? "b" : "a", 0.1);
     for (int i = 0; i < p->n; i++) {
-        const struct trouble *t = &p->t[i];
+        const struct sim_trouble *t = &p->t[i];
         bool shared = strcmp(t->verb, "late") == 0 || strcmp(t->verb, "lost") == 0 ||
                       strcmp(t->verb, "copies") == 0 || strcmp(t->verb, "next") == 0;
         double lasts = shared || t->b > 0 ? t->b : t->a;
@@ -524,7 +510,7 @@
     return true;
 }
 
-static void event(struct sim *s, const struct plan *p, struct sim_event *e)
+static void event(struct sim *s, const struct sim_plan *p, struct sim_event *e)
 {
     if (waits_there(s, e))
         return;
@@ -648,7 +634,7 @@
     gsl_rng_free(s->rng);
 }
 
-static int play(const struct plan *p, unsigned long seed, bool loud, bool debug)
+static int play(const struct sim_plan *p, unsigned long seed, bool loud, bool debug)
 {
     struct sim *s = malloc(sizeof *s);
     bool out = false;
@@ -692,163 +678,10 @@
     return broken;
 }
 
-/* ---- plans ---- */
-
-static void plain(struct plan *p, int jobs, double cancelled)
-{
-    memset(p, 0, sizeof *p);
-    p->jobs = jobs;
-    p->cancelled = cancelled;
-    p->fetch = FETCH_S;
-    p->machines = MACHINES;
-    p->services = SERVICES;
-    p->budgets[0] = p->budgets[1] = 1;
-}
-
-static void drawn(struct plan *p, unsigned long seed)
-{
-    static const char *const verbs[] = {
-        "outage", "slow",   "refuse", "blind", "late",  "lost",   "peers", "zones", "held",
-        "copies", "next",   "hang",   "deaf",  "mute",  "cut",    "hold",  "die",   "crash",
-        "all",    "cancel", "burst",  "alone", "crash", "cancel", "hang",  "stall", "stall"};
-    const int n = (int)(sizeof verbs / sizeof *verbs);
-    gsl_rng *r = gsl_rng_alloc(gsl_rng_taus2);
-    if (!r)
-        abort();
-    gsl_rng_set(r, seed * 104729 + 5);
-    plain(p, 45, 0.3);
-    double at = 12;
-    while (at < 130 && p->n < 40) {
-        struct trouble *t = &p->t[p->n++];
-        const char *v = verbs[gsl_rng_uniform_int(r, (unsigned long)n)];
-        double u = gsl_rng_uniform(r), w = gsl_rng_uniform(r);
-        t->at = at;
-        snprintf(t->verb, sizeof t->verb, "%s", v);
-        snprintf(t->who, sizeof t->who, "%s", w < 0.7 ? "leader" : "any");
-        bool shared = *v == 'l' || strcmp(v, "copies") == 0 || strcmp(v, "next") == 0;
-        bool machine = strchr("hdm", *v) || strcmp(v, "cut") == 0;
-        if (strcmp(v, "held") == 0)
-            machine = false;
-        t->a = shared ? 0.1 + 0.6 * u : machine ? 1 + floor(2 * u) : 2 + 20 * u;
-        t->b = shared ? 10 + 20 * w : machine ? 1 + 14 * w : 0;
-        if (strcmp(v, "crash") == 0 || strcmp(v, "all") == 0)
-            t->a = w < 0.5 ? 0.2 + u : 2 + 3 * u;
-        if (strcmp(v, "outage") == 0 && w < 0.3)
-            t->a = 36 + 10 * u;
-        if (strcmp(v, "cancel") == 0 || strcmp(v, "burst") == 0)
-            t->a = 2 + floor(5 * u);
-        at += gsl_rng_uniform(r) < 0.5 ? 3 * gsl_rng_uniform(r) : 14 * gsl_rng_uniform(r);
-    }
-    gsl_rng_free(r);
-}
-
-/* A drawn day on which the controllers' own queues and processes are late as well. */
-static void drawn_delays(struct plan *p, unsigned long seed)
-{
-    static const char *const verbs[] = {"senders", "senders", "stall", "hang", "cancel", "burst"};
-    drawn(p, seed);
-    gsl_rng *r = gsl_rng_alloc(gsl_rng_taus2);
-    if (!r)
-        abort();
-    gsl_rng_set(r, seed * 49979687 + 7);
-    p->cancelled = 0.5;
-    p->machines = 2 * MACHINES;
-    p->fetch = gsl_rng_uniform(r) < 0.5 ? 0.01 : FETCH_S;
-    for (double at = 15; at < 130 && p->n < 80; at += 2 + 12 * gsl_rng_uniform(r)) {
-        struct trouble *t = &p->t[p->n++];
-        const char *v = verbs[gsl_rng_uniform_int(r, sizeof verbs / sizeof *verbs)];
-        double u = gsl_rng_uniform(r);
-        *t = (struct trouble){.at = at};
-        snprintf(t->verb, sizeof t->verb, "%s", v);
-        snprintf(t->who, sizeof t->who, "%s", u < 0.8 ? "leader" : "any");
-        t->a = 2 + floor(5 * u);
-        if (strcmp(v, "senders") == 0)
-            t->a = 3 + 70 * gsl_rng_uniform(r);
-        else if (strcmp(v, "stall") == 0)
-            t->a = 1 + 8 * u;
-        else if (strcmp(v, "hang") == 0)
-            t->b = 1 + 14 * gsl_rng_uniform(r);
-    }
-    gsl_rng_free(r);
-}
-
-/* A drawn day with more services, and drains among its troubles. */
-static void drawn_drains(struct plan *p, unsigned long seed)
-{
-    static const char *const verbs[] = {"drain", "drain", "drain", "pause", "calloff"};
-    drawn(p, seed);
-    gsl_rng *r = gsl_rng_alloc(gsl_rng_taus2);
-    if (!r)
-        abort();
-    gsl_rng_set(r, seed * 15485863 + 3);
-    p->drains = 1;
-    p->services = 12;
-    p->machines = 2 * MACHINES;
-    p->budgets[0] = 1 + (uint32_t)gsl_rng_uniform_int(r, 3);
-    p->budgets[1] = 1 + (uint32_t)gsl_rng_uniform_int(r, 3);
-    for (double at = 20; at < 130 && p->n < 60; at += 5 + 30 * gsl_rng_uniform(r)) {
-        struct trouble *t = &p->t[p->n++];
-        const char *v = verbs[gsl_rng_uniform_int(r, 5)];
-        snprintf(t->verb, sizeof t->verb, "%s", v);
-        t->at = at;
-        t->a = *v == 'd' ? 1 + floor(10 * gsl_rng_uniform(r)) : 1;
-        t->b = gsl_rng_uniform(r) < 0.5;
-        if (*v != 'p')
-            continue;
-        struct trouble *back = &p->t[p->n++];
-        *back = *t;
-        snprintf(back->verb, sizeof back->verb, "resume");
-        back->at = at + 10 * gsl_rng_uniform(r);
-    }
-    gsl_rng_free(r);
-}
-
-static bool has_who(const char *verb)
-{
-    return strcmp(verb, "refuse") == 0 || strcmp(verb, "peers") == 0 ||
-           strcmp(verb, "crash") == 0 || strcmp(verb, "alone") == 0 || strcmp(verb, "blind") == 0 ||
-           strcmp(verb, "stall") == 0 || strcmp(verb, "senders") == 0;
-}
-
-static bool read_plan(struct plan *p, const char *path)
-{
-    char line[256];
-    int at_line = 0;
-    FILE *f = fopen(path, "r");
-    plain(p, 40, 0.25);
-    bool good = f != NULL;
-    while (f && good && fgets(line, sizeof line, f)) {
-        struct trouble *t = &p->t[p->n];
-        at_line++;
-        if (line[0] == '#' || line[strspn(line, " \n")] == '\0')
-            continue;
-        if (sscanf(line, "small %d", &p->small) == 1 ||
-            sscanf(line, "drains %d", &p->drains) == 1 ||
-            sscanf(line, "machines %d", &p->machines) == 1 ||
-            sscanf(line, "services %d", &p->services) == 1 ||
-            sscanf(line, "budget %u %u", &p->budgets[0], &p->budgets[1]) == 2 ||
-            sscanf(line, "jobs %d", &p->jobs) == 1 || sscanf(line, "fetch %lf", &p->fetch) == 1 ||
-            sscanf(line, "cancelled %lf", &p->cancelled) == 1)
-            continue;
-        char rest[128] = "";
-        good = p->n < 128 && sscanf(line, "at %lf %15s %127[^\n]", &t->at, t->verb, rest) >= 2;
-        if (good && has_who(t->verb))
-            good = sscanf(rest, "%15s %lf", t->who, &t->a) == 2;
-        else if (good)
-            good = sscanf(rest, "%lf %lf", &t->a, &t->b) >= 1;
-        p->n++;
-    }
-    if (!good)
-        fprintf(stderr, "%s:%d: not a day\n", path, at_line);
-    if (f)
-        (void)fclose(f);
-    return good && p->n > 0;
-}
-
 static const struct kind {
     const char *name;
-    void (*draw)(struct plan *, unsigned long seed);
-} kinds[] = {{"random", drawn}, {"drains", drawn_drains}, {"delays", drawn_delays}};
+    void (*draw)(struct sim_plan *, unsigned long seed);
+} kinds[] = {{"random", sim_plan_drawn}, {"drains", sim_plan_drains}, {"delays", sim_plan_delays}};
 
 static const struct kind *kind_named(const char *name)
 {
@@ -860,7 +693,7 @@
 
 int main(int argc, char **argv)
 {
-    static struct plan p;
+    static struct sim_plan p;
     int failed = 0;
     (void)setvbuf(stdout, NULL, _IONBF, 0); /* in step with the log */
     const struct kind *kind = argc >= 4 ? kind_named(argv[1]) : NULL;
@@ -878,10 +711,10 @@
         unsigned long seed = strtoul(argv[3], NULL, 10);
         if (kind)
             kind->draw(&p, seed);
-        else if (!read_plan(&p, argv[2]))
+        else if (!sim_plan_read(&p, argv[2]))
             return 2;
         failed += play(&p, seed, true, argc > 4) != 0;
-    } else if (argc >= 2 && read_plan(&p, argv[1])) {
+    } else if (argc >= 2 && sim_plan_read(&p, argv[1])) {
         unsigned long n = argc > 2 ? strtoul(argv[2], NULL, 10) : 3;
         for (unsigned long i = 1; i <= n; i++)
             failed += play(&p, i, false, false) != 0;
