Metric of direct commands: from decision to outcome, our own queue included

Need: nothing measured how long a direct command waits in the leader's own queue; in the incident it was 60 s.

--- a/src/metrics.c
+++ b/src/metrics.c
@@ -22,9 +22,9 @@
 static const char *const traffic_names[BD_TRAFFIC_KINDS] = {
     "check-in", "poll",     "submission", "cancellation", "health", "invalid",   "refresh",
     "commit",   "user-txn", "election",   "cloud",        "direct", "heartbeat", "forward"};
-static const char *const timing_names[BD_TIMINGS] = {"queue",      "check-in",     "poll",
-                                                     "submission", "cancellation", "round",
-                                                     "commit",     "start",        "takeover"};
+static const char *const timing_names[BD_TIMINGS] = {
+    "queue", "check-in", "poll",  "submission", "cancellation",
+    "round", "commit",   "start", "takeover",   "direct"};
 
 static gsl_histogram *new_histogram(void)
 {
--- a/src/reports.c
+++ b/src/reports.c
@@ -1,6 +1,7 @@
 /* Workers' reports as evidence, and the orders that go back to them. */
 #include "core_internal.h"
 #include "drain/drain.h"
+#include "metrics.h"
 #include "orders.h"
 #include <stdio.h>
 
@@ -470,6 +471,7 @@
     if (core->role != BD_LEADER || !m || token < core->lead.base_term)
         return;
     m->do_busy = false;
+    bd_metrics_time(core->metrics, BD_TIMING_DIRECT, bd_between(m->do_since, core->now));
     if (status == BD_DIRECT_NOT_SENT) {
         direct_not_sent(core, m, launch);
         return;
