A launch without an answer raises the token also while its machine is not heard

Cause (kin of the incident, found by reading its class through): a direct launch can be held by a cut for as long as the cut lasts, while a delegate keeps the machine's lease; its right is over, and only a higher token stops it. The rise was left out for machines not heard for two report intervals, that is for a launch sent more than half an interval after the last report. What else raises the token (results that wait to be forgotten, needless delegates) hid it. Change: one condition less, so one rise for each such launch.

--- a/src/rounds.c
+++ b/src/rounds.c
@@ -44,13 +44,15 @@
     }
 }
 
+/* A launch without an answer may be held on its way for as long as a cut lasts. Only a higher token
+ * excludes it, whether the machine is heard or not: a delegate that answers it passes the token on.
+ */
 static void late_launches(struct bd_core *core)
 {
     for (uint32_t i = 0; i < core->nmachines && !core->lead.want_token_raise; i++) {
         struct bd_machine *machine = core->by_index[i];
         if (!machine->late_token || machine->late_token < core->lead.term || machine->gone ||
-            bd_between(machine->do_since, core->now) < TOKEN_RAISE_AFTER_S ||
-            bd_between(machine->heard, core->now) > 2 * bd_to_secs(core->settings->report))
+            bd_between(machine->do_since, core->now) < TOKEN_RAISE_AFTER_S)
             continue;
         for (uint32_t k = 0; k < machine->nrefs; k++)
             if (machine->refs[k].job->tasks[machine->refs[k].task].flags & BD_F_DO)
--- a/tests/sim_work.c
+++ b/tests/sim_work.c
@@ -360,9 +360,12 @@
     struct sim_try *t = e->data;
     json_t *o = json_loads(e->text, 0, NULL);
     bool there = reaches(s, e->node, w) && s->now >= w->inbound_cut;
-    bool late = (!there && w->holds && s->now < w->cut) || (there && s->now < w->hangs);
+    bool zones = s->now < s->zones_cut && strcmp(s->nodes[e->node].settings.zone, w->zone) != 0;
+    bool late = (!there && w->holds && s->now < w->cut) || (there && s->now < w->hangs) ||
+                (zones && sim_rnd(s) < 0.5);
     if (late && !w->gone) { /* executed when the cut ends, or the machine goes on */
-        (void)sim_post_again(s, e, (there ? w->hangs : w->cut) - s->now + 0.05);
+        double until = there ? w->hangs : zones ? s->zones_cut : w->cut;
+        (void)sim_post_again(s, e, until - s->now + 0.05);
         t->refs++;
     } else if (there && s->now >= w->up_at) {
         uint64_t token = (uint64_t)json_integer_value(json_object_get(o, "seal"));
