Drains: stop tasks only on a read of the record sent after the budgets were counted

While its reads of the drains' records failed and its transactions succeeded, it went on for as long as that lasted.

Cause: a stop was decided on the last read of the drain's record, however old, in the tick and after every transaction of the leader's.

Fix: stops stay within a count of the budgets and need a read of the records that was sent after the count, at most 3 s ago (stop_permit.c). Whatever changes a record after that read was sent changed it after the count, in which everything told to stop is down already; the next round needs a new count and a new read, which shows the change. So one round at most follows a pause. A condition in the leader's transaction was the alternative: it costs a transaction a round, and a pause would fail the launches that share it.

bd_drain_apply_records takes the time at which the read was sent; the fakes and the fleet of drain-profile, which read the records once, now read them as a leader does. New log line `drain N is STATE, revision R`.

--- a/src/adapters/kv_reader.c
+++ b/src/adapters/kv_reader.c
@@ -130,6 +130,7 @@
 static void read_drains(const struct reader *reader)
 {
     struct bd_event *event = bd_event_new(BD_EVENT_DRAIN_RECORDS_READ);
+    event->records.sent_at = bd_now();
     event->records.records = bd_kv_list(reader->node, reader->http, BD_DRAIN_KEY_PREFIX);
     if (event->records.records && atomic_load(&reader->node->needs_drain_machine_records))
         event->records.machine_records =
--- a/src/drain/drain.c
+++ b/src/drain/drain.c
@@ -25,6 +25,7 @@
         return;
     bd_drains_clear(drains);
     free(drains->owners);
+    bd_stop_permit_free(&drains->stop_permit);
     free(drains);
 }
 
@@ -34,6 +35,7 @@
         return;
     core->drains->leadership_acquired_at = core->now;
     core->drains->stop_requests = 0;
+    bd_stop_permit_begin_term(core);
     bd_ledger_leadership_acquired(core);
     bd_drains_clear(core->drains);
     bd_drain_clear_machine_flags(core);
@@ -99,6 +101,7 @@
         return;
     advance_entries(core);
     bd_replacements_tick(core);
+    bd_stop_permit_renew(core);
     bd_drain_execute_step(core);
     bd_drain_plan_step(core);
     bd_drain_update_mirrors(core);
--- a/src/drain/drain.h
+++ b/src/drain/drain.h
@@ -17,6 +17,7 @@
  *   greedy.c, solver.c             the two algorithms that choose a step's machines
  *   step_plan.c                    planning of the next step
  *   step_stop.c                    stopping of a recorded step's tasks
+ *   stop_permit.c                  proof that a drain is still active when its tasks are stopped
  *   record_load.c, record_write.c  reading and writing of the records by the leader
  *   queries.c                      queries by other packages
  *   summary_log.c                  periodic summary in the log
@@ -34,6 +35,7 @@
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
+#include <time.h>
 
 struct bd_core;
 struct bd_drains;
@@ -55,8 +57,10 @@
 /* ---- records ---- */
 
 /* Applies the drains' records as the store listed them. `machine_records` is the listing of their
- * machines' records, or NULL if it was not read. Both arguments are borrowed. */
-void bd_drain_apply_records(struct bd_core *core, json_t *records, json_t *machine_records);
+ * machines' records, or NULL if it was not read. Both are borrowed. sent_at: when the read of the
+ * drains' records was sent. */
+void bd_drain_apply_records(struct bd_core *core, json_t *records, json_t *machine_records,
+                            struct timespec sent_at);
 /* Whether the next read must include the machines' records. */
 bool bd_drain_needs_machine_records(const struct bd_core *core);
 
--- a/src/drain/drain_internal.h
+++ b/src/drain/drain_internal.h
@@ -42,6 +42,15 @@
     uint32_t deletions_in_flight; /* in the transaction in flight */
 };
 
+/* The permit to stop tasks; stop_permit.c explains it. */
+struct bd_stop_permit {
+    bool is_counted;     /* the budgets were counted in this term */
+    bool count_wanted;   /* tasks were stopped since the count, or could be if it were newer */
+    uint32_t *remaining; /* by budget: tasks that may still be stopped on this count */
+    struct timespec counted_at;
+    struct timespec records_sent_at; /* when the newest read of the drains' records was sent */
+};
+
 struct bd_drains {
     const struct bd_drain_rules *rules;
     struct bd_drain *drains;          /* hash table by name, sorted by name */
@@ -49,6 +58,7 @@
     uint32_t nowners;
     bool zones_conflict[BD_ZONES_MAX][BD_ZONES_MAX];
     bool needs_machine_records; /* the next read must include the machines' records */
+    struct bd_stop_permit stop_permit;
     struct timespec leadership_acquired_at, next_tick_at, next_summary_at;
     struct timespec next_write_at; /* set after a rejected transaction: no writes before */
     uint32_t stop_requests;        /* requests to machines to stop tasks, in this term */
@@ -206,6 +216,29 @@
 /* Stops the tasks of machines whose step is recorded, as far as the budgets still allow. */
 void bd_drain_execute_step(struct bd_core *core);
 
+/* ---- stop_permit.c ---- */
+
+enum bd_stop_verdict {
+    BD_STOP_ALLOWED,
+    BD_STOP_EXCEEDS_BUDGET,
+    BD_STOP_AWAITS_COUNT /* within the budget, but not within its last count */
+};
+
+/* Begins a term: until the first stop, the budgets alone limit the stops. */
+void bd_stop_permit_begin_term(struct bd_core *core);
+void bd_stop_permit_free(struct bd_stop_permit *permit);
+/* The drains' records were read; sent_at: when the read was sent. */
+void bd_stop_permit_records_read(struct bd_core *core, struct timespec sent_at);
+/* Whether tasks of active drains may be stopped now, within the last count. */
+bool bd_stop_permit_is_valid(const struct bd_core *core);
+/* Counts the budgets anew if that is wanted and the last count was confirmed by a read. The count
+ * is valid once the records were read again. */
+void bd_stop_permit_renew(struct bd_core *core);
+/* Whether the number of tasks may be stopped on account of the budget. */
+enum bd_stop_verdict bd_stop_permit_check(struct bd_core *core, uint32_t budget, uint32_t tasks);
+/* Takes stopped tasks off the count of the budget. */
+void bd_stop_permit_use(struct bd_core *core, uint32_t budget, uint32_t tasks);
+
 /* ---- record_load.c, record_write.c ---- */
 
 /* Discards the leader's view; the stored records stay. */
--- a/src/drain/record_load.c
+++ b/src/drain/record_load.c
@@ -82,6 +82,9 @@
     drain->is_stale = false;
     if (record.revision <= drain->record.revision)
         return;
+    if (record.state != drain->record.state)
+        bd_log_write(core->log, BD_LOG_INFO, "drain %s is %s, revision %llu", drain->record.name,
+                     bd_drain_state_name(record.state), (unsigned long long)record.revision);
     drain->record.state = record.state;
     drain->record.ended_at_s = record.ended_at_s;
     drain->record.revision = record.revision;
@@ -151,13 +154,15 @@
     }
 }
 
-void bd_drain_apply_records(struct bd_core *core, json_t *records, json_t *machine_records)
+void bd_drain_apply_records(struct bd_core *core, json_t *records, json_t *machine_records,
+                            struct timespec sent_at)
 {
     struct bd_drains *drains = core->drains;
     struct bd_drain *drain, *next;
     if (!drains || core->role != BD_LEADER)
         return;
     apply_records(core, records);
+    bd_stop_permit_records_read(core, sent_at);
     drains->needs_machine_records = false;
     HASH_ITER(hh, drains->drains, drain, next)
     {
--- a/src/drain/step_stop.c
+++ b/src/drain/step_stop.c
@@ -12,45 +12,54 @@
 #include "model/task.h"
 #include "model/task_state.h"
 
-/* Returns a budget that does not allow a stop of the task and of the tasks that stop with it. NULL:
- * there is none. */
-static const struct bd_budget *exceeded_budget(struct bd_core *core,
-                                               const struct bd_reservation *reservation)
+/* Result of stopping a machine's tasks. */
+struct stop_result {
+    uint32_t stopped;  /* tasks */
+    const char *team;  /* the last team whose budget kept a task running; empty: none */
+    bool awaits_count; /* a task may be stopped after the next count of the budgets */
+};
+
+/* Whether the task, and the tasks that stop with it, may be stopped. If not, notes the reason. */
+static bool may_stop(struct bd_core *core, const struct bd_ledger_job *ledger_job, uint32_t tasks,
+                     struct stop_result *result)
 {
-    const struct bd_ledger_job *ledger_job = bd_ledger_get_job(core, reservation->job);
-    uint32_t tasks = bd_drain_stop_group_size(core, reservation->job, reservation->task);
     for (uint32_t i = 0; tasks > 0 && i < ledger_job->nbudgets; i++) {
-        const struct bd_budget *budget = &core->ledger->budgets[ledger_job->budgets[i]];
-        if (tasks > bd_budget_remaining(budget))
-            return budget;
+        uint32_t budget = ledger_job->budgets[i];
+        enum bd_stop_verdict verdict = bd_stop_permit_check(core, budget, tasks);
+        if (verdict == BD_STOP_EXCEEDS_BUDGET)
+            result->team = bd_budget_team_name(core, &core->ledger->budgets[budget]);
+        if (verdict == BD_STOP_AWAITS_COUNT)
+            result->awaits_count = true;
+        if (verdict != BD_STOP_ALLOWED)
+            return false;
     }
-    return NULL;
+    return true;
 }
 
-/* Result of stopping a machine's tasks. */
-struct stop_result {
-    uint32_t stopped; /* tasks */
-    const char *team; /* the last team whose budget kept a task running; empty: none */
-};
+static void stop_task(struct bd_core *core, const struct bd_reservation *reservation,
+                      struct stop_result *result)
+{
+    const struct bd_ledger_job *ledger_job = bd_ledger_get_job(core, reservation->job);
+    uint32_t tasks = bd_drain_stop_group_size(core, reservation->job, reservation->task);
+    if (!may_stop(core, ledger_job, tasks, result))
+        return;
+    for (uint32_t i = 0; i < ledger_job->nbudgets; i++)
+        bd_stop_permit_use(core, ledger_job->budgets[i], tasks);
+    bd_task_stop(core, reservation->job, reservation->task, BD_STOP_DRAINED, false);
+    result->stopped++;
+}
 
 /* Stops the tasks that the budgets allow. Later calls stop the rest, once the stopped tasks run on
  * other machines. */
 static struct stop_result stop_tasks(struct bd_core *core, const struct bd_machine *machine)
 {
-    struct stop_result result = {0, ""};
+    struct stop_result result = {.team = ""};
     for (uint32_t i = machine->nreservations; i > 0; i--) {
         if (i > machine->nreservations) /* stopping a gang released several reservations */
             continue;
         struct bd_reservation reservation = machine->reservations[i - 1];
-        if (!bd_drain_can_stop_task(reservation.job, reservation.task))
-            continue;
-        const struct bd_budget *exceeded = exceeded_budget(core, &reservation);
-        if (exceeded) {
-            result.team = bd_budget_team_name(core, exceeded);
-            continue;
-        }
-        bd_task_stop(core, reservation.job, reservation.task, BD_STOP_DRAINED, false);
-        result.stopped++;
+        if (bd_drain_can_stop_task(reservation.job, reservation.task))
+            stop_task(core, &reservation, &result);
     }
     return result;
 }
@@ -81,6 +90,8 @@
         return;
     }
     struct stop_result result = stop_tasks(core, entry->machine);
+    if (result.stopped == 0 && result.awaits_count)
+        return;
     if (result.stopped == 0 && *result.team && !has_begun) {
         bd_drain_set_entry_waiting(core, drain, entry, BD_DRAIN_WAIT_BUDGET, result.team);
         return;
@@ -100,6 +111,8 @@
 {
     if (!bd_leadership_lease_valid(core))
         return;
+    if (!bd_stop_permit_is_valid(core))
+        return;
     bd_ledger_update_unresponsive(core);
     struct bd_drain_iterator iterator = bd_drain_entries(core);
     struct bd_drain_machine *entry;
--- a/src/runtime/event_apply.c
+++ b/src/runtime/event_apply.c
@@ -139,7 +139,8 @@
 
 static void apply_drain_records(struct bd_node *node, const struct bd_event *event)
 {
-    bd_drain_apply_records(node->core, event->records.records, event->records.machine_records);
+    bd_drain_apply_records(node->core, event->records.records, event->records.machine_records,
+                           event->records.sent_at);
 }
 
 static void apply_kv_rate_exceeded(struct bd_node *node, const struct bd_event *event)
--- a/tests/drain_profile.h
+++ b/tests/drain_profile.h
@@ -4,6 +4,7 @@
 #include "brambledoor/log.h"
 #include "brambledoor/settings.h"
 #include "core/core.h"
+#include <jansson.h>
 
 #define TEAM_COUNT 2
 
@@ -15,6 +16,7 @@
     uint64_t heartbeat_seq, revision;       /* the latest of each */
     double now_s;                           /* simulated time since the start */
     uint32_t max_replicas_down[TEAM_COUNT]; /* of each team, since fleet_build */
+    json_t *drain_records;                  /* as the leader reads them; NULL: no drain */
 };
 
 /* ---- drain_profile_fleet.c ---- */
--- a/tests/drain_profile_fleet.c
+++ b/tests/drain_profile_fleet.c
@@ -22,9 +22,10 @@
 
 #define REPLICAS_PER_MACHINE 10 /* at the start */
 #define REPLICAS_PER_SERVICE 40
-#define START_DURATION_S 1.0      /* from the placement until the task runs */
-#define REPORTED_TASKS_MAX 128    /* in a heartbeat */
-#define RETURNED_MACHINES_MAX 128 /* in one request */
+#define DRAINS_READ_HALF_SECONDS 2 /* between the leader's reads of the drains' records */
+#define START_DURATION_S 1.0       /* from the placement until the task runs */
+#define REPORTED_TASKS_MAX 128     /* in a heartbeat */
+#define RETURNED_MACHINES_MAX 128  /* in one request */
 
 void fleet_set_time(struct fleet *fleet, double now_s)
 {
@@ -119,6 +120,8 @@
     bd_replica_refreshed(fleet->core, fleet->core->replica.store_revision,
                          fleet->core->replica.store_revision, fleet->core->now,
                          fleet->core->replica.barrier_in_flight, true);
+    if (fleet->drain_records && step % DRAINS_READ_HALF_SECONDS == 0)
+        bd_drain_apply_records(fleet->core, fleet->drain_records, NULL, fleet->core->now);
     for (uint32_t i = (uint32_t)step % 4; i < fleet->machine_count; i += 4)
         fleet_heartbeat(fleet, i);
     bd_core_tick(fleet->core);
@@ -239,8 +242,8 @@
     }
     json_array_append_new(drains, json_pack("{s:s,s:o,s:i}", "k", BD_DRAIN_KEY_PREFIX "d", "value",
                                             bd_drain_record_encode(&record), "mark", 1));
-    bd_drain_apply_records(fleet->core, drains, sets);
-    json_decref(drains);
+    bd_drain_apply_records(fleet->core, drains, sets, fleet->core->now);
+    fleet->drain_records = drains;
     json_decref(sets);
     json_decref(record.request);
     free(entries);
@@ -254,5 +257,6 @@
 void fleet_free(struct fleet *fleet)
 {
     bd_core_free(fleet->core);
+    json_decref(fleet->drain_records);
     free(fleet->settings.draining);
 }
--- a/tests/loopback_drain.c
+++ b/tests/loopback_drain.c
@@ -1,7 +1,8 @@
 /* Loopback test of drains, with three real controllers. Ten workers that run two teams' services
  * are drained and replaced; one worker and the leader are killed meanwhile. The task events of the
  * workers are checked against the teams' disruption budgets. With the version in production as a
- * second argument, no step may begin while a controller of that version is a peer. */
+ * second argument, no step may begin while a controller of that version is a peer. With `pauses`
+ * instead, drains are paused at many moments. */
 #include "base/timeutil.h"
 #include "drain_check.h"
 #include "loopback_nodes.h"
@@ -29,6 +30,9 @@
 #define ADMIN_TIMEOUT_S 15
 #define DRAIN_TIMEOUT_S 150.0
 #define COMMAND_ARGUMENTS_MAX 15
+#define PAUSES 10
+#define PAUSE_DELAY_STEP_S 0.1 /* PAUSES steps cover the interval of the leader's reads */
+#define PAUSE_OBSERVED_S 3.0
 
 /* Events of the replicas, recorded by the workers' threads. The lock protects `check` and
  * `violations`. */
@@ -305,6 +309,43 @@
     nodes_check(test, stop_count(history) >= 30, "at least 30 replicas were stopped");
 }
 
+static bool change_sweep_drain(struct loopback *test, const char *verb, int number)
+{
+    char command[64];
+    snprintf(command, sizeof command, "%s sweep-%d", verb, number);
+    return run_drain_command(test, number % NODES, command) == 0;
+}
+
+/* Pauses a new drain of all workers `delay_s` after its second stop, and cancels it. */
+static void test_pause_at(struct loopback *test, struct history *history, int number,
+                          double delay_s)
+{
+    char command[128];
+    snprintf(command, sizeof command, "start sweep-%d --mode replace --selection everything --all",
+             number);
+    nodes_check(test, run_drain_command(test, 0, command) == 0,
+                "a drain of all workers is accepted");
+    nodes_check(test, wait_for_stops(history, stop_count(history) + 2, 40),
+                "the drain stops at least 2 replicas");
+    bd_sleep(delay_s);
+    nodes_check(test, change_sweep_drain(test, "pause", number), "the drain is paused");
+    uint32_t stops_before = stop_count(history);
+    bd_sleep(PAUSE_OBSERVED_S);
+    uint32_t stops = stop_count(history) - stops_before;
+    printf("     paused %.1f s after two stops: %u replicas stopped afterwards\n", delay_s, stops);
+    nodes_check(test, stops <= BUDGET_BLUE + BUDGET_RED,
+                "after the pause, no more replicas are stopped than may be down at a time");
+    nodes_check(test, change_sweep_drain(test, "cancel", number), "the drain is cancelled");
+}
+
+/* Guards against steps that the leader begins after an accepted pause, on a record that it read
+ * before. */
+static void test_pauses_at_many_moments(struct loopback *test, struct history *history)
+{
+    for (int i = 0; i < PAUSES; i++)
+        test_pause_at(test, history, i, i * PAUSE_DELAY_STEP_S);
+}
+
 /* While a controller of the older version is a peer, a drain must wait and report the reason. The
  * drain must complete once that controller is replaced. */
 static void test_drain_beside_older(struct loopback *test, struct history *history)
@@ -337,7 +378,8 @@
     struct history history = {.started_at = bd_now()};
     if (argc < 2 || argc > 3)
         return 2;
-    const char *older_program = argc == 3 ? argv[2] : NULL;
+    bool sweeps_pauses = argc == 3 && strcmp(argv[2], "pauses") == 0;
+    const char *older_program = argc == 3 && !sweeps_pauses ? argv[2] : NULL;
     if (older_program && access(older_program, X_OK) != 0) {
         printf("skipped: no executable of the version in production: %s\n", older_program);
         return EXIT_SKIPPED;
@@ -356,6 +398,8 @@
     start_services(&test);
     if (older_program) {
         test_drain_beside_older(&test, &history);
+    } else if (sweeps_pauses) {
+        test_pauses_at_many_moments(&test, &history);
     } else {
         test_bad_admin_requests(&test);
         test_store_down(&test);
--- a/tests/scenario_drain.c
+++ b/tests/scenario_drain.c
@@ -111,10 +111,12 @@
 {
     bd_drain_apply_records(scenario->core, scenario->drain_records,
                            bd_drain_needs_machine_records(scenario->core) ? scenario->drain_parts
-                                                                          : NULL);
+                                                                          : NULL,
+                           scenario->core->now);
     if (bd_drain_needs_machine_records(
             scenario->core)) /* a new drain: its machines come with the next read */
-        bd_drain_apply_records(scenario->core, scenario->drain_records, scenario->drain_parts);
+        bd_drain_apply_records(scenario->core, scenario->drain_records, scenario->drain_parts,
+                               scenario->core->now);
 }
 
 static void step_drain_stage(struct scenario *scenario)
--- a/tests/sim_drain.c
+++ b/tests/sim_drain.c
@@ -102,6 +102,7 @@
         write_record(sim, &record, key);
         sim_trace(sim, "%s: %u machines", record.name, record.nmachines);
         sim->ndrains++;
+        sim->drains_stand = false;
     }
     json_decref(record.request);
 }
@@ -122,6 +123,18 @@
     return record->state == BD_DRAIN_ACTIVE || record->state == BD_DRAIN_PAUSED;
 }
 
+/* Begins or ends the count of the stops that may follow a pause or a cancellation. */
+static void count_stops_left(struct sim *sim)
+{
+    struct bd_drain_record record;
+    sim->drains_stand = true;
+    for (int i = 0; i < sim->ndrains; i++)
+        if (read_drain(sim, i, &record) && record.state == BD_DRAIN_ACTIVE)
+            sim->drains_stand = false;
+    for (int team = 0; team < TEAMS; team++)
+        sim->stops_left[team] = sim->check.budgets[team];
+}
+
 void sim_drain_set_state(struct sim *sim, enum bd_drain_state state)
 {
     struct bd_drain_record record;
@@ -134,6 +147,7 @@
         snprintf(key, sizeof key, BD_DRAIN_KEY_PREFIX "%s", record.name);
         write_record(sim, &record, key);
         sim_trace(sim, "%s is %s", record.name, bd_drain_state_name(state));
+        count_stops_left(sim);
         return;
     }
 }
@@ -155,6 +169,23 @@
 
 /* ---- workers ---- */
 
+/* Guards against stops on a record that was read before a pause or a cancellation was accepted:
+ * only those that were decided before may follow, as many as may be down at a time. */
+static void check_stop_after_pause(struct sim *sim, const struct sim_worker *worker,
+                                   const struct sim_slot *slot)
+{
+    const struct sim_job *job = &sim->jobs[slot->job];
+    if (!sim->drains_stand)
+        return;
+    if (sim->stops_left[job->team] == 0)
+        sim_violation(sim,
+                      "pause: %s/%u was stopped on %s, more than %u replicas of team %d after the "
+                      "drains were paused or cancelled",
+                      job->id, slot->task, worker->id, sim->check.budgets[job->team], job->team);
+    else
+        sim->stops_left[job->team]--;
+}
+
 void sim_drain_replica_stopped(struct sim *sim, const struct sim_worker *worker,
                                const struct sim_slot *slot)
 {
@@ -170,6 +201,7 @@
         sim_violation(
             sim, "budget: %s/%u was stopped on %s, and more replicas of team %d are down than %u",
             job->id, slot->task, worker->id, job->team, sim->check.budgets[job->team]);
+    check_stop_after_pause(sim, worker, slot);
 }
 
 void sim_drain_replica_running(struct sim *sim, const struct sim_slot *slot)
--- a/tests/sim_faults.c
+++ b/tests/sim_faults.c
@@ -82,6 +82,8 @@
         sim->store_refused_until[find_node(sim, fault->node)] = until;
     else if (is_kind(fault, "refresh-fail"))
         sim->refreshes_refused_until[find_node(sim, fault->node)] = until;
+    else if (is_kind(fault, "drains-unread"))
+        sim->drain_reads_refused_until[find_node(sim, fault->node)] = until;
     else if (is_kind(fault, "late-writes")) {
         sim->late_writes_share = fault->first_value;
         sim->late_writes_until = sim->now + fault->second_value;
--- a/tests/sim_plan.c
+++ b/tests/sim_plan.c
@@ -148,7 +148,7 @@
     return strcmp(kind, "store-refuse") == 0 || strcmp(kind, "peer-cut") == 0 ||
            strcmp(kind, "crash") == 0 || strcmp(kind, "isolate") == 0 ||
            strcmp(kind, "refresh-fail") == 0 || strcmp(kind, "process-pause") == 0 ||
-           strcmp(kind, "delay-sends") == 0;
+           strcmp(kind, "drains-unread") == 0 || strcmp(kind, "delay-sends") == 0;
 }
 
 /* Returns false if the line is not a setting of the day. */
--- a/tests/sim_reader.c
+++ b/tests/sim_reader.c
@@ -59,6 +59,7 @@
     if (!is_machines_answer && pairs && bd_drain_needs_machine_records(node->core)) {
         json_decref(node->drain_records);
         node->drain_records = json_incref(pairs);
+        node->drain_records_sent_at = call->sent_at;
         node->is_reading = true;
         (void)sim_node_call(sim, node, SIM_LIST, SIM_FOR_DRAIN_MACHINES,
                             BD_DRAIN_MACHINES_KEY_PREFIX, NULL, SIM_STORE_TIMEOUT_S);
@@ -66,7 +67,8 @@
     }
     if (pairs)
         bd_drain_apply_records(node->core, is_machines_answer ? node->drain_records : pairs,
-                               is_machines_answer ? pairs : NULL);
+                               is_machines_answer ? pairs : NULL,
+                               is_machines_answer ? node->drain_records_sent_at : call->sent_at);
     sim_node_schedule(sim, node, status == 200 ? 0.2 : 0.25, SIM_READER);
 }
 
--- a/tests/sim_store.c
+++ b/tests/sim_store.c
@@ -155,8 +155,10 @@
 static bool is_refused(const struct sim *sim, const struct sim_call *call)
 {
     bool refuses_refreshes = sim->now < sim->refreshes_refused_until[call->node];
+    bool refuses_drain_reads = sim->now < sim->drain_reads_refused_until[call->node];
     return sim->now < sim->store_outage_until || sim->now < sim->store_refused_until[call->node] ||
-           (call->op == SIM_REFRESH && refuses_refreshes);
+           (call->op == SIM_REFRESH && refuses_refreshes) ||
+           (call->purpose == SIM_FOR_DRAINS && refuses_drain_reads);
 }
 
 /* Sends the call, which completes with its answer or after the timeout. */
--- a/tests/simulation.c
+++ b/tests/simulation.c
@@ -30,6 +30,7 @@
  * - store-slow FOR
  * - store-refuse NODE FOR: the store refuses all calls of this controller
  * - refresh-fail NODE FOR: the store refuses this controller's refreshes of the records
+ * - drains-unread NODE FOR: the store refuses this controller's reads of the drains' records
  * - late-writes SHARE FOR: this share of the transactions is applied late and not answered
  * - lost-answers SHARE FOR: this share of the transactions is applied and not answered
  *
--- a/tests/simulation.h
+++ b/tests/simulation.h
@@ -124,6 +124,7 @@
     bool wants_list, wants_barrier, is_reading, last_refresh_failed;
     double next_delegates_read_at, next_drains_read_at;
     json_t *drain_records; /* kept while the records of their machines are read */
+    struct timespec drain_records_sent_at;
     /* election */
     bool is_leading, is_electing, wants_step_down;
     char nonce[BD_LABEL_BYTES];
@@ -195,6 +196,7 @@
     int ngrants;
     double store_outage_until, store_slow_until;
     double store_refused_until[SIM_NODES], refreshes_refused_until[SIM_NODES];
+    double drain_reads_refused_until[SIM_NODES];
     double lost_answers_share, lost_answers_until, late_writes_share, late_writes_until;
     /* network */
     double peers_cut_until[SIM_NODES], zones_cut_until, commands_delayed_until;
@@ -214,6 +216,8 @@
     int machines_max; /* at once */
     int ndrains;      /* drains that were requested */
     struct drain_check check;
+    bool drains_stand;      /* since a pause or a cancellation, no drain is active */
+    uint32_t stops_left[2]; /* by team: replicas that may still be stopped while the drains stand */
     bool is_verbose;
     struct behaviour_digest *digest; /* NULL: steps are not digested */
 };
