Store limits: a value is never taken to be larger than a request can carry

What users would see: with a limit of values of 50,000 bytes or more, a submission with many dependencies is never answered, and its controller hangs and grows until it is killed. From 56,000 bytes on, drains never begin.

Cause: room for a whole value was set aside in a request of at most 64 KiB; append_parts_txn then adds nothing and reports progress, and the drains' records never fit.

Fix: bd_kv_limits_value_bytes bounds the limit for everything that is written. Smaller limits behave as before.

--- a/src/adapters/admin_drain_create.c
+++ b/src/adapters/admin_drain_create.c
@@ -9,6 +9,7 @@
 #include "drain/drain.h"
 #include "drain/drain_record.h"
 #include "drain/drain_request.h"
+#include "model/kv_limits.h"
 #include "wire/wire.h"
 #include "wire/wire_limits.h"
 #include "wire/wire_store.h"
@@ -76,7 +77,7 @@
                            const struct bd_drain_machine *machines, uint32_t machines_per_part)
 {
     size_t ops_max = store->node->settings.kv_txn_ops_max;
-    size_t value_bytes_max = store->node->settings.kv_value_bytes_max;
+    size_t value_bytes_max = bd_kv_limits_value_bytes(&store->node->settings);
     uint32_t written = 0;
     while (written < record->nmachines) {
         struct bd_txn txn;
@@ -151,7 +152,7 @@
     struct bd_drain_machine *machines = new_machines(ids, &longest_id_len);
     record.requested_at_s = machines[0].state_since_s;
     uint32_t machines_per_part =
-        bd_drain_part_machines_max(settings, settings->kv_value_bytes_max, longest_id_len);
+        bd_drain_part_machines_max(settings, bd_kv_limits_value_bytes(settings), longest_id_len);
     bool is_written = machines_per_part > 0 && generate_set_id(record.machine_set_id) &&
                       write_machines(store, &record, machines, machines_per_part);
     free(machines);
--- a/src/jobs/admission_record.c
+++ b/src/jobs/admission_record.c
@@ -17,6 +17,7 @@
 
 /* Of all values in one transaction that writes parts; the limit of a request's body is 64 KiB. */
 #define PARTS_TXN_BYTES_MAX 50000u
+_Static_assert(BD_VALUE_BYTES_MAX < PARTS_TXN_BYTES_MAX, "a transaction holds at least one part");
 #define PART_OVERHEAD_BYTES 32 /* of a part's value, without the names */
 #define NAME_OVERHEAD_BYTES 3  /* quotes and comma of a name */
 
--- a/src/model/kv_limits.c
+++ b/src/model/kv_limits.c
@@ -25,9 +25,15 @@
 /* Number of different back-off times, one second apart, over which jobs are spread. */
 #define BACKOFF_STEPS 8
 
+size_t bd_kv_limits_value_bytes(const struct bd_settings *settings)
+{
+    size_t bytes = settings->kv_value_bytes_max;
+    return bytes < BD_VALUE_BYTES_MAX ? bytes : BD_VALUE_BYTES_MAX;
+}
+
 void bd_kv_limits_init(struct bd_core *core)
 {
-    core->kv_limits.kv_value_bytes_max = core->settings->kv_value_bytes_max;
+    core->kv_limits.kv_value_bytes_max = bd_kv_limits_value_bytes(core->settings);
     core->kv_limits.kv_txn_ops_max = core->settings->kv_txn_ops_max;
     core->kv_limits.writes_per_s = core->settings->kv_writes_per_s;
     core->kv_limits.raise_after_s = SIZE_RAISE_AFTER_MIN_S;
@@ -83,7 +89,7 @@
 {
     const struct bd_kv_limits *limits = &core->kv_limits;
     const struct bd_settings *settings = core->settings;
-    if (limits->kv_value_bytes_max >= settings->kv_value_bytes_max &&
+    if (limits->kv_value_bytes_max >= bd_kv_limits_value_bytes(settings) &&
         limits->kv_txn_ops_max >= settings->kv_txn_ops_max)
         return false;
     if (bd_seconds_between(limits->limits_rejected_at, core->now) < limits->raise_after_s)
@@ -101,7 +107,8 @@
     if (!may_raise_sizes(core))
         return;
     limits->limits_raised_at = core->now;
-    limits->kv_value_bytes_max = raised(limits->kv_value_bytes_max, settings->kv_value_bytes_max);
+    limits->kv_value_bytes_max =
+        raised(limits->kv_value_bytes_max, bd_kv_limits_value_bytes(settings));
     limits->kv_txn_ops_max = raised(limits->kv_txn_ops_max, settings->kv_txn_ops_max);
     bd_log_write(core->log, BD_LOG_INFO,
                  "key-value limits raised to values of %zu bytes and %zu changes",
--- a/src/model/kv_limits.h
+++ b/src/model/kv_limits.h
@@ -13,6 +13,12 @@
 /* Share of a value's size limit that is used, since sizes are estimates. */
 #define BD_VALUE_SHARE 0.9
 
+/* Upper bound of a value, whatever the store allows: transactions with one such value fit into a
+ * request's body of 64 KiB. */
+#define BD_VALUE_BYTES_MAX 49152u
+
+/* The size limit of a value in the settings, at most BD_VALUE_BYTES_MAX. */
+size_t bd_kv_limits_value_bytes(const struct bd_settings *settings);
 /* Sets the limits to those of the settings. */
 void bd_kv_limits_init(struct bd_core *core);
 /* Lowers the size limits after a transaction was rejected as malformed (400); `what` names it in
