--- a/src/leadership/reconciliation.c
+++ b/src/leadership/reconciliation.c
@@ -15,6 +15,7 @@
 #include "wire/wire_jobs.h"
 #include "wire/wire_store.h"
 #include <stdio.h>
+#include <string.h>
 
 void bd_leadership_begin_term(struct bd_core *core, const struct bd_acquisition *acquisition)
 {
@@ -101,7 +102,7 @@
     for (uint32_t i = 0; i < core->lead.nintent_records; i++) {
         const struct bd_intent_record *record = &core->lead.intent_records[i];
         char evidence[sizeof record->key + sizeof "intent="];
-        snprintf(evidence, sizeof evidence, "intent=%s", record->key);
+        (void)stpcpy(stpcpy(evidence, "intent="), record->key); /* one for each of many records */
         for (uint32_t k = 0; k < record->nintents; k++)
             nunknown += mark_task_unknown(core, &record->intents[k], evidence);
     }
