Store transactions: never send one that lacks a condition or a change

What could happen: when memory ran out while a transaction was built, the comparison or change that could not be built was left out and the rest was sent. Without the comparison of the leader's key a deposed leader's writes would be applied. Found by reading, never seen in the field.

Cause: the results of the JSON library were not checked; inside, json_dumps leaves out a piece of text in the same way.

Fix: such a transaction is incomplete and bd_txn_finish returns NULL for it; the core aborts, as for any other memory, and the adapters take it as a call without an answer. The controllers' JSON allocator aborts the process, so that no record anywhere is built without one of its parts.

--- a/src/adapters/admin_store.c
+++ b/src/adapters/admin_store.c
@@ -101,6 +101,8 @@
 {
     json_t *answer = NULL;
     char *body = bd_txn_finish(txn);
+    if (!body)
+        return BD_KV_NO_ANSWER;
     long status = bd_kv_call(store->node, store->http, "POST", BD_PATH_COMMIT, body,
                              STORE_TIMEOUT_S, &answer);
     json_decref(answer);
--- a/src/adapters/election_lease.c
+++ b/src/adapters/election_lease.c
@@ -140,6 +140,8 @@
         json_pack("{s:s,s:s}", "node", candidate->node->settings.node, "nonce", candidate->nonce),
         candidate->grant);
     char *body = bd_txn_finish(&txn);
+    if (!body)
+        return 0;
     long status = call_store(candidate, "POST", BD_PATH_COMMIT, body, &answer);
     free(body);
     if (status == BD_KV_OK)
--- a/src/jobs/admission_record.c
+++ b/src/jobs/admission_record.c
@@ -108,7 +108,10 @@
         made_progress = *next > first;
         value_bytes += limits->kv_value_bytes_max;
     }
-    append_line(lines, bd_txn_finish(&txn));
+    char *line = bd_txn_finish(&txn);
+    if (!line)
+        abort();
+    append_line(lines, line);
     return made_progress;
 }
 
--- a/src/jobs/user_txn.c
+++ b/src/jobs/user_txn.c
@@ -26,7 +26,10 @@
         abort();
     bd_txn_compare(&txn, key, revision);
     bd_txn_put(&txn, key, record, 0);
-    return bd_txn_finish(&txn);
+    char *body = bd_txn_finish(&txn);
+    if (!body)
+        abort();
+    return body;
 }
 
 void bd_user_txns_emit(struct bd_core *core, void *request, const char *id, char *body,
--- a/src/leadership/commit.c
+++ b/src/leadership/commit.c
@@ -250,6 +250,8 @@
     core->lead.write_budget -= (double)(builder->ops + 1);
     struct bd_effect *effect = bd_effect_emit(core, BD_EFFECT_LEADER_TXN);
     effect->body = bd_txn_finish(&builder->txn);
+    if (!effect->body)
+        abort();
     effect->commit_sequence = core->lead.commit_sequence;
     snprintf(effect->key, sizeof effect->key, "%llu", (unsigned long long)core->lead.base_term);
 }
--- a/src/runtime/controller.c
+++ b/src/runtime/controller.c
@@ -10,6 +10,7 @@
 #include "adapters/peer_transport.h"
 #include "adapters/worker_client.h"
 #include "base/http.h"
+#include "base/json_allocator.h"
 #include "base/metrics.h"
 #include "base/queue.h"
 #include "base/timeutil.h"
@@ -54,6 +55,7 @@
     struct bd_node *node = calloc(1, sizeof *node);
     if (!node)
         return NULL;
+    bd_json_allocator_install();
     node->settings = *settings;
     derive_leader_ttl(&node->settings);
     node->log = (struct bd_log){level, node->settings.node};
--- a/src/wire/wire_store.c
+++ b/src/wire/wire_store.c
@@ -15,26 +15,35 @@
 {
     txn->compares = json_array();
     txn->ops = json_array();
+    txn->is_incomplete = false;
     return txn->compares && txn->ops;
 }
 
+/* Consumes the element; NULL: it could not be built. */
+static void append(struct bd_txn *txn, json_t *list, json_t *element)
+{
+    if (json_array_append_new(list, element) != 0)
+        txn->is_incomplete = true;
+}
+
 void bd_txn_compare(struct bd_txn *txn, const char *key, uint64_t revision)
 {
-    json_array_append_new(txn->compares, json_pack("{s:s,s:I}", KEY_STORE_KEY, key, KEY_REVISION,
-                                                   (json_int_t)revision));
+    append(txn, txn->compares,
+           json_pack("{s:s,s:I}", KEY_STORE_KEY, key, KEY_REVISION, (json_int_t)revision));
 }
 
 void bd_txn_put(struct bd_txn *txn, const char *key, json_t *value, uint64_t grant)
 {
     json_t *operation = json_pack("{s:s,s:o}", KEY_PUT_KEY, key, KEY_VALUE, value);
-    if (operation && grant)
-        json_object_set_new(operation, KEY_GRANT, json_integer((json_int_t)grant));
-    json_array_append_new(txn->ops, operation);
+    if (operation && grant &&
+        json_object_set_new(operation, KEY_GRANT, json_integer((json_int_t)grant)) != 0)
+        txn->is_incomplete = true;
+    append(txn, txn->ops, operation);
 }
 
 void bd_txn_delete(struct bd_txn *txn, const char *key)
 {
-    json_array_append_new(txn->ops, json_pack("{s:s}", KEY_DELETED_KEY, key));
+    append(txn, txn->ops, json_pack("{s:s}", KEY_DELETED_KEY, key));
 }
 
 char *bd_txn_finish(struct bd_txn *txn)
@@ -42,6 +51,10 @@
     json_t *body = json_pack("{s:o,s:o}", KEY_COMPARES, txn->compares, KEY_OPERATIONS, txn->ops);
     txn->compares = NULL;
     txn->ops = NULL;
+    if (txn->is_incomplete) {
+        json_decref(body);
+        return NULL;
+    }
     return bd_wire_serialize(body);
 }
 
@@ -98,10 +111,8 @@
 
 size_t bd_wire_value_bytes(const json_t *value)
 {
-    char *text = json_dumps(value, JSON_COMPACT | JSON_ENCODE_ANY);
-    size_t bytes = text ? strlen(text) : SIZE_MAX;
-    free(text);
-    return bytes;
+    size_t bytes = json_dumpb(value, NULL, 0, JSON_COMPACT | JSON_ENCODE_ANY);
+    return bytes > 0 ? bytes : SIZE_MAX;
 }
 
 /* FNV-1a over the strings, with a comma after each. */
--- a/src/wire/wire_store.h
+++ b/src/wire/wire_store.h
@@ -12,22 +12,24 @@
 /* ---- transactions ---- */
 
 /* A compare-and-swap transaction under construction: the store applies its operations only if all
- * compares hold. A compare or operation for which memory runs out is left out without an error. */
+ * compares hold. */
 struct bd_txn {
     json_t *compares; /* owned, as is `ops` */
     json_t *ops;
+    bool is_incomplete; /* a compare or an operation could not be added */
 };
 
 /* Begins a transaction. Returns false if out of memory. */
 bool bd_txn_begin(struct bd_txn *txn);
 /* Adds the condition that the key has this revision; 0: that the key does not exist. */
 void bd_txn_compare(struct bd_txn *txn, const char *key, uint64_t revision);
-/* Adds a put of the value, which is consumed. The store deletes the key when `grant` ends; 0: the
- * key has no lease. */
+/* Adds a put of the value, which is consumed; NULL makes the transaction incomplete. The store
+ * deletes the key when `grant` ends; 0: the key has no lease. */
 void bd_txn_put(struct bd_txn *txn, const char *key, json_t *value, uint64_t grant);
 /* Adds a deletion of the key. */
 void bd_txn_delete(struct bd_txn *txn, const char *key);
-/* Returns the request body of the transaction and frees its compares and operations. */
+/* Returns the request body of the transaction and frees its compares and operations. NULL: the
+ * transaction is incomplete, or out of memory. */
 char *bd_txn_finish(struct bd_txn *txn);
 /* Returns the failed compares in the response to a transaction, borrowed. NULL: none. */
 json_t *bd_wire_read_failed_compares(json_t *body);
--- a/src/workers/delegate_record.c
+++ b/src/workers/delegate_record.c
@@ -203,7 +203,10 @@
     struct bd_served_machine *next = delegate->served;
     for (uint32_t part = 0; part < delegate->parts; part++)
         write_part(core, &txn, key, part, &next);
-    return bd_txn_finish(&txn);
+    char *body = bd_txn_finish(&txn);
+    if (!body)
+        abort();
+    return body;
 }
 
 void bd_delegate_write_record(struct bd_core *core)
