Failover: format the log's evidence only if the log shows it

The text is back, and is formatted only while the log's level shows it, as the decision log's head says.

--- a/src/leadership/reconciliation.c
+++ b/src/leadership/reconciliation.c
@@ -15,7 +15,6 @@
 #include "wire/wire_jobs.h"
 #include "wire/wire_store.h"
 #include <stdio.h>
-#include <string.h>
 
 void bd_leadership_begin_term(struct bd_core *core, const struct bd_acquisition *acquisition)
 {
@@ -99,10 +98,12 @@
 static void mark_unknown_tasks(struct bd_core *core)
 {
     uint32_t nunknown = 0;
+    bool is_logged = bd_decision_log_is_enabled(core);
     for (uint32_t i = 0; i < core->lead.nintent_records; i++) {
         const struct bd_intent_record *record = &core->lead.intent_records[i];
-        char evidence[sizeof record->key + sizeof "intent="];
-        (void)stpcpy(stpcpy(evidence, "intent="), record->key); /* one for each of many records */
+        char evidence[sizeof record->key + sizeof "intent="] = "";
+        if (is_logged)
+            snprintf(evidence, sizeof evidence, "intent=%s", record->key);
         for (uint32_t k = 0; k < record->nintents; k++)
             nunknown += mark_task_unknown(core, &record->intents[k], evidence);
     }
--- a/src/model/decision_log.c
+++ b/src/model/decision_log.c
@@ -33,7 +33,7 @@
     [BD_TASK_LAUNCHING] = "launching", [BD_TASK_CONFIRMED] = "confirmed",
     [BD_TASK_UNKNOWN] = "unknown",     [BD_TASK_DONE] = "done"};
 
-static bool is_enabled(const struct bd_core *core)
+bool bd_decision_log_is_enabled(const struct bd_core *core)
 {
     return core->log && core->log->level >= BD_LOG_INFO;
 }
@@ -162,7 +162,7 @@
 {
     struct bd_decision_log *decision_log = &core->decision_log;
     char head[sizeof decision_log->head], tail[sizeof decision_log->tail];
-    if (!is_enabled(core))
+    if (!bd_decision_log_is_enabled(core))
         return;
     snprintf(head, sizeof head, "event=%s job=%s attempt=%llu", event, job->id,
              (unsigned long long)attempt);
@@ -177,7 +177,7 @@
                              const struct bd_machine *machine, const char *details)
 {
     char tail[sizeof core->decision_log.tail];
-    if (!is_enabled(core))
+    if (!bd_decision_log_is_enabled(core))
         return;
     bd_decision_log_flush(core);
     if (!may_write_line(core))
@@ -198,7 +198,7 @@
 void bd_decision_log_note(struct bd_core *core, const char *event, const char *format, ...)
 {
     va_list arguments;
-    if (!is_enabled(core))
+    if (!bd_decision_log_is_enabled(core))
         return;
     bd_decision_log_flush(core);
     if (!may_write_line(core))
@@ -211,7 +211,7 @@
 void bd_decision_log_term(struct bd_core *core, const char *event, const char *format, ...)
 {
     va_list arguments;
-    if (!is_enabled(core))
+    if (!bd_decision_log_is_enabled(core))
         return;
     bd_decision_log_flush(core);
     va_start(arguments, format);
@@ -224,7 +224,7 @@
 {
     const struct bd_task *task = &job->tasks[index];
     char details[DETAILS_BYTES];
-    if (!is_enabled(core))
+    if (!bd_decision_log_is_enabled(core))
         return;
     snprintf(details, sizeof details, "why=%s state=%s", release_names[reason],
              state_names[task->state]);
@@ -237,7 +237,7 @@
 {
     const struct bd_task *task = &job->tasks[index];
     char details[DETAILS_BYTES];
-    if (!is_enabled(core))
+    if (!bd_decision_log_is_enabled(core))
         return;
     snprintf(details, sizeof details, "why=%s force=%d state=%s", stop_names[reason], force,
              state_names[task->state]);
--- a/src/model/decision_log.h
+++ b/src/model/decision_log.h
@@ -34,6 +34,8 @@
     struct timespec autonomous_logged_at;
 };
 
+/* Whether events are written: the log's level is info or more detailed. */
+bool bd_decision_log_is_enabled(const struct bd_core *core);
 /* Logs an event of a task. details: more key=value text, or empty. machine may be NULL. */
 void bd_decision_log_task(struct bd_core *core, const char *event, const struct bd_job *job,
                           uint32_t task, uint64_t attempt, const struct bd_machine *machine,
