Count of running tasks: a released task is taken off it

What users saw: once a running task had been lost or had failed, its job showed more running tasks than ran, for good. The leader also took a job with such a count as proven, so that its failures weighed more against the machines.

Cause: bd_task_release reset the execution state before the change of state was counted.

Fix: clear_attempt, the only place that resets the execution state, takes the task off the count.

--- a/src/model/task_state.c
+++ b/src/model/task_state.c
@@ -86,9 +86,10 @@
 
 /* ---- assignment and release ---- */
 
-/* Resets the state of the attempt. */
-static void clear_attempt(struct bd_task *task)
+/* Resets the state of the attempt, with which a running task ceases to run. */
+static void clear_attempt(struct bd_job *job, struct bd_task *task)
 {
+    job->nrunning -= is_running(task);
     task->flags = 0;
     task->execution = BD_EXECUTION_FETCHING_IMAGE;
 }
@@ -101,7 +102,7 @@
         bd_task_release(core, job, index, BD_RELEASE_MOVED);
     task->attempt = attempt;
     task->started_at = 0;
-    clear_attempt(task);
+    clear_attempt(job, task);
     bd_task_set_state(core, job, index, state);
     job->last_placed_at = core->now;
     bd_reservation_add(core, job, index, machine);
@@ -140,7 +141,7 @@
     bd_reservation_remove(core, job, index);
     if (task->state == BD_TASK_DONE)
         return;
-    clear_attempt(task);
+    clear_attempt(job, task);
     bd_task_set_state(core, job, index, BD_TASK_PENDING);
     bd_ledger_update_task(core, job, index);
     core->lead.cycle_wanted = true;
--- a/tests/sim_rules.c
+++ b/tests/sim_rules.c
@@ -1,8 +1,11 @@
 /* The rules that hold on every simulated day, at each step and at its end. */
+#include "model/job.h"
+#include "model/task.h"
 #include "sim_day.h"
 #include "sim_drain.h"
 #include "simulation.h"
 #include "wire/wire.h"
+#include "wire/wire_workers.h"
 
 #define WAIT_MAX_S 90.0 /* includes the expiry of an earlier lease */
 
@@ -39,8 +42,32 @@
     return sim_drains_finished(sim);
 }
 
+static uint32_t count_running_tasks(const struct bd_job *job)
+{
+    uint32_t count = 0;
+    for (uint32_t i = 0; i < job->ntasks; i++) {
+        const struct bd_task *task = &job->tasks[i];
+        count +=
+            task->state == BD_TASK_CONFIRMED && (task->execution == BD_EXECUTION_RUNNING ||
+                                                 task->execution == BD_EXECUTION_CHECKPOINTING);
+    }
+    return count;
+}
+
+/* Guards against a count of running tasks that differs from the tasks' states. */
+static void check_running_counts(struct sim *sim, const struct sim_node *node)
+{
+    for (const struct bd_job *job = node->core->jobs; job; job = job->hh.next)
+        if (job->tasks && job->nrunning != count_running_tasks(job))
+            sim_violation(sim, "count: %s at %s has %u running tasks, and counts %u", job->id,
+                          node->settings.node, count_running_tasks(job), job->nrunning);
+}
+
 void sim_check_rules(struct sim *sim)
 {
+    for (int i = 0; i < SIM_NODES; i++)
+        if (sim->nodes[i].core && sim->nodes[i].core->role == BD_LEADER)
+            check_running_counts(sim, &sim->nodes[i]);
     for (int i = 0; i < sim->njobs; i++) {
         struct sim_job *job = &sim->jobs[i];
         check_waiting(sim, job);
