Direct commands: an answer of another machine counts as no answer

What users would see: a job that does not end, if another machine answered at the address of its direct launch. Found by reading.

Cause: the task kept its mark "direct launch in flight", and the launch was not noted as unanswered, so the fencing token was never raised for it and the task's completion not taken over.

Fix: one path for both, which notes the launch and raises the token.

--- a/src/workers/direct_commands.c
+++ b/src/workers/direct_commands.c
@@ -67,8 +67,9 @@
 }
 
 /* Handles a direct command that the machine did not answer. Nothing new is launched on the machine
- * until a heartbeat shows that replies reach it. */
-static void back_off(struct bd_core *core, struct bd_machine *machine)
+ * until a heartbeat shows that replies reach it. Its launches may be carried out late. */
+static void handle_command_unanswered(struct bd_core *core, struct bd_machine *machine,
+                                      uint64_t fencing_token, bool has_launch)
 {
     double pause_s = bd_to_secs(core->settings->heartbeat_interval);
     for (uint32_t i = 0; i < machine->direct_failures && i < PAUSE_DOUBLINGS_MAX; i++)
@@ -78,6 +79,8 @@
         core->cloud.direct_by_zone[machine->zone].consecutive_failures++;
     machine->outbound_partition = true;
     machine->next_direct_at = bd_time_add(core->now, bd_secs(pause_s));
+    if (has_launch && fencing_token > machine->unanswered_launch_token)
+        machine->unanswered_launch_token = fencing_token;
 }
 
 static void reset_failures(struct bd_core *core, struct bd_machine *machine)
@@ -99,16 +102,12 @@
     machine->next_direct_at = bd_time_add(core->now, core->settings->heartbeat_interval);
 }
 
-/* Handles a direct command that was answered with a heartbeat. */
+/* Handles a direct command that the machine answered with a heartbeat. */
 static void handle_command_answered(struct bd_core *core, struct bd_machine *machine,
                                     bool has_launch, const struct bd_heartbeat *heartbeat)
 {
     struct bd_command_list commands = {0};
     reset_failures(core, machine);
-    if (strcmp(heartbeat->machine, machine->id) != 0) {
-        back_off(core, machine); /* another machine has this address now */
-        return;
-    }
     /* the command was answered, so its launches cannot arrive late */
     if (has_launch && machine->unanswered_launch_token == 0)
         bd_machine_exclude_late_launches(machine);
@@ -134,11 +133,11 @@
         handle_command_not_sent(core, machine, has_launch);
         return;
     }
-    if (heartbeat && (status == 200 || status == 409)) {
+    /* another machine may have the address now */
+    bool is_answered = heartbeat && (status == 200 || status == 409) &&
+                       strcmp(heartbeat->machine, machine->id) == 0;
+    if (is_answered)
         handle_command_answered(core, machine, has_launch, heartbeat);
-        return;
-    }
-    back_off(core, machine);
-    if (has_launch && fencing_token > machine->unanswered_launch_token)
-        machine->unanswered_launch_token = fencing_token;
+    else
+        handle_command_unanswered(core, machine, fencing_token, has_launch);
 }
--- a/tests/scenario.c
+++ b/tests/scenario.c
@@ -47,8 +47,8 @@
  * - forward_reply_received ID STATUS {text}   the reply to a heartbeat that this controller
  *   forwarded
  * - direct_command_completed vm-1 token=1 [status=200] [launch=0] [incarnation=1] [seq=2]
- *   [job-1/0:...]   the response to a direct command; status=0: none, status=-1: it was not sent;
- *   launch=0: it held no launch
+ *   [from=vm-2] [job-1/0:...]   the response to a direct command; status=0: none, status=-1: it was
+ *   not sent; launch=0: it held no launch; from: the machine that responds
  * - machines_listed vm-1:TYPE:ZONE[:running|booting|failed] ...   the cloud's list of machines
  * - scale_out_completed N vm-1 ... | scale_out_completed refused   the cloud's response to the
  *   oldest open provisioning request, 200 or 503; N is ignored
--- a/tests/scenario_machines.c
+++ b/tests/scenario_machines.c
@@ -97,6 +97,9 @@
         return;
     }
     read_heartbeat(scenario, &heartbeat, tasks);
+    const char *from = scenario_find_text(scenario, "from");
+    if (from)
+        snprintf(heartbeat.machine, sizeof heartbeat.machine, "%s", from);
     snprintf(heartbeat.type, sizeof heartbeat.type, "%s",
              machine->type < 0 ? "?" : scenario->core->types[machine->type].label);
     snprintf(heartbeat.zone, sizeof heartbeat.zone, "%s",
