Dependencies: full batches of look-ups are 0.2 s apart

What was seen by reading: with more than eight parents to look up, eight look-ups left at every step of the loop, hundreds a second under load, at the cost of the store's request rate.

Cause: after a full batch the next one was due at once.

Evidence, before: scenario parent-lookups-are-paced sees all 18 look-ups at one moment. Fix: a pause after a full batch too.

--- a/src/jobs/dependency_graph.c
+++ b/src/jobs/dependency_graph.c
@@ -24,7 +24,8 @@
 #include <string.h>
 #include <utlist.h>
 
-#define LOOKUP_INTERVAL_S 2.0 /* after a batch of look-ups that was not full */
+#define LOOKUP_INTERVAL_S 2.0     /* after a batch of look-ups that was not full */
+#define FULL_BATCH_INTERVAL_S 0.2 /* after a full one: more parents are due */
 #define LOOKUP_BATCH_MAX 8u
 #define LOOKUP_RETRY_S (LOOKUP_INTERVAL_S * LOOKUP_BATCH_MAX) /* between look-ups of one parent */
 
@@ -263,9 +264,8 @@
         bd_job_lookup_emit(core, NULL, parent->id, BD_PURPOSE_PARENT);
         sent++;
     }
-    bool is_batch_full = sent == LOOKUP_BATCH_MAX;
-    core->graph.next_lookup =
-        is_batch_full ? core->now : bd_time_add(core->now, bd_secs(LOOKUP_INTERVAL_S));
+    double pause_s = sent == LOOKUP_BATCH_MAX ? FULL_BATCH_INTERVAL_S : LOOKUP_INTERVAL_S;
+    core->graph.next_lookup = bd_time_add(core->now, bd_secs(pause_s));
 }
 
 void bd_dag_free(struct bd_core *core)
