Operators' file: refuse one that is longer than 64 KiB or holds a null byte

Such a file was cut without an error, and its last rules did not apply. The new check in `inputs` failed before: a file of 65,537 bytes with an unknown field at its end was accepted. Out of memory the program aborts instead of reading an empty file.

--- a/src/runtime/operators_file.c
+++ b/src/runtime/operators_file.c
@@ -12,20 +12,35 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define FILE_BYTES_MAX 65536 /* the rest of a longer file is ignored */
+#define FILE_BYTES_MAX 65536u
+#define MESSAGE_BYTES 96
 
-/* Reads the file into a null-terminated string, which the caller frees. NULL: cannot be read. */
-static char *read_file(const char *path)
+static void check_content(struct bd_settings_reader *reader, const char *content, size_t size)
 {
-    FILE *file = fopen(path, "rb");
-    if (!file)
-        return NULL;
-    char *content = calloc(1, FILE_BYTES_MAX + 1);
-    if (content && fread(content, 1, FILE_BYTES_MAX, file) == 0 && ferror(file)) {
-        free(content);
-        content = NULL;
+    char message[MESSAGE_BYTES];
+    if (size > FILE_BYTES_MAX) {
+        snprintf(message, sizeof message, "is longer than %u bytes", FILE_BYTES_MAX);
+        bd_settings_report_error(reader, "file", message);
+    } else if (memchr(content, '\0', size)) {
+        bd_settings_report_error(reader, "file", "contains a null byte");
     }
-    (void)fclose(file);
+}
+
+/* Reads the file into a null-terminated string, which the caller frees. Reports a file that cannot
+ * be read as a whole. */
+static char *read_file(struct bd_settings_reader *reader)
+{
+    FILE *file = fopen(reader->path, "rb");
+    char *content = calloc(1, FILE_BYTES_MAX + 2);
+    if (!content)
+        abort();
+    size_t size = file ? fread(content, 1, FILE_BYTES_MAX + 1, file) : 0;
+    if (!file || ferror(file))
+        bd_settings_report_error(reader, "file", "cannot be read");
+    else
+        check_content(reader, content, size);
+    if (file)
+        (void)fclose(file);
     return content;
 }
 
@@ -84,13 +99,14 @@
 }
 
 /* Wraps the content in one list, because the parser reads a single expression. The caller frees the
- * result. NULL: no memory. */
+ * result. */
 static char *wrap_in_list(const char *content)
 {
     size_t size = strlen(content) + sizeof "(\n)";
     char *wrapped = malloc(size);
-    if (wrapped)
-        snprintf(wrapped, size, "(%s\n)", content);
+    if (!wrapped)
+        abort();
+    snprintf(wrapped, size, "(%s\n)", content);
     return wrapped;
 }
 
@@ -98,8 +114,6 @@
                          const char *content)
 {
     char *wrapped = wrap_in_list(content);
-    if (!wrapped)
-        return;
     sexp_t *list = parse_sexp(wrapped, strlen(wrapped));
     if (list) {
         read_pairs(reader, settings, list->list);
@@ -115,11 +129,9 @@
                                     size_t error_size)
 {
     struct bd_settings_reader reader = {path, error, error_size, false};
-    char *content = read_file(path);
-    if (content)
+    char *content = read_file(&reader);
+    if (!reader.has_failed)
         read_content(&reader, settings, content);
-    else
-        bd_settings_report_error(&reader, "file", "cannot be read");
     free(content);
     return reader.has_failed ? -1 : 0;
 }
--- a/tests/inputs_settings.c
+++ b/tests/inputs_settings.c
@@ -147,6 +147,21 @@
     return status;
 }
 
+/* Reads a file of `size` bytes that ends with an unknown field. */
+static bool is_long_file_refused(size_t size, const char *named, struct bd_settings *settings)
+{
+    char error[256];
+    const char *end = "\n(no-such 1)";
+    char *text = malloc(size + 1);
+    if (!text)
+        exit(2);
+    memset(text, ' ', size);
+    memcpy(text + size - strlen(end), end, strlen(end) + 1);
+    int status = read_operators(text, error, sizeof error, settings);
+    free(text);
+    return status == -1 && strstr(error, named);
+}
+
 void inputs_operator_files(void)
 {
     char error[256];
@@ -168,5 +183,10 @@
                  "operators: truncated");
     inputs_check(read_operators("spare-share 0.2", error, sizeof error, settings) == -1,
                  "operators: not a list");
+    /* guards against an operators' file that is cut without an error */
+    inputs_check(is_long_file_refused(65536, "no-such", settings),
+                 "operators: a file of 64 KiB is read to its end");
+    inputs_check(is_long_file_refused(65537, "longer than 65536 bytes", settings),
+                 "operators: a longer file is refused, and the limit is named");
     free(settings);
 }
