Forwarded heartbeats: log those of a controller outside the settings

They were dropped without a line, so that a wrong settings file showed only as workers that wait. One line in 10 s names the controller and the number. The new checks in decision-log fail without it (no line).

--- a/src/model/forwarding_state.h
+++ b/src/model/forwarding_state.h
@@ -33,5 +33,8 @@
     /* The leader reported that it does not receive its workers' heartbeats. Until this time
      * heartbeats are forwarded, since workers redirected to the leader would not reach it. */
     struct timespec inbound_partition_until;
+    /* heartbeats dropped since the last log line, because no peer in the settings forwarded them */
+    uint32_t dropped_from_unknown;
+    struct timespec next_drop_log_at;
 };
 #endif
--- a/src/workers/heartbeats.c
+++ b/src/workers/heartbeats.c
@@ -1,6 +1,7 @@
 /* Incoming heartbeats of workers: detects duplicates, decides which controller replies, and updates
  * the leader's view of the machine. */
 #include "base/timeutil.h"
+#include "brambledoor/log.h"
 #include "leadership/leadership.h"
 #include "model/catalog.h"
 #include "model/core_state.h"
@@ -20,6 +21,7 @@
 #include <string.h>
 
 #define GAP_INTERVALS 2.0 /* heartbeat intervals; a longer time between heartbeats is a gap */
+#define DROP_LOG_INTERVAL_S 10.0
 
 static void update_identity(struct bd_core *core, struct bd_machine *machine,
                             const struct bd_heartbeat *heartbeat)
@@ -207,11 +209,28 @@
         bd_effect_reply(core, request, 421, bd_wire_write_redirect(""), 0);
 }
 
+/* There is no connection on which to answer, so the peer's own timeout ends the wait. */
+static void drop_from_unknown(struct bd_core *core, const char *peer)
+{
+    core->forwarding.dropped_from_unknown++;
+    if (bd_time_is_before(core->now, core->forwarding.next_drop_log_at))
+        return;
+    bd_log_write(core->log, BD_LOG_ERROR,
+                 "dropped %u heartbeats that were forwarded by %s, which is not in the settings",
+                 core->forwarding.dropped_from_unknown, peer);
+    core->forwarding.dropped_from_unknown = 0;
+    core->forwarding.next_drop_log_at = bd_time_add(core->now, bd_secs(DROP_LOG_INTERVAL_S));
+}
+
 void bd_worker_heartbeat_forwarded(struct bd_core *core, const char *peer, uint64_t id,
                                    const struct bd_heartbeat *heartbeat, const char *body,
                                    size_t len)
 {
-    for (int i = 0; i < core->settings->npeers; i++)
-        if (strcmp(core->settings->peers[i].name, peer) == 0)
-            receive_from_peer(core, i, id, heartbeat, body, len);
+    for (int i = 0; i < core->settings->npeers; i++) {
+        if (strcmp(core->settings->peers[i].name, peer) != 0)
+            continue;
+        receive_from_peer(core, i, id, heartbeat, body, len);
+        return;
+    }
+    drop_from_unknown(core, peer);
 }
--- a/tests/decision_log.c
+++ b/tests/decision_log.c
@@ -1,5 +1,6 @@
 /* Tests the decision log. Entries that differ only in the task share a line; lines beyond the rate
- * limit are counted and not written; nothing is written if the log level is above info. Standard
+ * limit are counted and not written; nothing is written if the log level is above info. Also tests
+ * the line about heartbeats that an unknown controller forwards. Standard
  * error is read back through a pipe. */
 #include "model/decision_log.h"
 #include "base/timeutil.h"
@@ -7,6 +8,8 @@
 #include "core/core.h"
 #include "model/effect.h"
 #include "test_settings.h"
+#include "wire/wire_workers.h"
+#include "workers/workers.h"
 #include <fcntl.h>
 #include <stdio.h>
 #include <string.h>
@@ -83,6 +86,21 @@
           strstr(read_new_text(fd), "event=suppressed lines=4601\n") != NULL);
 }
 
+/* Guards against heartbeats that are dropped without a trace. */
+static void check_unknown_forwarder(struct bd_core *core, struct timespec now, int fd)
+{
+    const struct bd_heartbeat heartbeat = {.machine = "vm-1"};
+    for (int i = 0; i < 5; i++)
+        bd_worker_heartbeat_forwarded(core, "node-9", 1, &heartbeat, "{}", 2);
+    check("heartbeats that an unknown controller forwards are logged once, with its name",
+          strstr(read_new_text(fd), "dropped 1 heartbeats that were forwarded by node-9") != NULL);
+    bd_core_set_clock(core, bd_time_add(now, bd_secs(10.5)), 1010.5);
+    bd_worker_heartbeat_forwarded(core, "node-9", 1, &heartbeat, "{}", 2);
+    const char *text = read_new_text(fd);
+    check("later ones are logged after a while, with their number",
+          strstr(text, "dropped 5 heartbeats") != NULL && count_occurrences(text, "dropped") == 1);
+}
+
 int main(void)
 {
     static struct bd_settings settings;
@@ -101,6 +119,8 @@
     struct bd_job job = {.id = "job-1"};
     struct bd_machine machine = {
         .id = "vm-1", .incarnation = 3, .heartbeat_seq = 9, .fencing_token = 41};
+    check_unknown_forwarder(core, now, fds[0]);
+    bd_core_set_clock(core, now, 1000);
     check_task_ranges(core, &job, &machine, fds[0]);
     check_rate_limit(core, now, fds[0]);
     log.level = BD_LOG_ERROR;
