Drains: check every result of lp_solve

Results of set_binary and set_lowbo were ignored: a refused bound would leave a conflict of zones out of the choice. Now the greedy choice is used, with a line at debug. Found by reading; no run makes these calls fail, so there is no test that failed before.

--- a/src/drain/solver.c
+++ b/src/drain/solver.c
@@ -22,7 +22,7 @@
     int zone_column[BD_ZONES_MAX]; /* 0: the zone has no column */
     REAL *values;                  /* coefficients of the row that is being built */
     int *columns;                  /* columns of the row that is being built */
-    bool is_valid;                 /* no row and no objective was refused */
+    bool is_valid;                 /* lp_solve refused no part of the program */
 };
 
 static int __WINAPI is_over_limit(lprec *lp, void *arg)
@@ -129,7 +129,7 @@
 {
     const struct bd_step_problem *problem = program->problem;
     for (int i = 1; i <= ncolumns; i++)
-        (void)set_binary(program->lp, i, TRUE);
+        program->is_valid = program->is_valid && set_binary(program->lp, i, TRUE);
     for (uint32_t i = 0; i < problem->ncandidates; i++) {
         program->columns[i] = (int)i + 1;
         program->values[i] = 1 - TASK_COST * problem->candidates[i].tasks;
@@ -139,7 +139,8 @@
     set_maxim(program->lp);
     for (int zone = 0; zone < BD_ZONES_MAX; zone++)
         if (problem->zone_used[zone] && program->zone_column[zone] > 0)
-            (void)set_lowbo(program->lp, program->zone_column[zone], 1);
+            program->is_valid =
+                program->is_valid && set_lowbo(program->lp, program->zone_column[zone], 1);
 }
 
 static void build_program(struct program *program, int ncolumns)
--- a/src/drain/step_plan.c
+++ b/src/drain/step_plan.c
@@ -2,6 +2,7 @@
  * wait reason of all others. A planned step begins once its record is written. Part of the pure
  * core. */
 #include "base/timeutil.h"
+#include "brambledoor/log.h"
 #include "brambledoor/settings.h"
 #include "drain/drain_internal.h"
 #include "drain/drain_record.h"
@@ -233,6 +234,10 @@
     bool solved =
         rules->planner == BD_PLANNER_SOLVER && bd_step_choose_by_solver(&plan->problem, chosen);
     if (!solved) {
+        if (rules->planner == BD_PLANNER_SOLVER)
+            bd_log_write(plan->core->log, BD_LOG_DEBUG,
+                         "the solver chose no machines among %u; greedy choice used",
+                         plan->problem.ncandidates);
         roaring_bitmap_clear(chosen);
         bd_step_choose_greedy(&plan->problem, chosen);
     }
