--- a/src/drain/drain.h
+++ b/src/drain/drain.h
@@ -78,12 +78,6 @@
 
 /* ---- queries ---- */
 
-/* Whether the machine gets no new tasks because a drain names it. */
-bool bd_drain_is_cordoned(const struct bd_core *core, const struct bd_machine *machine);
-/* Whether the machine is a drain's replacement, which is not scaled in while it is idle. */
-bool bd_drain_is_kept_when_idle(const struct bd_core *core, const struct bd_machine *machine);
-/* Whether the machine's drain requests that it be scaled in now. */
-bool bd_drain_requests_scale_in(const struct bd_core *core, const struct bd_machine *machine);
 /* Whether the disruption budgets allow consolidation to empty the machine now. */
 bool bd_drain_budgets_allow(struct bd_core *core, struct bd_machine *machine);
 /* Copies the leader's view of a drain's machine. False: the drain has no such machine. */
--- a/src/drain/queries.c
+++ b/src/drain/queries.c
@@ -7,24 +7,6 @@
 #include "model/machine.h"
 #include <string.h>
 
-bool bd_drain_is_cordoned(const struct bd_core *core, const struct bd_machine *machine)
-{
-    (void)core;
-    return machine->cordoned;
-}
-
-bool bd_drain_is_kept_when_idle(const struct bd_core *core, const struct bd_machine *machine)
-{
-    (void)core;
-    return machine->is_kept_for_drain;
-}
-
-bool bd_drain_requests_scale_in(const struct bd_core *core, const struct bd_machine *machine)
-{
-    (void)core;
-    return machine->scale_in_for_drain;
-}
-
 bool bd_drain_budgets_allow(struct bd_core *core, struct bd_machine *machine)
 {
     if (!core->drains)
