--- a/tests/scenario_drain.c
+++ b/tests/scenario_drain.c
@@ -79,11 +79,13 @@
 
 /* Compares only the first 4 letters, because a step writes a state of two words with a dash. NULL
  * means active. */
-static enum bd_drain_state parse_drain_state(const char *text)
+static enum bd_drain_state parse_drain_state(struct scenario *scenario, const char *text)
 {
     for (int i = 0; text && i < 4; i++)
         if (strncmp(bd_drain_state_name((enum bd_drain_state)i), text, 4) == 0)
             return (enum bd_drain_state)i;
+    if (text)
+        scenario_fail(scenario, "unknown state of a drain");
     return BD_DRAIN_ACTIVE;
 }
 
@@ -94,7 +96,9 @@
     snprintf(record.name, sizeof record.name, "%s", scenario->words[1]);
     snprintf(record.machine_set_id, sizeof record.machine_set_id, "%.15s", scenario->words[1]);
     record.mode = strcmp(scenario->words[2], "retire") == 0 ? BD_DRAIN_RETIRE : BD_DRAIN_REPLACE;
-    record.state = parse_drain_state(scenario_find_text(scenario, "state"));
+    if (strcmp(scenario->words[2], bd_drain_mode_name(record.mode)) != 0)
+        scenario_fail(scenario, "unknown mode of a drain");
+    record.state = parse_drain_state(scenario, scenario_find_text(scenario, "state"));
     record.requested_at_s = scenario_find_number(scenario, "at", scenario->core->wall_s);
     snprintf(key, sizeof key, BD_DRAIN_KEY_PREFIX "%s", scenario->words[1]);
     if (!scenario->drain_records) {
--- a/tests/scenario_leader.c
+++ b/tests/scenario_leader.c
@@ -158,15 +158,36 @@
                               is_revision_known);
 }
 
+/* Guards against a misspelt outcome, which would be played as another one. Returns false if the
+ * word is not an outcome. */
+static bool parse_outcome(const char *word, enum bd_txn_outcome *outcome)
+{
+    static const struct {
+        const char *word;
+        enum bd_txn_outcome outcome;
+    } outcomes[] = {{"committed", BD_TXN_COMMITTED},
+                    {"deposed", BD_TXN_DEPOSED},
+                    {"rejected", BD_TXN_REJECTED},
+                    {"conflict", BD_TXN_CONFLICT}};
+    for (size_t i = 0; i < sizeof outcomes / sizeof *outcomes; i++) {
+        if (strcmp(word, outcomes[i].word) != 0)
+            continue;
+        *outcome = outcomes[i].outcome;
+        return true;
+    }
+    return false;
+}
+
 static void step_leader_txn_completed(struct scenario *scenario)
 {
+    enum bd_txn_outcome outcome;
+    if (!parse_outcome(scenario->words[1], &outcome)) {
+        scenario_fail(scenario, "unknown outcome of a transaction");
+        return;
+    }
     json_t *failed = json_array();
     for (int i = 2; i < scenario->word_count; i++)
         json_array_append_new(failed, json_string(scenario->words[i]));
-    enum bd_txn_outcome outcome = strcmp(scenario->words[1], "committed") == 0  ? BD_TXN_COMMITTED
-                                  : strcmp(scenario->words[1], "deposed") == 0  ? BD_TXN_DEPOSED
-                                  : strcmp(scenario->words[1], "rejected") == 0 ? BD_TXN_REJECTED
-                                                                                : BD_TXN_CONFLICT;
     if (!scenario->core->lead.commit)
         scenario_fail(scenario, "no leader transaction is in flight");
     bd_core_leader_txn_completed(scenario->core, outcome, scenario_next_revision(scenario), failed);
--- a/tests/sim_plan.c
+++ b/tests/sim_plan.c
@@ -183,6 +183,19 @@
     return true;
 }
 
+/* Guards against a misspelt fault, which would be played as another one. */
+static bool is_known_fault(const char *kind)
+{
+    static const char *const other_faults[] = {
+        "store-outage", "store-slow",    "store-refuse", "refresh-fail",   "drains-unread",
+        "peer-cut",     "isolate",       "zone-cut",     "delay-commands", "crash",
+        "crash-all",    "process-pause", "delay-sends",  "cancel",         "burst",
+        "drain",        "pause-drain",   "resume-drain", "cancel-drain"};
+    return is_one_of(kind, other_faults, sizeof other_faults / sizeof *other_faults) ||
+           is_one_of(kind, share_faults, sizeof share_faults / sizeof *share_faults) ||
+           is_one_of(kind, machine_faults, sizeof machine_faults / sizeof *machine_faults);
+}
+
 /* Reads `at SECONDS FAULT [NODE] NUMBERS`. Returns false if the line is not a fault. */
 static bool read_fault(struct sim_fault *fault, const char *line)
 {
@@ -193,7 +206,8 @@
         return false;
     char *end;
     fault->at_s = strtod(line + strlen(at), &end);
-    if (end == line + strlen(at) || sscanf(end, "%15s %127[^\n]", fault->kind, rest) < 1)
+    if (end == line + strlen(at) || sscanf(end, "%15s %127[^\n]", fault->kind, rest) < 1 ||
+        !is_known_fault(fault->kind))
         return false;
     if (takes_node(fault->kind)) {
         bool has_both = sscanf(rest, "%15s %127[^\n]", fault->node, values_text) == 2;
@@ -207,7 +221,7 @@
 
 bool sim_plan_read(struct sim_plan *plan, const char *path)
 {
-    char line[256];
+    char line[256] = "";
     int line_number = 0;
     FILE *file = fopen(path, "r");
     init_plan(plan, 40, 0.25);
@@ -223,8 +237,8 @@
         plan->nfaults++;
     }
     if (!is_valid)
-        fprintf(stderr, "%s:%d: neither a setting nor a fault of a simulated day\n", path,
-                line_number);
+        fprintf(stderr, "%s:%d: neither a setting nor a fault of a simulated day: %s\n", path,
+                line_number, line);
     if (file)
         (void)fclose(file);
     return is_valid && plan->nfaults > 0;
