--- a/src/adapters/api_server.c
+++ b/src/adapters/api_server.c
@@ -6,7 +6,9 @@
 #include "adapters/worker_client.h"
 #include "base/address.h"
 #include "base/metrics.h"
+#include "base/thread.h"
 #include "base/timeutil.h"
+#include "base/units.h"
 #include "brambledoor/settings.h"
 #include "model/effect.h"
 #include "wire/wire.h"
@@ -26,12 +28,10 @@
 #define CONNECTION_IDLE_S 120u
 #define CONNECTIONS_MIN 8
 #define BODY_MEMORY_SHARE 0.15 /* of the settings' ram_mb, for the bodies of all requests */
-#define BYTES_PER_MB 1048576.0
 #define PENDING_LIMIT_MIN 512  /* pending requests; the limit is half the sockets, at least this */
 #define USER_PENDING_SHARE 0.6 /* of the limit; the rest is reserved for workers' heartbeats */
 /* After an outage of all controllers, all workers reconnect at once. */
 #define LISTEN_BACKLOG 1024u
-#define STACK_BYTES 131072
 #define BUSY_RETRY_S 1
 
 /* One request. The polling thread owns it, except between post_to_owner and bd_api_reply: its
@@ -303,7 +303,7 @@
         MHD_OPTION_NOTIFY_COMPLETED, request_completed, node, MHD_OPTION_NOTIFY_CONNECTION,
         connection_changed, node, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u,
         MHD_OPTION_LISTEN_BACKLOG_SIZE, LISTEN_BACKLOG, MHD_OPTION_THREAD_STACK_SIZE,
-        (size_t)STACK_BYTES, MHD_OPTION_END);
+        (size_t)BD_THREAD_STACK_BYTES, MHD_OPTION_END);
 }
 
 int bd_api_start(struct bd_node *node)
@@ -315,7 +315,7 @@
     if (!server)
         return -1;
     node->api_server = server;
-    server->body_bytes_max = (size_t)(node->settings.ram_mb * BODY_MEMORY_SHARE * BYTES_PER_MB);
+    server->body_bytes_max = (size_t)(node->settings.ram_mb * BODY_MEMORY_SHARE * BD_BYTES_PER_MB);
     server->daemon = start_daemon(node, &address);
     return server->daemon ? 0 : -1;
 }
--- a/src/adapters/cloud_client.c
+++ b/src/adapters/cloud_client.c
@@ -36,7 +36,6 @@
 #define QUEUE_WAIT_S 0.2
 #define SCALE_OUT_MACHINES_MAX 64
 #define SCALE_IN_MACHINES_MAX 128
-#define STACK_BYTES 131072
 
 /* The cloud's HTTP statuses that this client distinguishes. */
 enum cloud_status {
@@ -292,5 +291,5 @@
     client->inventory_interval_s =
         fmax(bd_to_secs(node->settings.inventory_lag) / INVENTORY_READS_PER_LAG,
              CALLS_PER_INVENTORY_READ_MIN / node->settings.cloud_requests_per_s);
-    return bd_thread_start(cloud_run, client, STACK_BYTES);
+    return bd_thread_start(cloud_run, client, BD_THREAD_STACK_BYTES);
 }
--- a/src/adapters/election.c
+++ b/src/adapters/election.c
@@ -25,7 +25,6 @@
 #define LOAD_RETRY_S 0.1
 #define RENEWALS_PER_TTL 6.0
 #define CALLS_PER_TTL 3 /* limits the time of each call */
-#define THREAD_STACK_BYTES 131072
 
 double bd_election_call_timeout_s(const struct bd_election_candidate *candidate)
 {
@@ -204,7 +203,7 @@
     struct bd_election_candidate *candidate = candidate_new(node);
     if (!candidate)
         return -1;
-    int failed = bd_thread_start(run_election, candidate, THREAD_STACK_BYTES);
+    int failed = bd_thread_start(run_election, candidate, BD_THREAD_STACK_BYTES);
     if (failed)
         candidate_free(candidate);
     return failed;
--- a/src/adapters/kv_client.c
+++ b/src/adapters/kv_client.c
@@ -15,7 +15,6 @@
 #include <string.h>
 
 #define USER_THREADS 2
-#define THREAD_STACK_BYTES 131072
 #define PAGE_PAIRS "1000"
 #define URL_BYTES 640
 #define PATH_BYTES 512
@@ -93,9 +92,9 @@
 
 int bd_kv_client_start(struct bd_node *node)
 {
-    int failed = bd_thread_start(bd_kv_reader_run, node, THREAD_STACK_BYTES);
-    failed |= bd_thread_start(bd_kv_leader_writer_run, node, THREAD_STACK_BYTES);
+    int failed = bd_thread_start(bd_kv_reader_run, node, BD_THREAD_STACK_BYTES);
+    failed |= bd_thread_start(bd_kv_leader_writer_run, node, BD_THREAD_STACK_BYTES);
     for (int i = 0; i < USER_THREADS; i++)
-        failed |= bd_thread_start(bd_kv_user_writer_run, node, THREAD_STACK_BYTES);
+        failed |= bd_thread_start(bd_kv_user_writer_run, node, BD_THREAD_STACK_BYTES);
     return failed;
 }
--- a/src/adapters/peer_listener.c
+++ b/src/adapters/peer_listener.c
@@ -29,7 +29,6 @@
 #define POLL_TIMEOUT_MS 2000 /* between checks for idle connections */
 #define CONNECTIONS_MAX (2 * BD_PEERS_MAX + 8) /* a peer's new connection overlaps its old one */
 #define BUFFER_BYTES_MIN 4096
-#define STACK_BYTES 131072
 
 /* A connection that a peer opened. */
 struct connection {
@@ -243,5 +242,5 @@
         free(listener);
         return -1;
     }
-    return bd_thread_start(listen_run, listener, STACK_BYTES);
+    return bd_thread_start(listen_run, listener, BD_THREAD_STACK_BYTES);
 }
--- a/src/adapters/peer_transport.c
+++ b/src/adapters/peer_transport.c
@@ -29,7 +29,6 @@
 #define CONNECTION_LIFE_S 4.0 /* see connect_run */
 #define OUTBOX_BYTES_MIN 4096u
 #define OUTBOX_BYTES_MAX 524288u /* frames beyond it are dropped; requests have deadlines */
-#define STACK_BYTES 131072
 
 /* ---- outboxes ---- */
 
@@ -290,6 +289,6 @@
     }
     int result = bd_peer_listener_start(node);
     for (int i = 0; i < node->settings.npeers && result == 0; i++)
-        result = bd_thread_start(connect_run, node->links[i], STACK_BYTES);
-    return result == 0 ? bd_thread_start(status_run, node, STACK_BYTES) : result;
+        result = bd_thread_start(connect_run, node->links[i], BD_THREAD_STACK_BYTES);
+    return result == 0 ? bd_thread_start(status_run, node, BD_THREAD_STACK_BYTES) : result;
 }
--- a/src/adapters/worker_client.c
+++ b/src/adapters/worker_client.c
@@ -29,7 +29,6 @@
 #define QUEUE_CAPACITY 1024
 #define QUEUE_WAIT_S 5.0
 #define QUEUE_FULL_PAUSE_S 0.05
-#define STACK_BYTES 131072
 
 /* State that the owner thread shares with one sending thread. */
 struct sender {
@@ -176,7 +175,7 @@
         sender->node = node;
         result = bd_queue_init(&sender->queue, QUEUE_CAPACITY);
         if (result == 0)
-            result = bd_thread_start(sender_run, sender, STACK_BYTES);
+            result = bd_thread_start(sender_run, sender, BD_THREAD_STACK_BYTES);
     }
     return result;
 }
--- a/src/autoscaling/provisioning.c
+++ b/src/autoscaling/provisioning.c
@@ -2,6 +2,7 @@
  * cloud has no capacity. */
 #include "autoscaling/autoscaling.h"
 #include "autoscaling/autoscaling_internal.h"
+#include "base/http.h"
 #include "base/timeutil.h"
 #include "brambledoor/log.h"
 #include "model/autoscaling_state.h"
@@ -16,7 +17,6 @@
 #include <stdio.h>
 #include <string.h>
 
-#define HTTP_OK 200
 #define BACKOFF_INITIAL_S 10.0
 #define BACKOFF_MAX_S 60.0
 #define REQUEST_MACHINES_MAX 50 /* in one request */
@@ -132,7 +132,7 @@
     struct bd_provision_request_state state;
     if (core->role != BD_LEADER || !take_request(&core->cloud, request_id, &state))
         return false;
-    bool is_granted = status == HTTP_OK;
+    bool is_granted = status == BD_HTTP_OK;
     struct bd_pool *pool = bd_pool_of(core, state.type, state.zone, state.spot);
     pool->request_in_flight = false;
     /* the next tick turns to other pools for machines that were not granted */
--- a/src/base/http.h
+++ b/src/base/http.h
@@ -7,6 +7,9 @@
 #define BD_HTTP_H
 #include <stddef.h>
 
+/* Status of a successful response. */
+#define BD_HTTP_OK 200
+
 struct bd_http;
 struct bd_counter;
 
--- a/src/base/metrics.c
+++ b/src/base/metrics.c
@@ -1,4 +1,5 @@
 #include "base/metrics.h"
+#include "base/units.h"
 #include "brambledoor/log.h"
 #include <gsl/gsl_histogram.h>
 #include <malloc.h>
@@ -12,8 +13,6 @@
 #define DOUBLINGS 20
 #define BINS ((size_t)BINS_PER_DOUBLING * DOUBLINGS)
 
-#define BYTES_PER_KB 1024
-
 struct bd_metrics {
     struct bd_counter counters[BD_TRAFFIC_KINDS];
     gsl_histogram *histograms[BD_TIMINGS];
@@ -160,7 +159,7 @@
 {
     struct mallinfo2 heap = mallinfo2();
     bd_log_write(log, BD_LOG_INFO, "memory: %zu kB of the heap used, %zu kB held",
-                 heap.uordblks / BYTES_PER_KB, (heap.arena + heap.hblkhd) / BYTES_PER_KB);
+                 heap.uordblks / BD_BYTES_PER_KB, (heap.arena + heap.hblkhd) / BD_BYTES_PER_KB);
 }
 
 void bd_metrics_write_report(struct bd_metrics *metrics, const struct bd_log *log,
--- a/src/core/core.c
+++ b/src/core/core.c
@@ -1,5 +1,6 @@
 #include "core/core.h"
 #include "autoscaling/autoscaling.h"
+#include "base/http.h"
 #include "base/timeutil.h"
 #include "drain/drain.h"
 #include "jobs/jobs.h"
@@ -189,7 +190,6 @@
 void bd_core_scale_out_completed(struct bd_core *core, const char *request, long status,
                                  char (*names)[BD_LABEL_BYTES], int nnames)
 {
-    const long http_ok = 200;
     if (bd_scale_out_completed(core, request, status, names, nnames))
-        bd_drain_provisioning_completed(core, request, names, status == http_ok ? nnames : 0);
+        bd_drain_provisioning_completed(core, request, names, status == BD_HTTP_OK ? nnames : 0);
 }
--- a/src/jobs/jobs.h
+++ b/src/jobs/jobs.h
@@ -31,6 +31,8 @@
 /* Applies one change of the store to the job that its key names. Ignores keys outside j/,
  * deletions, and revisions that are not newer than the job's. */
 void bd_replica_apply(struct bd_core *core, const struct bd_kv_change *change);
+/* Applies a list of changes of the store; borrowed, and NULL is an empty one. */
+void bd_replica_apply_all(struct bd_core *core, json_t *changes);
 /* Completes a refresh that was sent at sent_at. The caller has applied the refresh's changes, from
  * after_revision (exclusive) to store_revision. is_barrier: the refresh was the read barrier, so
  * the reads that wait for the barrier are answered. */
--- a/src/jobs/replica.c
+++ b/src/jobs/replica.c
@@ -14,6 +14,7 @@
 #include "wire/wire.h"
 #include "wire/wire_jobs.h"
 #include "wire/wire_limits.h"
+#include "wire/wire_store.h"
 #include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -136,6 +137,18 @@
         apply_record(core, id, &record, change);
 }
 
+void bd_replica_apply_all(struct bd_core *core, json_t *changes)
+{
+    struct bd_kv_change change;
+    json_t *entry;
+    size_t i;
+    json_array_foreach(changes, i, entry)
+    {
+        if (bd_wire_read_change(entry, &change))
+            bd_replica_apply(core, &change);
+    }
+}
+
 void bd_replica_listed(struct bd_core *core, uint64_t store_revision, struct timespec sent_at)
 {
     core->replica.store_revision = store_revision;
--- a/src/jobs/replica_eviction.c
+++ b/src/jobs/replica_eviction.c
@@ -1,4 +1,5 @@
 /* Evicts final jobs from memory, except recent ones and those that other state refers to. */
+#include "base/units.h"
 #include "jobs/jobs.h"
 #include "model/core_state.h"
 #include "model/leadership_state.h"
@@ -11,11 +12,10 @@
 #define JOBS_MEMORY_SHARE 0.12  /* of the memory setting, for job structs */
 #define JOBS_ALLOWED_MIN 100    /* however small the memory setting is */
 #define EVICTABLE_AFTER_S 600.0 /* users query the status of jobs that ended recently */
-#define BYTES_PER_MB 1048576.0
 
 static uint32_t jobs_max(const struct bd_core *core)
 {
-    double bytes = core->settings->ram_mb * BYTES_PER_MB * JOBS_MEMORY_SHARE;
+    double bytes = core->settings->ram_mb * BD_BYTES_PER_MB * JOBS_MEMORY_SHARE;
     double jobs = bytes / sizeof(struct bd_job);
     return jobs < JOBS_ALLOWED_MIN ? JOBS_ALLOWED_MIN : (uint32_t)jobs;
 }
--- a/src/runtime/controller.c
+++ b/src/runtime/controller.c
@@ -14,6 +14,7 @@
 #include "base/metrics.h"
 #include "base/queue.h"
 #include "base/timeutil.h"
+#include "base/units.h"
 #include "brambledoor/log.h"
 #include "brambledoor/settings.h"
 #include "core/core.h"
@@ -35,7 +36,6 @@
 #define LEADER_TTL_MIN_S 2.0       /* tolerates several slow answers of the key-value store */
 #define LEADER_TTL_MAX_S 2.5       /* bounds the duration of a failover */
 #define HEARTBEAT_CACHE_SHARE 0.08 /* of the process's memory limit */
-#define BYTES_PER_MB 1048576.0
 
 /* Derives the leader lease's TTL from the worker lease, unless the operators' file has set it. */
 static void derive_leader_ttl(struct bd_settings *settings)
@@ -85,7 +85,7 @@
 
 static int init_core(struct bd_node *node)
 {
-    double cache_bytes = node->settings.ram_mb * HEARTBEAT_CACHE_SHARE * BYTES_PER_MB;
+    double cache_bytes = node->settings.ram_mb * HEARTBEAT_CACHE_SHARE * BD_BYTES_PER_MB;
     node->metrics = bd_metrics_new();
     node->core = bd_core_new(&node->settings, &node->log);
     node->heartbeat_cache = bd_heartbeat_cache_new((size_t)cache_bytes);
--- a/src/runtime/event_apply.c
+++ b/src/runtime/event_apply.c
@@ -4,6 +4,7 @@
 #include "adapters/kv_client.h"
 #include "adapters/node.h"
 #include "autoscaling/autoscaling.h"
+#include "base/http.h"
 #include "base/metrics.h"
 #include "base/timeutil.h"
 #include "core/core.h"
@@ -26,7 +27,6 @@
 #include <string.h>
 #include <time.h>
 
-#define HTTP_OK 200
 #define HTTP_BAD_REQUEST 400
 
 /* ---- the API server ---- */
@@ -101,23 +101,11 @@
                               txn->is_revision_known);
 }
 
-static void apply_changes(struct bd_core *core, json_t *changes)
-{
-    struct bd_kv_change change;
-    json_t *value;
-    size_t i;
-    json_array_foreach(changes, i, value)
-    {
-        if (bd_wire_read_change(value, &change))
-            bd_replica_apply(core, &change);
-    }
-}
-
 static void apply_replica_refreshed(struct bd_node *node, const struct bd_event *event)
 {
     const struct bd_event_refresh *refresh = &event->refresh;
     if (refresh->is_answered)
-        apply_changes(node->core, bd_wire_read_change_log(refresh->answer));
+        bd_replica_apply_all(node->core, bd_wire_read_change_log(refresh->answer));
     bd_replica_refreshed(node->core, refresh->after_revision, refresh->store_revision,
                          refresh->sent_at, refresh->is_barrier, refresh->is_answered);
 }
@@ -125,7 +113,7 @@
 static void apply_replica_listed(struct bd_node *node, const struct bd_event *event)
 {
     const struct bd_event_list_page *page = &event->page;
-    apply_changes(node->core, page->pairs);
+    bd_replica_apply_all(node->core, page->pairs);
     bd_replica_evict(node->core);
     if (page->is_last)
         bd_replica_listed(node->core, page->store_revision, page->first_page_sent_at);
@@ -215,7 +203,7 @@
 {
     const struct bd_event_scaling *scaling = &event->scaling;
     bd_scale_in_completed(node->core, scaling->machines, (int)scaling->count,
-                          scaling->status == HTTP_OK);
+                          scaling->status == BD_HTTP_OK);
 }
 
 static void apply_forwarded_heartbeat(struct bd_node *node, const struct bd_frame *frame,
--- a/src/runtime/settings.c
+++ b/src/runtime/settings.c
@@ -1,6 +1,7 @@
 /* Reads the platform's settings file (JSON). Only this source file knows its field names. */
 #include "brambledoor/settings.h"
 #include "base/timeutil.h"
+#include "base/units.h"
 #include "runtime/settings_internal.h"
 #include <jansson.h>
 #include <math.h>
@@ -25,7 +26,6 @@
 #define KV_VALUE_KB_MIN 1.0
 #define KV_TXN_OPS_MIN 2.0 /* the commit sequence and one change */
 #define CLOUD_RATE_MIN 0.01
-#define BYTES_PER_KB 1024
 #define MS_PER_S 1000.0
 
 void bd_settings_report_error(struct bd_settings_reader *reader, const char *field,
@@ -225,7 +225,7 @@
     settings->kv_requests_per_s = read_kv_limit(reader, state, "rps", KV_RATE_MIN);
     settings->kv_writes_per_s = read_kv_limit(reader, state, "write_rps", KV_RATE_MIN);
     double value_kb = read_kv_limit(reader, state, "value_kb", KV_VALUE_KB_MIN);
-    settings->kv_value_bytes_max = (size_t)(value_kb * BYTES_PER_KB);
+    settings->kv_value_bytes_max = (size_t)(value_kb * BD_BYTES_PER_KB);
     settings->kv_txn_ops_max = (size_t)read_kv_limit(reader, state, "txn_ops", KV_TXN_OPS_MIN);
 }
 
--- a/tests/sim_reader.c
+++ b/tests/sim_reader.c
@@ -37,18 +37,6 @@
     node->wants_barrier = false;
 }
 
-static void apply_changes(struct sim_node *node, json_t *list)
-{
-    struct bd_kv_change change;
-    json_t *item;
-    size_t i;
-    json_array_foreach(list, i, item)
-    {
-        if (bd_wire_read_change(item, &change))
-            bd_replica_apply(node->core, &change);
-    }
-}
-
 /* Passes the drains' records to the core. If the core does not know the drains' machines, they are
  * read first. */
 void sim_drain_records_read(struct sim *sim, struct sim_node *node, struct sim_call *call,
@@ -78,14 +66,14 @@
     bool ignored;
     node->is_reading = false;
     if (call->purpose == SIM_FOR_LIST && status == 200) {
-        apply_changes(node, bd_wire_read_pairs(answer, &ignored));
+        bd_replica_apply_all(node->core, bd_wire_read_pairs(answer, &ignored));
         bd_replica_listed(node->core, bd_wire_read_store_revision(answer), call->sent_at);
         node->last_read_revision = node->core->replica.store_revision;
         node->wants_list = false;
     } else if (call->purpose == SIM_FOR_REFRESH) {
         node->last_refresh_failed = status != 200;
         if (status == 200)
-            apply_changes(node, bd_wire_read_change_log(answer));
+            bd_replica_apply_all(node->core, bd_wire_read_change_log(answer));
         bd_replica_refreshed(node->core, call->number, bd_wire_read_store_revision(answer),
                              call->sent_at, call->is_barrier, status == 200);
         if (status == 200 && bd_wire_read_store_revision(answer) > node->last_read_revision)
