--- a/src/drain/step_stop.c
+++ b/src/drain/step_stop.c
@@ -43,7 +43,8 @@
     uint32_t tasks = bd_drain_stop_group_size(core, reservation->job, reservation->task);
     if (!may_stop(core, ledger_job, tasks, result))
         return;
-    for (uint32_t i = 0; i < ledger_job->nbudgets; i++)
+    /* no tasks: no budget counts the job, and there may be no entry for it */
+    for (uint32_t i = 0; tasks > 0 && i < ledger_job->nbudgets; i++)
         bd_stop_permit_use(core, ledger_job->budgets[i], tasks);
     bd_task_stop(core, reservation->job, reservation->task, BD_STOP_DRAINED, false);
     result->stopped++;
