--- a/review/lib/rig.c
+++ b/review/lib/rig.c
@@ -329,23 +329,32 @@
     return status;
 }
 
+static double submitted_vcpus = 1, submitted_mem_gb = 1;
+
+void rig_set_amounts(double vcpus, double mem_gb)
+{
+    submitted_vcpus = vcpus;
+    submitted_mem_gb = mem_gb;
+}
+
 char *rig_submission(const char *id, const char *shape, int tasks, const char *extra)
 {
     static char text[70000];
     snprintf(text, sizeof text,
              "{\"id\":\"%s\",\"kin\":\"k\",\"household\":\"blue\",\"shape\":\"%s\",\"rank\":"
-             "\"standard\",\"chores\":%d,\"vcpus\":1.0,\"accelerators\":0.0,\"memGb\":1.0,\"seed\":"
+             "\"standard\",\"chores\":%d,\"vcpus\":%.1f,\"accelerators\":0.0,\"memGb\":%.1f,\"seed\":"
              "\"img\",\"imageGb\":1.0,\"breeds\":null,\"glade\":null,\"together\":false,"
              "\"scatter\":false,\"windfall\":false,\"guessS\":1.0,\"markS\":0.0,\"stowS\":0.0,"
              "\"dueS\":null%s}",
-             id, shape, tasks, extra);
+             id, shape, tasks, submitted_vcpus, submitted_mem_gb, extra);
     return text;
 }
 
 long rig_submit(struct rig *rig, const char *id, const char *shape, int tasks, const char *extra,
                 double seconds)
 {
-    rig_note(rig, "user: submits %s, %s of %d tasks", id, shape, tasks);
+    rig_note(rig, "user: submits %s, %s of %d tasks of %.1f CPUs and %.1f GB", id, shape, tasks,
+             submitted_vcpus, submitted_mem_gb);
     return rig_user(rig, "POST", "/submissions", rig_submission(id, shape, tasks, extra), seconds,
                     NULL, 0);
 }
--- a/review/lib/rig.h
+++ b/review/lib/rig.h
@@ -68,6 +68,8 @@
 char *rig_submission(const char *id, const char *shape, int tasks, const char *extra);
 long rig_submit(struct rig *rig, const char *id, const char *shape, int tasks, const char *extra,
                 double seconds);
+/* Amounts of the next submissions' tasks; 1 and 1 at first. */
+void rig_set_amounts(double vcpus, double mem_gb);
 /* Polls the job until the answer contains the text. */
 bool rig_wait_for(struct rig *rig, const char *id, const char *text, double seconds);
 /* Ends all processes, removes the temporary folder, and closes the record. */
