--- a/src/autoscaling/consolidation.c
+++ b/src/autoscaling/consolidation.c
@@ -127,7 +127,7 @@
 static bool is_movable(const struct bd_core *core, const struct bd_reservation *reservation)
 {
     const struct bd_job *job = reservation->job;
-    const struct bd_task *task = &job->tasks[reservation->task];
+    const struct bd_task *task = reservation->task;
     return job->spec.kind == BD_JOB_SERVICE && job->npending == 0 &&
            task->state == BD_TASK_CONFIRMED && task->execution == BD_EXECUTION_RUNNING &&
            !(task->flags & BD_TASK_FLAG_STOP_REQUESTED) &&
@@ -136,7 +136,7 @@
 
 static bool is_stopping(const struct bd_reservation *reservation)
 {
-    return reservation->job->tasks[reservation->task].flags & BD_TASK_FLAG_STOP_REQUESTED;
+    return reservation->task->flags & BD_TASK_FLAG_STOP_REQUESTED;
 }
 
 /* Undoes the moves in reverse order, so that sums return exactly to their former values. */
@@ -200,8 +200,8 @@
         target->is_used = true;
         machine->consolidating = true;
         bd_log_write(core->log, BD_LOG_INFO, "moving task %s/%u off %s for consolidation",
-                     reservation.job->id, reservation.task, machine->id);
-        bd_task_stop(core, reservation.job, reservation.task, BD_STOP_CONSOLIDATED, false);
+                     reservation.job->id, reservation.task->index, machine->id);
+        bd_task_stop(core, reservation.job, reservation.task->index, BD_STOP_CONSOLIDATED, false);
     }
     return downtime_s;
 }
--- a/src/autoscaling/evacuation.c
+++ b/src/autoscaling/evacuation.c
@@ -11,7 +11,7 @@
 static bool should_evacuate(const struct bd_machine *machine,
                             const struct bd_reservation *reservation)
 {
-    const struct bd_task *task = &reservation->job->tasks[reservation->task];
+    const struct bd_task *task = reservation->task;
     return (task->state == BD_TASK_CONFIRMED || task->state == BD_TASK_LAUNCHING) &&
            !(task->flags & BD_TASK_FLAG_STOP_REQUESTED) &&
            (reservation->job->spec.checkpoint_interval_s > 0 || machine->quarantined);
@@ -24,7 +24,7 @@
             continue;
         struct bd_reservation reservation = machine->reservations[i - 1];
         if (should_evacuate(machine, &reservation))
-            bd_task_stop(core, reservation.job, reservation.task, BD_STOP_EVACUATED, false);
+            bd_task_stop(core, reservation.job, reservation.task->index, BD_STOP_EVACUATED, false);
     }
 }
 
--- a/src/drain/candidate.c
+++ b/src/drain/candidate.c
@@ -5,13 +5,14 @@
 #include "model/machine.h"
 #include "model/resources.h"
 #include "model/task.h"
+#include "model/task_table.h"
 #include "wire/wire_jobs.h"
 
 bool bd_drain_can_stop_task(const struct bd_job *job, uint32_t task)
 {
-    enum bd_task_state state = job->tasks[task].state;
-    bool may_run = state == BD_TASK_CONFIRMED || state == BD_TASK_LAUNCHING;
-    return may_run && !(job->tasks[task].flags & BD_TASK_FLAG_STOP_REQUESTED);
+    const struct bd_task *state = bd_job_task(job, task);
+    bool may_run = state->state == BD_TASK_CONFIRMED || state->state == BD_TASK_LAUNCHING;
+    return may_run && !(state->flags & BD_TASK_FLAG_STOP_REQUESTED);
 }
 
 uint32_t bd_drain_stop_group_size(struct bd_core *core, const struct bd_job *job, uint32_t task)
@@ -66,7 +67,7 @@
     const struct bd_ledger_job *ledger_job = bd_ledger_get_job(core, job);
     uint32_t tasks = gang_is_counted(machine, index, job)
                          ? 0
-                         : bd_drain_stop_group_size(core, job, reservation->task);
+                         : bd_drain_stop_group_size(core, job, reservation->task->index);
     for (uint32_t i = 0; tasks > 0 && i < ledger_job->nbudgets; i++)
         if (!add_need(candidate, ledger_job->budgets[i], tasks))
             return false;
--- a/src/drain/machine_stage.c
+++ b/src/drain/machine_stage.c
@@ -46,9 +46,9 @@
         if (i > machine->nreservations) /* stopping a gang released several reservations */
             continue;
         struct bd_reservation reservation = machine->reservations[i - 1];
-        uint8_t flags = reservation.job->tasks[reservation.task].flags;
+        uint8_t flags = reservation.task->flags;
         if (flags & BD_TASK_FLAG_STOP_REQUESTED && !(flags & BD_TASK_FLAG_FORCED_STOP))
-            bd_task_stop(core, reservation.job, reservation.task, BD_STOP_DRAINED, true);
+            bd_task_stop(core, reservation.job, reservation.task->index, BD_STOP_DRAINED, true);
     }
 }
 
--- a/src/drain/replacement.c
+++ b/src/drain/replacement.c
@@ -66,7 +66,7 @@
         return false;
     for (uint32_t i = 0; i < machine->nreservations; i++) {
         const struct bd_reservation *reservation = &machine->reservations[i];
-        if (bd_ledger_is_up(core->ledger, reservation->job, reservation->task))
+        if (bd_ledger_is_up(core->ledger, reservation->job, reservation->task->index))
             return true;
     }
     return no_task_is_down(core->ledger);
--- a/src/drain/step_stop.c
+++ b/src/drain/step_stop.c
@@ -40,13 +40,13 @@
                       struct stop_result *result)
 {
     const struct bd_ledger_job *ledger_job = bd_ledger_get_job(core, reservation->job);
-    uint32_t tasks = bd_drain_stop_group_size(core, reservation->job, reservation->task);
+    uint32_t tasks = bd_drain_stop_group_size(core, reservation->job, reservation->task->index);
     if (!may_stop(core, ledger_job, tasks, result))
         return;
     /* no tasks: no budget counts the job, and there may be no entry for it */
     for (uint32_t i = 0; tasks > 0 && i < ledger_job->nbudgets; i++)
         bd_stop_permit_use(core, ledger_job->budgets[i], tasks);
-    bd_task_stop(core, reservation->job, reservation->task, BD_STOP_DRAINED, false);
+    bd_task_stop(core, reservation->job, reservation->task->index, BD_STOP_DRAINED, false);
     result->stopped++;
 }
 
@@ -59,7 +59,7 @@
         if (i > machine->nreservations) /* stopping a gang released several reservations */
             continue;
         struct bd_reservation reservation = machine->reservations[i - 1];
-        if (bd_drain_can_stop_task(reservation.job, reservation.task))
+        if (bd_drain_can_stop_task(reservation.job, reservation.task->index))
             stop_task(core, &reservation, &result);
     }
     return result;
--- a/src/jobs/replica.c
+++ b/src/jobs/replica.c
@@ -11,6 +11,7 @@
 #include "model/replica_state.h"
 #include "model/task.h"
 #include "model/task_state.h"
+#include "model/task_table.h"
 #include "wire/wire.h"
 #include "wire/wire_jobs.h"
 #include "wire/wire_limits.h"
@@ -24,8 +25,11 @@
 
 static void stop_tasks(struct bd_core *core, struct bd_job *job)
 {
-    for (uint32_t i = 0; job->tasks && i < job->ntasks; i++) {
-        enum bd_task_state state = (enum bd_task_state)job->tasks[i].state;
+    if (!job->tasks)
+        return;
+    for (uint32_t i = bd_task_table_next_record(job->tasks, 0); i < job->ntasks;
+         i = bd_task_table_next_record(job->tasks, i + 1)) {
+        enum bd_task_state state = (enum bd_task_state)bd_job_task(job, i)->state;
         if (state == BD_TASK_LAUNCHING || state == BD_TASK_CONFIRMED || state == BD_TASK_UNKNOWN)
             bd_task_stop(core, job, i, BD_STOP_CANCELLED, true);
     }
@@ -185,7 +189,7 @@
         HASH_DEL(core->jobs, job);
         json_decref(job->record_spec);
         free(job->parent_edges);
-        free(job->tasks);
+        bd_task_table_free(job->tasks);
         free(job);
     }
 }
--- a/src/leadership/commit_outcome.c
+++ b/src/leadership/commit_outcome.c
@@ -15,6 +15,7 @@
 #include "model/machine.h"
 #include "model/task.h"
 #include "model/task_state.h"
+#include "model/task_table.h"
 #include "wire/wire.h"
 #include "wire/wire_jobs.h"
 #include "workers/commands.h"
@@ -37,9 +38,9 @@
 }
 
 /* The intent's task if it is still planned with the intent's attempt, else NULL. */
-static struct bd_task *planned_task(const struct bd_intent *intent)
+static const struct bd_task *planned_task(const struct bd_intent *intent)
 {
-    struct bd_task *task = intent->job->tasks ? &intent->job->tasks[intent->task] : NULL;
+    const struct bd_task *task = intent->job->tasks ? bd_job_task(intent->job, intent->task) : NULL;
     bool is_planned = task && task->state == BD_TASK_PLANNED && task->attempt == intent->attempt;
     return is_planned ? task : NULL;
 }
--- a/src/leadership/fencing.c
+++ b/src/leadership/fencing.c
@@ -21,7 +21,7 @@
 {
     for (uint32_t i = 0; i < machine->nreservations; i++) {
         const struct bd_reservation *reservation = &machine->reservations[i];
-        if (reservation->job->tasks[reservation->task].flags & BD_TASK_FLAG_DIRECT_LAUNCH_IN_FLIGHT)
+        if (reservation->task->flags & BD_TASK_FLAG_DIRECT_LAUNCH_IN_FLIGHT)
             return true;
     }
     return false;
--- a/src/leadership/intent_record.c
+++ b/src/leadership/intent_record.c
@@ -7,6 +7,7 @@
 #include "model/kv_limits.h"
 #include "model/machine.h"
 #include "model/task.h"
+#include "model/task_table.h"
 #include "wire/wire.h"
 #include "wire/wire_limits.h"
 #include <stdio.h>
@@ -75,12 +76,33 @@
     uint32_t count;
 };
 
-static void intent_list_reserve(struct intent_list *list, size_t additional)
+/* An empty list with capacity for all tasks of the record's groups. */
+static struct intent_list new_intent_list(json_t *groups)
 {
-    struct bd_intent *grown = realloc(list->items, (list->count + additional + 1) * sizeof *grown);
-    if (!grown)
+    size_t capacity = 0, i;
+    json_t *group;
+    json_array_foreach(groups, i, group)
+    {
+        capacity += json_array_size(json_array_get(group, 3));
+    }
+    struct intent_list list = {.items = malloc((capacity + 1) * sizeof *list.items)};
+    if (!list.items)
         abort();
-    list->items = grown;
+    return list;
+}
+
+/* Sets the attempt of a task that is not done, if it is newer than the known one. */
+static void raise_attempt(struct bd_job *job, uint32_t index, uint64_t attempt)
+{
+    struct bd_task *task = bd_job_task_record(job, index);
+    if (!task && bd_task_table_is_done(job->tasks, index))
+        return;
+    if (!task)
+        task = bd_task_table_add(job->tasks, index);
+    if (!task)
+        abort(); /* without the attempt, the task would be started a second time */
+    if (attempt > task->attempt)
+        task->attempt = attempt;
 }
 
 static void load_group(struct bd_core *core, json_t *group, struct intent_list *list)
@@ -93,7 +115,6 @@
     size_t i;
     if (!job || !job->tasks || !machine_id)
         return;
-    intent_list_reserve(list, json_array_size(task_numbers));
     const struct bd_machine *machine = bd_machine_find_or_add(core, machine_id);
     json_array_foreach(task_numbers, i, task_number)
     {
@@ -101,17 +122,16 @@
         if (task >= job->ntasks)
             continue;
         list->items[list->count++] = (struct bd_intent){job, task, machine->index, attempt};
-        if (attempt > job->tasks[task].attempt)
-            job->tasks[task].attempt = attempt;
+        raise_attempt(job, task, attempt);
     }
 }
 
 void bd_intent_record_load(struct bd_core *core, const char *key, json_t *value)
 {
-    struct intent_list list = {0};
-    json_t *group;
+    json_t *groups = json_object_get(value, "e"), *group;
+    struct intent_list list = new_intent_list(groups);
     size_t i;
-    json_array_foreach(json_object_get(value, "e"), i, group)
+    json_array_foreach(groups, i, group)
     {
         load_group(core, group, &list);
     }
@@ -162,7 +182,7 @@
         const struct bd_intent *intent = &record->intents[i];
         if (!intent->job->tasks)
             continue;
-        const struct bd_task *task = &intent->job->tasks[intent->task];
+        const struct bd_task *task = bd_job_task(intent->job, intent->task);
         if (task->attempt == intent->attempt && task->machine == intent->machine)
             return true;
     }
--- a/src/leadership/receipt.c
+++ b/src/leadership/receipt.c
@@ -6,6 +6,7 @@
 #include "model/leadership_state.h"
 #include "model/task.h"
 #include "model/task_state.h"
+#include "model/task_table.h"
 #include "wire/wire.h"
 #include "wire/wire_jobs.h"
 #include "wire/wire_limits.h"
@@ -25,10 +26,10 @@
     return remaining < BD_RECEIPT_CHUNK_TASKS ? remaining : BD_RECEIPT_CHUNK_TASKS;
 }
 
-/* Whether the receipt shows that the task is done. index: of the task in the chunk. */
-static bool receipt_has_task(const struct bd_receipt *receipt, uint32_t index)
+/* The size of a bit set of the tasks. */
+static uint32_t bit_set_bytes(uint32_t ntasks)
 {
-    return receipt->bits[index / 8] >> (index % 8) & 1;
+    return (ntasks + 7) / 8;
 }
 
 size_t bd_receipt_value_bytes(const struct bd_job *job, uint32_t chunk)
@@ -38,20 +39,18 @@
 
 void bd_receipt_fill(struct bd_receipt *receipt, struct bd_job *job, uint32_t chunk)
 {
-    const struct bd_task *tasks = job->tasks + (size_t)chunk * BD_RECEIPT_CHUNK_TASKS;
-    uint32_t ntasks = tasks_in_chunk(job, chunk);
+    const uint8_t *done = bd_task_table_done_bits(job->tasks, chunk * BD_RECEIPT_CHUNK_TASKS);
     receipt->job = job;
     receipt->chunk = chunk;
     memset(receipt->bits, 0, sizeof receipt->bits);
-    for (uint32_t i = 0; i < ntasks; i++)
-        if (tasks[i].state == BD_TASK_DONE)
-            receipt->bits[i / 8] |= (unsigned char)(1u << (i % 8));
+    if (done)
+        memcpy(receipt->bits, done, bit_set_bytes(tasks_in_chunk(job, chunk)));
 }
 
 json_t *bd_receipt_value(const struct bd_receipt *receipt)
 {
     char hex[BD_RECEIPT_CHUNK_TASKS / 4 + 1];
-    uint32_t bytes = (tasks_in_chunk(receipt->job, receipt->chunk) + 7) / 8;
+    uint32_t bytes = bit_set_bytes(tasks_in_chunk(receipt->job, receipt->chunk));
     for (uint32_t i = 0; i < bytes; i++) {
         hex[(size_t)2 * i] = hex_digits[receipt->bits[i] >> 4];
         hex[(size_t)2 * i + 1] = hex_digits[receipt->bits[i] & 15];
@@ -60,24 +59,31 @@
     return json_pack("{s:s}", "b", hex);
 }
 
-static void load_completed_task(struct bd_core *core, struct bd_job *job, uint32_t task)
+/* The value of a hex digit; 0: it is none. */
+static uint8_t hex_value(char digit)
 {
-    if (job->tasks[task].state != BD_TASK_DONE)
-        bd_task_set_state(core, job, task, BD_TASK_DONE);
-    job->tasks[task].flags |= BD_TASK_FLAG_RECEIPT_COMMITTED;
+    const char *position = strchr(hex_digits, digit);
+    return position ? (uint8_t)(position - hex_digits) : 0;
 }
 
-/* Loads four tasks from a hex digit. Two digits are a byte of eight tasks; the first digit holds
- * the upper four. */
-static void load_hex_digit(struct bd_core *core, struct bd_job *job, uint32_t first_task,
-                           char digit)
+/* Reads the bit set of a chunk's done tasks. Of each byte, the first digit is the upper half. */
+static void read_bits(struct bd_receipt *receipt, const char *hex)
 {
-    const char *position = strchr(hex_digits, digit);
-    if (!position)
-        return;
-    for (uint32_t bit = 0; bit < 4; bit++)
-        if ((position - hex_digits) >> bit & 1 && first_task + bit < job->ntasks)
-            load_completed_task(core, job, first_task + bit);
+    memset(receipt->bits, 0, sizeof receipt->bits);
+    for (size_t i = 0; hex[i] && i / 2 < sizeof receipt->bits; i++)
+        receipt->bits[i / 2] |= (uint8_t)(hex_value(hex[i]) << (i % 2 ? 0 : 4));
+}
+
+/* Marks the tasks in the receipt as done, with a committed receipt. */
+static void load_done_tasks(const struct bd_receipt *receipt)
+{
+    struct bd_job *job = receipt->job;
+    uint32_t first = receipt->chunk * BD_RECEIPT_CHUNK_TASKS;
+    uint32_t ntasks = tasks_in_chunk(job, receipt->chunk);
+    for (uint32_t i = 0; i < ntasks; i++)
+        if (receipt->bits[i / 8] >> (i % 8) & 1)
+            bd_task_load_done(job, first + i);
+    (void)bd_task_table_commit_receipts(job->tasks, first, receipt->bits, ntasks);
 }
 
 void bd_receipt_load(struct bd_core *core, const char *key, json_t *value)
@@ -93,10 +99,9 @@
     job->receipt_chunks |= 1ull << chunk;
     if (!job->tasks)
         return;
-    for (uint32_t i = 0; hex[i]; i++) {
-        uint32_t byte = i / 2, offset = i % 2 ? 0 : 4;
-        load_hex_digit(core, job, chunk * BD_RECEIPT_CHUNK_TASKS + byte * 8 + offset, hex[i]);
-    }
+    struct bd_receipt receipt = {.job = job, .chunk = chunk};
+    read_bits(&receipt, hex);
+    load_done_tasks(&receipt);
     if (job->ndone == job->ntasks)
         job->dirty = true;
 }
@@ -107,15 +112,9 @@
     if (!job->tasks)
         return;
     job->receipt_chunks |= 1ull << receipt->chunk;
-    struct bd_task *tasks = job->tasks + (size_t)receipt->chunk * BD_RECEIPT_CHUNK_TASKS;
-    uint32_t ntasks = tasks_in_chunk(job, receipt->chunk);
-    bool is_complete = true;
-    for (uint32_t i = 0; i < ntasks; i++) {
-        if (receipt_has_task(receipt, i))
-            tasks[i].flags |= BD_TASK_FLAG_RECEIPT_COMMITTED;
-        else if (tasks[i].state == BD_TASK_DONE)
-            is_complete = false;
-    }
+    bool is_complete =
+        bd_task_table_commit_receipts(job->tasks, receipt->chunk * BD_RECEIPT_CHUNK_TASKS,
+                                      receipt->bits, tasks_in_chunk(job, receipt->chunk));
     if (is_complete)
         job->dirty_chunks &= ~(1u << receipt->chunk);
     job->dirty = job->dirty_chunks != 0;
--- a/src/leadership/reconciliation.c
+++ b/src/leadership/reconciliation.c
@@ -11,6 +11,7 @@
 #include "model/machine.h"
 #include "model/task.h"
 #include "model/task_state.h"
+#include "model/task_table.h"
 #include "wire/wire.h"
 #include "wire/wire_jobs.h"
 #include "wire/wire_store.h"
@@ -77,19 +78,20 @@
 
 /* Marks the intent's task as unknown if the attempt may be running, and returns whether it may.
  * Only a task's newest intent counts: it was written after the earlier attempts could no longer
- * run. evidence: key=value text for the decision log. */
+ * run. evidence: key=value text for the decision log; NULL: the log is off. */
 static bool mark_task_unknown(struct bd_core *core, const struct bd_intent *intent,
                               const char *evidence)
 {
     struct bd_job *job = intent->job;
-    struct bd_task *task = &job->tasks[intent->task];
+    struct bd_task *task = bd_job_task_record(job, intent->task); /* NULL: the task is done */
     struct bd_machine *machine = bd_machine_by_index(core, intent->machine);
-    if (task->state != BD_TASK_PENDING || task->attempt != intent->attempt || !machine)
+    if (!task || task->state != BD_TASK_PENDING || task->attempt != intent->attempt || !machine)
         return false;
     bd_task_assign(core, job, intent->task, machine, intent->attempt, BD_TASK_UNKNOWN);
     task->flags |= BD_TASK_FLAG_LAUNCH_SENT;
-    bd_decision_log_task(core, "task_unknown", job, intent->task, intent->attempt, machine,
-                         evidence);
+    if (evidence)
+        bd_decision_log_task(core, "task_unknown", job, intent->task, intent->attempt, machine,
+                             evidence);
     if (job->state != BD_JOB_ACTIVE)
         task->flags |= BD_TASK_FLAG_STOP_REQUESTED | BD_TASK_FLAG_FORCED_STOP;
     return true;
@@ -105,7 +107,7 @@
         if (is_logged)
             snprintf(evidence, sizeof evidence, "intent=%s", record->key);
         for (uint32_t k = 0; k < record->nintents; k++)
-            nunknown += mark_task_unknown(core, &record->intents[k], evidence);
+            nunknown += mark_task_unknown(core, &record->intents[k], is_logged ? evidence : NULL);
     }
     bd_log_write(core->log, BD_LOG_INFO, "term %llu: %u intent records, %u tasks to reconcile",
                  (unsigned long long)core->lead.base_term, core->lead.nintent_records, nunknown);
--- a/src/model/decision_log.c
+++ b/src/model/decision_log.c
@@ -4,6 +4,7 @@
 #include "model/core_state.h"
 #include "model/machine.h"
 #include "model/task.h"
+#include "model/task_table.h"
 #include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
@@ -222,7 +223,7 @@
 void bd_decision_log_release(struct bd_core *core, const struct bd_job *job, uint32_t index,
                              enum bd_release_reason reason)
 {
-    const struct bd_task *task = &job->tasks[index];
+    const struct bd_task *task = bd_job_task(job, index);
     char details[DETAILS_BYTES];
     if (!bd_decision_log_is_enabled(core))
         return;
@@ -235,7 +236,7 @@
 void bd_decision_log_stop(struct bd_core *core, const struct bd_job *job, uint32_t index,
                           enum bd_stop_reason reason, bool force)
 {
-    const struct bd_task *task = &job->tasks[index];
+    const struct bd_task *task = bd_job_task(job, index);
     char details[DETAILS_BYTES];
     if (!bd_decision_log_is_enabled(core))
         return;
--- a/src/model/disruption_ledger.c
+++ b/src/model/disruption_ledger.c
@@ -4,6 +4,7 @@
 #include "model/leadership_state.h"
 #include "model/machine.h"
 #include "model/task.h"
+#include "model/task_table.h"
 #include "wire/wire.h"
 #include "wire/wire_jobs.h"
 #include "wire/wire_workers.h"
@@ -193,7 +194,7 @@
         return;
     }
     struct bd_ledger *ledger = core->ledger;
-    const struct bd_task *task = &job->tasks[index];
+    const struct bd_task *task = bd_job_task(job, index);
     struct bd_ledger_job *entry = bd_ledger_get_job(core, job);
     if (!entry)
         return;
@@ -232,7 +233,7 @@
             continue;
         struct bd_ledger_job *entry = bd_ledger_get_job(core, job);
         for (uint32_t i = 0; entry && i < job->ntasks; i++)
-            if (job->tasks[i].state != BD_TASK_DONE)
+            if (bd_job_task(job, i)->state != BD_TASK_DONE)
                 set_down(ledger, entry, i);
     }
 }
@@ -248,7 +249,7 @@
     for (uint32_t i = 0; i < machine->nreservations; i++) {
         const struct bd_reservation *reservation = &machine->reservations[i];
         const struct bd_ledger_job *entry = find_job(ledger, reservation->job);
-        if (!entry || !roaring_bitmap_contains(entry->up, reservation->task))
+        if (!entry || !roaring_bitmap_contains(entry->up, reservation->task->index))
             continue;
         for (uint32_t k = 0; k < entry->nbudgets; k++)
             ledger->budgets[entry->budgets[k]].unresponsive++;
--- a/src/model/job.h
+++ b/src/model/job.h
@@ -9,6 +9,7 @@
 
 struct bd_dependency_edge;
 struct bd_parent_job;
+struct bd_task_table;
 
 /* A job's specification, with its names resolved by the catalog. Amounts are per task, in cores,
  * accelerators and GB. */
@@ -73,14 +74,14 @@
     double finish_by;
     struct bd_job *next_in_work_list; /* next in a work list of the graph's functions */
 
-    int job_class;         /* -1: unknown */
-    json_t *record_spec;   /* the specification as read from the record, kept for rewriting it */
-    struct bd_task *tasks; /* owned; NULL while not leader */
+    int job_class;       /* -1: unknown */
+    json_t *record_spec; /* the specification as read from the record, kept for rewriting it */
+    struct bd_task_table *tasks; /* owned; NULL while not tracked, as on followers */
 };
 
 /* A task that reserves resources of a machine. */
 struct bd_reservation {
     struct bd_job *job;
-    uint32_t task;
+    struct bd_task *task; /* its record, which stays in place as long as the reservation */
 };
 #endif
--- a/src/model/reservation.c
+++ b/src/model/reservation.c
@@ -49,31 +49,29 @@
     machine->reservations_cap = capacity;
 }
 
-static void remove_from_list(struct bd_machine *machine, const struct bd_job *job, uint32_t index)
+static void remove_from_list(struct bd_machine *machine, const struct bd_task *task)
 {
     for (uint32_t i = 0; i < machine->nreservations; i++) {
-        const struct bd_reservation *reservation = &machine->reservations[i];
-        if (reservation->job == job && reservation->task == index) {
+        if (machine->reservations[i].task == task) {
             machine->reservations[i] = machine->reservations[--machine->nreservations];
             return;
         }
     }
 }
 
-void bd_reservation_add(struct bd_core *core, struct bd_job *job, uint32_t index,
+void bd_reservation_add(struct bd_core *core, struct bd_job *job, struct bd_task *task,
                         struct bd_machine *machine)
 {
-    job->tasks[index].machine = machine->index;
+    task->machine = machine->index;
     if (machine->nreservations == machine->reservations_cap)
         grow_list(machine);
-    machine->reservations[machine->nreservations++] = (struct bd_reservation){job, index};
+    machine->reservations[machine->nreservations++] = (struct bd_reservation){job, task};
     add_machine_use(machine, &job->spec, 1);
     add_team_use(core, &job->spec, 1);
 }
 
-void bd_reservation_remove(struct bd_core *core, struct bd_job *job, uint32_t index)
+void bd_reservation_remove(struct bd_core *core, struct bd_job *job, struct bd_task *task)
 {
-    struct bd_task *task = &job->tasks[index];
     if (!bd_task_has_reservation(task))
         return;
     struct bd_machine *machine = bd_machine_by_index(core, task->machine);
@@ -81,7 +79,7 @@
     add_team_use(core, &job->spec, -1);
     if (!machine)
         return;
-    remove_from_list(machine, job, index);
+    remove_from_list(machine, task);
     add_machine_use(machine, &job->spec, -1);
     if (machine->nreservations == 0) {
         reset_machine_use(machine);
--- a/src/model/reservation.h
+++ b/src/model/reservation.h
@@ -13,8 +13,8 @@
 }
 
 /* Reserves resources of the machine for the task, which must not have a reservation. */
-void bd_reservation_add(struct bd_core *core, struct bd_job *job, uint32_t index,
+void bd_reservation_add(struct bd_core *core, struct bd_job *job, struct bd_task *task,
                         struct bd_machine *machine);
 /* Removes the task's reservation, if it has one. */
-void bd_reservation_remove(struct bd_core *core, struct bd_job *job, uint32_t index);
+void bd_reservation_remove(struct bd_core *core, struct bd_job *job, struct bd_task *task);
 #endif
--- a/src/model/task.h
+++ b/src/model/task.h
@@ -54,6 +54,7 @@
 /* One byte for each enum, since there are many tasks. */
 struct bd_task {
     uint64_t attempt;
+    uint32_t index;      /* among the job's tasks */
     uint32_t machine;    /* its index, or BD_NO_MACHINE */
     uint8_t state;       /* enum bd_task_state */
     uint8_t execution;   /* enum bd_execution_state */
--- a/src/model/task_state.c
+++ b/src/model/task_state.c
@@ -1,4 +1,5 @@
 #include "model/task_state.h"
+#include "brambledoor/log.h"
 #include "model/core_state.h"
 #include "model/decision_log.h"
 #include "model/disruption_ledger.h"
@@ -6,6 +7,7 @@
 #include "model/machine.h"
 #include "model/reservation.h"
 #include "model/task.h"
+#include "model/task_table.h"
 #include "wire/wire.h"
 #include "wire/wire_jobs.h"
 #include "wire/wire_workers.h"
@@ -27,11 +29,9 @@
     (void)core;
     if (job->tasks)
         return true;
-    job->tasks = calloc(job->ntasks, sizeof *job->tasks);
+    job->tasks = bd_task_table_new(job->ntasks);
     if (!job->tasks)
         return false;
-    for (uint32_t i = 0; i < job->ntasks; i++)
-        job->tasks[i].machine = BD_NO_MACHINE;
     job->npending = job->ntasks;
     job->ndone = job->nplaced = job->nrunning = 0;
     job->receipt_chunks = 0;
@@ -45,7 +45,7 @@
         job->reported_done = job->ndone;
         job->reported_running = job->nrunning;
     }
-    free(job->tasks);
+    bd_task_table_free(job->tasks);
     job->tasks = NULL;
     job->npending = job->ndone = job->nplaced = job->nrunning = 0;
     job->dirty = false;
@@ -60,23 +60,14 @@
                                                 task->execution == BD_EXECUTION_CHECKPOINTING);
 }
 
+/* The job's count for the state of a task with a record. */
 static uint32_t *count_for_state(struct bd_job *job, uint8_t state)
 {
-    switch (state) {
-    case BD_TASK_PENDING:
-        return &job->npending;
-    case BD_TASK_DONE:
-        return &job->ndone;
-    default:
-        return &job->nplaced;
-    }
+    return state == BD_TASK_PENDING ? &job->npending : &job->nplaced;
 }
 
-void bd_task_set_state(struct bd_core *core, struct bd_job *job, uint32_t index,
-                       enum bd_task_state state)
+static void set_state(struct bd_job *job, struct bd_task *task, enum bd_task_state state)
 {
-    struct bd_task *task = &job->tasks[index];
-    (void)core;
     --*count_for_state(job, task->state);
     job->nrunning -= is_running(task);
     task->state = (uint8_t)state;
@@ -84,6 +75,13 @@
     job->nrunning += is_running(task);
 }
 
+void bd_task_set_state(struct bd_core *core, struct bd_job *job, uint32_t index,
+                       enum bd_task_state state)
+{
+    (void)core;
+    set_state(job, bd_job_task_record(job, index), state);
+}
+
 /* ---- assignment and release ---- */
 
 /* Resets the state of the attempt, with which a running task ceases to run. */
@@ -97,15 +95,21 @@
 void bd_task_assign(struct bd_core *core, struct bd_job *job, uint32_t index,
                     struct bd_machine *machine, uint64_t attempt, enum bd_task_state state)
 {
-    struct bd_task *task = &job->tasks[index];
-    if (bd_task_has_reservation(task))
+    struct bd_task *task = bd_job_task_record(job, index);
+    if (task && bd_task_has_reservation(task)) {
         bd_task_release(core, job, index, BD_RELEASE_MOVED);
+        task = NULL;
+    }
+    if (!task)
+        task = bd_task_table_add(job->tasks, index);
+    if (!task)
+        abort(); /* without its record, a running task would be started a second time */
     task->attempt = attempt;
     task->started_at = 0;
     clear_attempt(job, task);
-    bd_task_set_state(core, job, index, state);
+    set_state(job, task, state);
     job->last_placed_at = core->now;
-    bd_reservation_add(core, job, index, machine);
+    bd_reservation_add(core, job, task, machine);
     if (state != BD_TASK_PLANNED) /* an uncommitted plan causes no image download */
         bd_machine_record_image_use(core, machine, &job->spec, true);
 }
@@ -122,27 +126,36 @@
 static void stop_rest_of_gang(struct bd_core *core, struct bd_job *job)
 {
     for (uint32_t i = 0; i < job->ntasks; i++) {
-        if (!may_be_stopped(&job->tasks[i]))
+        if (!may_be_stopped(bd_job_task(job, i)))
             continue;
         bd_task_stop(core, job, i, BD_STOP_GANG, false); /* stops the others too */
         return;
     }
 }
 
+/* Ends the task's attempt, if it has one, with its reservation. The task is pending then. */
+static void end_attempt(struct bd_core *core, struct bd_job *job, uint32_t index)
+{
+    struct bd_task *task = bd_job_task_record(job, index);
+    if (!task)
+        return;
+    bd_reservation_remove(core, job, task);
+    set_state(job, task, BD_TASK_PENDING);
+    bd_task_table_remove(job->tasks, index);
+}
+
 void bd_task_release(struct bd_core *core, struct bd_job *job, uint32_t index,
                      enum bd_release_reason reason)
 {
-    struct bd_task *task = &job->tasks[index];
-    bool was_sent = task->state != BD_TASK_PLANNED && task->state != BD_TASK_PENDING;
+    enum bd_task_state state = (enum bd_task_state)bd_job_task(job, index)->state;
+    bool was_sent = state != BD_TASK_PLANNED && state != BD_TASK_PENDING;
     if (was_sent) {
         bd_decision_log_release(core, job, index, reason);
         job->reservations_lost++;
     }
-    bd_reservation_remove(core, job, index);
-    if (task->state == BD_TASK_DONE)
+    if (state == BD_TASK_DONE)
         return;
-    clear_attempt(job, task);
-    bd_task_set_state(core, job, index, BD_TASK_PENDING);
+    end_attempt(core, job, index);
     bd_ledger_update_task(core, job, index);
     core->lead.cycle_wanted = true;
     bool is_gang = job->spec.kind == BD_JOB_GANG && job->ntasks > 1;
@@ -152,14 +165,34 @@
 
 /* ---- completion ---- */
 
+/* Counts and marks a pending task as done. */
+static void set_done(struct bd_job *job, uint32_t index)
+{
+    bd_task_table_set_done(job->tasks, index);
+    job->npending--;
+    job->ndone++;
+}
+
+void bd_task_load_done(struct bd_job *job, uint32_t index)
+{
+    if (bd_job_task(job, index)->state == BD_TASK_DONE)
+        return;
+    if (!bd_task_table_reserve_done(job->tasks))
+        abort(); /* a task with a receipt would be started again */
+    set_done(job, index);
+}
+
 static void complete_task(struct bd_core *core, struct bd_job *job, uint32_t index)
 {
-    if (job->tasks[index].state == BD_TASK_DONE)
+    if (bd_job_task(job, index)->state == BD_TASK_DONE)
+        return;
+    if (!bd_task_table_reserve_done(job->tasks)) { /* the worker reports the result again */
+        bd_log_write(core->log, BD_LOG_ERROR, "%s: out of memory for a result", job->id);
         return;
+    }
     bd_decision_log_release(core, job, index, BD_RELEASE_DONE);
-    bd_reservation_remove(core, job, index);
-    job->tasks[index].flags = 0;
-    bd_task_set_state(core, job, index, BD_TASK_DONE);
+    end_attempt(core, job, index);
+    set_done(job, index);
     bd_ledger_update_task(core, job, index);
     job->dirty = true;
     job->dirty_chunks |= 1u << (index / BD_RECEIPT_CHUNK_TASKS);
@@ -182,7 +215,7 @@
 static void log_stop(struct bd_core *core, const struct bd_job *job, uint32_t index,
                      enum bd_stop_reason reason, bool force)
 {
-    uint8_t flags = job->tasks[index].flags;
+    uint8_t flags = bd_job_task(job, index)->flags;
     bool is_new = !(flags & BD_TASK_FLAG_STOP_REQUESTED);
     bool is_newly_forced = force && !(flags & BD_TASK_FLAG_FORCED_STOP);
     if (is_new || is_newly_forced)
@@ -192,7 +225,7 @@
 static void stop_task(struct bd_core *core, struct bd_job *job, uint32_t index,
                       enum bd_stop_reason reason, bool force)
 {
-    struct bd_task *task = &job->tasks[index];
+    struct bd_task *task = bd_job_task_record(job, index);
     struct bd_machine *machine = bd_machine_by_index(core, task->machine);
     log_stop(core, job, index, reason, force);
     if (force)
@@ -215,7 +248,7 @@
     if (job->spec.kind != BD_JOB_GANG)
         return;
     for (uint32_t i = 0; i < job->ntasks; i++)
-        if (may_be_stopped(&job->tasks[i]))
+        if (may_be_stopped(bd_job_task(job, i)))
             stop_task(core, job, i, reason, force);
 }
 
@@ -227,11 +260,11 @@
     uint32_t i = 0;
     while (i < machine->nreservations) {
         struct bd_reservation reservation = machine->reservations[i];
-        if (reservation.job->tasks[reservation.task].state == BD_TASK_PLANNED) {
+        if (reservation.task->state == BD_TASK_PLANNED) {
             i++;
             continue;
         }
-        bd_task_release(core, reservation.job, reservation.task, reason);
+        bd_task_release(core, reservation.job, reservation.task->index, reason);
         i = 0; /* a release may reorder the list and remove other reservations */
     }
     machine->unanswered_launch_token = 0;
--- a/src/model/task_state.h
+++ b/src/model/task_state.h
@@ -13,7 +13,7 @@
 /* Stops tracking. Users are still shown the last counts. */
 void bd_job_stop_tracking(struct bd_job *job);
 
-/* Sets the task's state and updates the job's counts, nothing else. */
+/* Sets the state of a task with a record and updates the job's counts, nothing else. */
 void bd_task_set_state(struct bd_core *core, struct bd_job *job, uint32_t index,
                        enum bd_task_state state);
 /* Reserves the machine's resources for an attempt of the task and sets the task's state. Releases
@@ -24,8 +24,11 @@
  * to a gang, the rest of the gang is stopped. */
 void bd_task_release(struct bd_core *core, struct bd_job *job, uint32_t index,
                      enum bd_release_reason reason);
-/* Marks the task as done; for a gang, all of its tasks. */
+/* Marks the task as done; for a gang, all of its tasks. If memory has run out, that is logged and
+ * nothing changes. */
 void bd_task_complete(struct bd_core *core, struct bd_job *job, uint32_t index);
+/* Marks a task as done whose receipt a new term has read. It must not have a reservation. */
+void bd_task_load_done(struct bd_job *job, uint32_t index);
 /* Requests a stop of the task, or of all tasks of its gang. force: without time for a checkpoint. A
  * task whose launch was never sent is released at once. */
 void bd_task_stop(struct bd_core *core, struct bd_job *job, uint32_t index,
--- a/src/scheduling/constraints.c
+++ b/src/scheduling/constraints.c
@@ -2,6 +2,7 @@
 #include "brambledoor/settings.h"
 #include "model/core_state.h"
 #include "model/machine.h"
+#include "model/task_table.h"
 #include "scheduling/scheduling.h"
 #include "scheduling/scheduling_internal.h"
 #include "wire/wire.h"
@@ -13,8 +14,9 @@
     memset(counts, 0, BD_ZONES_MAX * sizeof *counts);
     if (!job->spec.same_zone && !job->spec.spread_zones)
         return;
-    for (uint32_t i = 0; i < job->ntasks; i++) {
-        const struct bd_machine *machine = bd_machine_by_index(core, job->tasks[i].machine);
+    for (uint32_t i = bd_task_table_next_record(job->tasks, 0); i < job->ntasks;
+         i = bd_task_table_next_record(job->tasks, i + 1)) {
+        const struct bd_machine *machine = bd_machine_by_index(core, bd_job_task(job, i)->machine);
         if (!machine)
             continue;
         if (machine->zone >= 0) {
--- a/src/scheduling/plan.c
+++ b/src/scheduling/plan.c
@@ -1,5 +1,6 @@
 /* The cycle's plan: the assignment of pending tasks to machines, as far as the intent records can
  * hold it. Tasks of a job that go to the same machine are planned as a group. */
+#include "brambledoor/log.h"
 #include "brambledoor/settings.h"
 #include "leadership/commit.h"
 #include "model/core_state.h"
@@ -7,6 +8,7 @@
 #include "model/resources.h"
 #include "model/task.h"
 #include "model/task_state.h"
+#include "model/task_table.h"
 #include "scheduling/scheduling.h"
 #include "scheduling/scheduling_internal.h"
 #include "wire/wire.h"
@@ -24,14 +26,21 @@
     commit->plan_cap = capacity;
 }
 
-static void plan_task(struct placement_cycle *cycle, struct bd_job *job, uint32_t task,
+/* False: out of memory for the task's record. */
+static bool plan_task(struct placement_cycle *cycle, struct bd_job *job, uint32_t task,
                       struct bd_machine *machine, uint64_t attempt)
 {
     struct bd_commit *commit = cycle->commit;
+    if (!bd_task_table_get_or_add(job->tasks, task)) {
+        bd_log_write(cycle->core->log, BD_LOG_ERROR, "%s: out of memory for a task, not planned",
+                     job->id);
+        return false;
+    }
     if (commit->nplan == commit->plan_cap)
         grow_plan(commit);
     bd_task_assign(cycle->core, job, task, machine, attempt, BD_TASK_PLANNED);
     commit->plan[commit->nplan++] = (struct bd_intent){job, task, machine->index, attempt};
+    return true;
 }
 
 /* How many tasks of the job on the machine still fit into the intent records, up to `max_tasks`. */
@@ -72,11 +81,11 @@
     cycle->record_bytes +=
         bd_intent_group_bytes(job, machine) + (size_t)count * BD_INTENT_TASK_NUMBER_BYTES;
     uint32_t task = first;
-    for (; count > 0 && task < job->ntasks; task++) {
-        if (job->tasks[task].state != BD_TASK_PENDING)
-            continue;
-        plan_task(cycle, job, task, machine, attempt);
-        count--;
+    for (; count > 0; count--) {
+        uint32_t pending = bd_task_table_next_pending(job->tasks, task);
+        if (pending == job->ntasks || !plan_task(cycle, job, pending, machine, attempt))
+            break;
+        task = pending + 1;
     }
     return task;
 }
@@ -100,6 +109,8 @@
         uint32_t nplan_before = cycle->commit->nplan;
         next_task = plan_group(cycle, job, next_task, machine, count, attempt);
         uint32_t planned = cycle->commit->nplan - nplan_before;
+        if (planned == 0)
+            break;
         zone_counts[machine->zone] += planned;
         placed += planned;
     }
--- a/src/scheduling/preemption.c
+++ b/src/scheduling/preemption.c
@@ -70,7 +70,7 @@
                                            .lowest_priority = BD_PRIORITY_PRODUCTION};
     for (uint32_t i = 0; i < machine->nreservations; i++) {
         const struct bd_job *job = machine->reservations[i].job;
-        const struct bd_task *task = &job->tasks[machine->reservations[i].task];
+        const struct bd_task *task = machine->reservations[i].task;
         summary->has_stopping |= (task->flags & BD_TASK_FLAG_STOP_REQUESTED) != 0;
         if (!is_preemptible(job, task))
             continue;
@@ -102,7 +102,7 @@
         return capacity;
     for (uint32_t i = 0; i < machine->nreservations; i++) {
         const struct bd_job *job = machine->reservations[i].job;
-        const struct bd_task *task = &job->tasks[machine->reservations[i].task];
+        const struct bd_task *task = machine->reservations[i].task;
         bool is_stopping = task->flags & BD_TASK_FLAG_STOP_REQUESTED;
         if (is_stopping)
             bd_resources_add(&capacity.after_stops, &job->spec, 1);
@@ -123,7 +123,7 @@
         return a->priority < b->priority;
     if (a != b && a->ready_at != b->ready_at)
         return a->ready_at > b->ready_at;
-    return a->tasks[x->task].attempt > b->tasks[y->task].attempt;
+    return x->task->attempt > y->task->attempt;
 }
 
 /* The task to preempt next for the job; the result's job is NULL if there is none. */
@@ -134,7 +134,7 @@
     for (uint32_t i = 0; i < machine->nreservations; i++) {
         const struct bd_reservation *reservation = &machine->reservations[i];
         const struct bd_job *job = reservation->job;
-        if (may_preempt(preemptor, job, &job->tasks[reservation->task]) &&
+        if (may_preempt(preemptor, job, reservation->task) &&
             (!victim.job || is_better_victim(reservation, &victim)))
             victim = *reservation;
     }
@@ -151,7 +151,7 @@
             return;
         bd_resources_add(&capacity, &victim.job->spec, 1);
         cycle->generation++;
-        bd_task_stop(cycle->core, victim.job, victim.task, BD_STOP_PREEMPTED, false);
+        bd_task_stop(cycle->core, victim.job, victim.task->index, BD_STOP_PREEMPTED, false);
     }
 }
 
--- a/src/workers/commands.c
+++ b/src/workers/commands.c
@@ -63,8 +63,8 @@
 {
     for (uint32_t i = 0; i < machine->nreservations; i++) {
         const struct bd_job *job = machine->reservations[i].job;
-        uint32_t index = machine->reservations[i].task;
-        const struct bd_task *task = &job->tasks[index];
+        uint32_t index = machine->reservations[i].task->index;
+        const struct bd_task *task = machine->reservations[i].task;
         if (needs_halt(task))
             bd_commands_append(commands, BD_COMMAND_HALT, job->id, index, task->attempt,
                                halt_grace_s(job, task));
@@ -93,8 +93,8 @@
         return false;
     for (uint32_t i = 0; i < machine->nreservations; i++) {
         struct bd_job *job = machine->reservations[i].job;
-        uint32_t index = machine->reservations[i].task;
-        struct bd_task *task = &job->tasks[index];
+        uint32_t index = machine->reservations[i].task->index;
+        struct bd_task *task = machine->reservations[i].task;
         if (!needs_launch(core, job, task, path))
             continue;
         bd_commands_append(commands, BD_COMMAND_LAUNCH, job->id, index, task->attempt, 0);
@@ -118,8 +118,7 @@
 static void clear_task_flags(struct bd_machine *machine, unsigned flags)
 {
     for (uint32_t i = 0; i < machine->nreservations; i++) {
-        const struct bd_reservation *reservation = &machine->reservations[i];
-        reservation->job->tasks[reservation->task].flags &= (uint8_t)~flags;
+        machine->reservations[i].task->flags &= (uint8_t)~flags;
     }
 }
 
--- a/src/workers/heartbeat_tasks.c
+++ b/src/workers/heartbeat_tasks.c
@@ -9,6 +9,7 @@
 #include "model/machine.h"
 #include "model/task.h"
 #include "model/task_state.h"
+#include "model/task_table.h"
 #include "wire/wire.h"
 #include "wire/wire_jobs.h"
 #include "wire/wire_workers.h"
@@ -72,10 +73,10 @@
                                      const struct bd_reported_task *reported,
                                      struct bd_command_list *commands)
 {
-    struct bd_task *task = &job->tasks[reported->task];
     /* earlier attempts are reported until they are forgotten, and show nothing about the machine's
      * present health */
-    if (is_current_attempt(machine, task, reported->attempt)) {
+    if (is_current_attempt(machine, bd_job_task(job, reported->task), reported->attempt)) {
+        struct bd_task *task = bd_job_task_record(job, reported->task);
         machine->consecutive_failures = 0;
         if (task->flags & BD_TASK_FLAG_DIRECT_LAUNCH_IN_FLIGHT) {
             task->flags |= BD_TASK_FLAG_EXITED;
@@ -84,7 +85,7 @@
         record_run(core, job, task);
     }
     bd_task_complete(core, job, reported->task);
-    if (task->flags & BD_TASK_FLAG_RECEIPT_COMMITTED)
+    if (bd_job_task(job, reported->task)->flags & BD_TASK_FLAG_RECEIPT_COMMITTED)
         forget_attempt_if_safe(core, heartbeat, reported, commands);
 }
 
@@ -93,12 +94,12 @@
                                   const struct bd_reported_task *reported,
                                   struct bd_command_list *commands)
 {
-    struct bd_task *task = &job->tasks[reported->task];
     if (reported->exit_reason == BD_EXIT_DONE && job->state == BD_JOB_ACTIVE) {
         reconcile_completed_task(core, machine, job, heartbeat, reported, commands);
         return;
     }
-    if (is_current_attempt(machine, task, reported->attempt)) {
+    if (is_current_attempt(machine, bd_job_task(job, reported->task), reported->attempt)) {
+        struct bd_task *task = bd_job_task_record(job, reported->task);
         /* if the attempt were forgotten, a late duplicate of the launch would start it again */
         if (task->flags & BD_TASK_FLAG_DIRECT_LAUNCH_IN_FLIGHT) {
             task->flags |= BD_TASK_FLAG_EXITED;
@@ -119,7 +120,8 @@
     bd_decision_log_task(core, "task_reconciled", job, reported->task, reported->attempt, machine,
                          "why=reported_without_intent");
     if (job->state != BD_JOB_ACTIVE)
-        job->tasks[reported->task].flags |= BD_TASK_FLAG_STOP_REQUESTED | BD_TASK_FLAG_FORCED_STOP;
+        bd_job_task_record(job, reported->task)->flags |=
+            BD_TASK_FLAG_STOP_REQUESTED | BD_TASK_FLAG_FORCED_STOP;
 }
 
 static void record_start(struct bd_core *core, struct bd_machine *machine, struct bd_job *job,
@@ -135,7 +137,7 @@
 static void confirm_task(struct bd_core *core, struct bd_job *job,
                          const struct bd_reported_task *reported)
 {
-    struct bd_task *task = &job->tasks[reported->task];
+    struct bd_task *task = bd_job_task_record(job, reported->task);
     uint8_t flags = task->flags;
     /* set to pending in between, so that the sums are updated for the new execution state */
     bd_task_set_state(core, job, reported->task, BD_TASK_PENDING);
@@ -149,14 +151,15 @@
                                    struct bd_job *job, const struct bd_reported_task *reported,
                                    struct bd_command_list *commands)
 {
-    struct bd_task *task = &job->tasks[reported->task];
-    if (!is_current_attempt(machine, task, reported->attempt)) {
-        if (task->state != BD_TASK_PENDING) { /* the task runs elsewhere, or is done */
+    const struct bd_task *state = bd_job_task(job, reported->task);
+    if (!is_current_attempt(machine, state, reported->attempt)) {
+        if (state->state != BD_TASK_PENDING) { /* the task runs elsewhere, or is done */
             halt_attempt(reported, commands);
             return;
         }
         adopt_attempt(core, machine, job, reported);
     }
+    struct bd_task *task = bd_job_task_record(job, reported->task);
     if (task->state == BD_TASK_UNKNOWN)
         bd_decision_log_task(core, "task_reconciled", job, reported->task, reported->attempt,
                              machine, "why=intent_and_heartbeat");
@@ -172,8 +175,8 @@
     for (size_t i = 0; i < heartbeat->task_count; i++) {
         const struct bd_reported_task *reported = &heartbeat->tasks[i];
         struct bd_job *job = find_tracked_job(core, reported);
-        if (job && is_current_attempt(machine, &job->tasks[reported->task], reported->attempt))
-            job->tasks[reported->task].flags |= BD_TASK_FLAG_IN_HEARTBEAT;
+        if (job && is_current_attempt(machine, bd_job_task(job, reported->task), reported->attempt))
+            bd_job_task_record(job, reported->task)->flags |= BD_TASK_FLAG_IN_HEARTBEAT;
     }
 }
 
@@ -192,8 +195,8 @@
     uint32_t i = 0;
     while (i < machine->nreservations) {
         struct bd_job *job = machine->reservations[i].job;
-        uint32_t index = machine->reservations[i].task;
-        struct bd_task *task = &job->tasks[index];
+        uint32_t index = machine->reservations[i].task->index;
+        struct bd_task *task = machine->reservations[i].task;
         bool is_reported = task->flags & BD_TASK_FLAG_IN_HEARTBEAT;
         task->flags &= (uint8_t)~BD_TASK_FLAG_IN_HEARTBEAT;
         if (is_reported || may_still_start(task)) {
--- a/src/workers/machine_health.c
+++ b/src/workers/machine_health.c
@@ -111,7 +111,7 @@
         return;
     for (uint32_t i = 0; i < machine->nreservations; i++) {
         const struct bd_job *job = machine->reservations[i].job;
-        slow += is_slow_task(core, machine, job, &job->tasks[machine->reservations[i].task]);
+        slow += is_slow_task(core, machine, job, machine->reservations[i].task);
     }
     if (slow < SLOW_TASKS_MIN)
         return;
--- a/tests/drain_profile_fleet.c
+++ b/tests/drain_profile_fleet.c
@@ -53,7 +53,7 @@
     for (uint32_t k = 0;
          machine && k < machine->nreservations && heartbeat->task_count < REPORTED_TASKS_MAX; k++) {
         const struct bd_job *job = machine->reservations[k].job;
-        const struct bd_task *task = &job->tasks[machine->reservations[k].task];
+        const struct bd_task *task = machine->reservations[k].task;
         if (task->state == BD_TASK_PLANNED)
             continue;
         struct bd_reported_task *reported = &tasks[heartbeat->task_count++];
@@ -61,7 +61,7 @@
         bool is_starting =
             bd_seconds_between(job->last_placed_at, fleet->core->now) < START_DURATION_S;
         snprintf(reported->job, sizeof reported->job, "%s", job->id);
-        reported->task = machine->reservations[k].task;
+        reported->task = machine->reservations[k].task->index;
         reported->attempt = task->attempt;
         reported->execution = is_stopped ? BD_EXECUTION_EXITED
                               : task->execution == BD_EXECUTION_RUNNING || !is_starting
--- /dev/null
+++ b/tests/large_arrays.c
@@ -0,0 +1,256 @@
+/* Arrays of 100,000 tasks in the pure core. Guards against a leader whose memory follows the number
+ * of tasks that users submitted instead of those that are alive: it exceeds its memory limit, and
+ * every next leader does too.
+ *
+ * large-arrays KIND: adds ARRAYS arrays in the state KIND, lets another term begin, and compares
+ * the peak of the allocated bytes with a budget per job, per task and per live task. */
+#include "allocation_meter.h"
+#include "core/core.h"
+#include "jobs/jobs.h"
+#include "leadership/leadership.h"
+#include "model/catalog.h"
+#include "model/effect.h"
+#include "model/leadership_state.h"
+#include "profile.h"
+#include "wire/wire.h"
+#include "workers/workers.h"
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define ARRAYS 40
+#define TASKS 100000u
+#define MACHINES 40u
+#define ROUNDS 120 /* cycles in which tasks run and end */
+#define TASKS_OF_MACHINE_MAX 128
+
+/* the budget */
+#define JOB_BYTES_MAX 8192.0 /* specification and state of a job */
+#define TASK_BITS_MAX 4.0    /* of a task that is not alive */
+#define LIVE_TASK_BYTES_MAX 1024.0
+
+static int failures;
+
+static void check(const char *text, bool is_ok)
+{
+    failures += !is_ok;
+    printf("%s %s\n", is_ok ? "ok  " : "FAIL", text);
+}
+
+static uint32_t count_live_tasks(const struct bd_core *core)
+{
+    uint32_t live = 0;
+    for (const struct bd_job *job = core->jobs; job; job = job->hh.next)
+        live += job->nplaced;
+    return live;
+}
+
+/* Checks the peak since the last reset. excluded: bytes that do not count against the budget. */
+static void check_peak(const struct deployment *deployment, const char *text, size_t excluded,
+                       uint32_t live_tasks)
+{
+    double growth = (double)allocation_meter_peak() - (double)excluded;
+    double budget =
+        ARRAYS * (JOB_BYTES_MAX + TASKS * TASK_BITS_MAX / 8) + live_tasks * LIVE_TASK_BYTES_MAX;
+    printf("     %u jobs, %u live tasks: peak of %.0f bytes, at most %.0f\n",
+           HASH_COUNT(deployment->core->jobs), live_tasks, growth, budget);
+    check(text, growth <= budget);
+}
+
+static void begin_term(struct deployment *deployment, json_t *receipts, json_t *intents)
+{
+    struct bd_acquisition acquisition = {.term = ++deployment->revision,
+                                         .grant = 7,
+                                         .nonce = "n",
+                                         .renewal_sent_at = deployment->core->now,
+                                         .receipts = receipts,
+                                         .intents = intents};
+    bd_core_leadership_acquired(deployment->core, &acquisition);
+}
+
+static void add_arrays(struct deployment *deployment)
+{
+    for (int i = 0; i < ARRAYS; i++)
+        deployment_add_job(deployment, i, BD_JOB_ARRAY, TASKS, 2, 0, 4);
+}
+
+static void cancel_arrays(struct deployment *deployment)
+{
+    for (int i = 0; i < ARRAYS; i++) {
+        char key[BD_LABEL_BYTES];
+        snprintf(key, sizeof key, "j/job-%06d", i);
+        json_t *value = bd_job_cancelled_record(bd_job_find(deployment->core, key + strlen("j/")));
+        struct bd_kv_change change = {key, value, ++deployment->revision};
+        bd_replica_apply(deployment->core, &change);
+        json_decref(value);
+    }
+}
+
+/* Receipts in which every other task of each array is done. */
+static json_t *half_done_receipts(void)
+{
+    static char hex[BD_RECEIPT_CHUNK_TASKS / 4 + 1];
+    json_t *receipts = json_array();
+    memset(hex, '5', sizeof hex - 1);
+    for (int i = 0; i < ARRAYS; i++)
+        for (uint32_t chunk = 0; chunk * BD_RECEIPT_CHUNK_TASKS < TASKS; chunk++) {
+            char key[BD_LABEL_BYTES];
+            snprintf(key, sizeof key, "r/job-%06d/%u", i, chunk);
+            json_array_append_new(receipts, json_pack("{s:s,s:{s:s},s:I}", "k", key, "value", "b",
+                                                      hex, "mark", (json_int_t)1));
+        }
+    return receipts;
+}
+
+/* Reports all tasks of the machine as done. */
+static void report_done(struct deployment *deployment, uint32_t number)
+{
+    struct bd_reported_task reported[TASKS_OF_MACHINE_MAX];
+    struct bd_heartbeat heartbeat = {.incarnation = 1,
+                                     .seq = ++deployment->heartbeat_seq,
+                                     .fencing_token = deployment->core->lead.term,
+                                     .notice_s = -1,
+                                     .tasks = reported};
+    const struct bd_machine *machine = deployment->core->machines_by_index[number];
+    memset(reported, 0, sizeof reported);
+    snprintf(heartbeat.machine, sizeof heartbeat.machine, "%s", machine->id);
+    snprintf(heartbeat.address, sizeof heartbeat.address, "%s", machine->addr);
+    snprintf(heartbeat.type, sizeof heartbeat.type, "small");
+    snprintf(heartbeat.zone, sizeof heartbeat.zone, "%s", number % 2 ? "a" : "b");
+    for (uint32_t i = 0; i < machine->nreservations && i < TASKS_OF_MACHINE_MAX; i++) {
+        struct bd_reported_task *task = &reported[heartbeat.task_count++];
+        snprintf(task->job, sizeof task->job, "%s", machine->reservations[i].job->id);
+        task->task = machine->reservations[i].task->index;
+        task->attempt = machine->reservations[i].task->attempt;
+        task->execution = BD_EXECUTION_EXITED;
+        task->exit_reason = BD_EXIT_DONE;
+    }
+    bd_worker_heartbeat_received(deployment->core, NULL, &heartbeat, "{}", 2);
+    deployment_discard_effects(deployment);
+}
+
+/* The replies to the machines' next heartbeats carry the commands instead. */
+static void drop_direct_commands(struct deployment *deployment)
+{
+    struct bd_core *core = deployment->core;
+    for (uint32_t i = 0; i < core->nmachines; i++)
+        if (core->machines_by_index[i]->direct_in_flight)
+            bd_worker_direct_command_completed(core, i, core->lead.term, true, BD_DIRECT_NOT_SENT,
+                                               NULL);
+}
+
+/* Runs tasks for ROUNDS cycles. Returns the most tasks that were alive at a time. */
+static uint32_t run_tasks(struct deployment *deployment)
+{
+    uint32_t most_live = 0;
+    for (int round = 0; round < ROUNDS; round++) {
+        deployment_run_cycle(deployment);
+        drop_direct_commands(deployment);
+        uint32_t live = count_live_tasks(deployment->core);
+        most_live = live > most_live ? live : most_live;
+        for (uint32_t i = 0; i < deployment->machine_count; i++)
+            deployment_heartbeat(deployment, i);
+        for (uint32_t i = 0; i < deployment->machine_count; i++)
+            report_done(deployment, i);
+    }
+    return most_live;
+}
+
+static uint32_t count_done(const struct bd_core *core)
+{
+    uint32_t done = 0;
+    for (const struct bd_job *job = core->jobs; job; job = job->hh.next)
+        done += job->ndone;
+    return done;
+}
+
+/* ---- kinds ---- */
+
+/* Nobody has started a task of these arrays, and each new leader reads that they were cancelled. */
+static void test_cancelled(struct deployment *deployment, size_t base)
+{
+    json_t *receipts = json_array(), *intents = json_array();
+    bd_leadership_lost(deployment->core);
+    add_arrays(deployment);
+    cancel_arrays(deployment);
+    allocation_meter_reset_peak();
+    begin_term(deployment, receipts, intents);
+    check_peak(deployment, "a new leader does not hold the tasks of cancelled arrays", base, 0);
+    json_decref(receipts);
+    json_decref(intents);
+}
+
+/* No task of these arrays fits a machine now. */
+static void test_waiting(struct deployment *deployment, size_t base)
+{
+    json_t *receipts = json_array(), *intents = json_array();
+    allocation_meter_reset_peak();
+    add_arrays(deployment);
+    check_peak(deployment, "a leader does not hold tasks that wait", base, 0);
+    bd_leadership_lost(deployment->core);
+    allocation_meter_reset_peak();
+    begin_term(deployment, receipts, intents);
+    check_peak(deployment, "a new leader does not hold tasks that wait", base, 0);
+    cancel_arrays(deployment);
+    check_peak(deployment, "nor while they are cancelled", base, 0);
+    json_decref(receipts);
+    json_decref(intents);
+}
+
+/* Every other task is done, and some of the others run. */
+static void test_half_done(struct deployment *deployment, size_t base)
+{
+    json_t *intents = json_array();
+    bd_leadership_lost(deployment->core);
+    add_arrays(deployment);
+    size_t before_receipts = allocation_meter_bytes();
+    json_t *receipts = half_done_receipts();
+    size_t receipt_bytes = allocation_meter_bytes() - before_receipts;
+    allocation_meter_reset_peak();
+    begin_term(deployment, receipts, intents);
+    check_peak(deployment, "a new leader holds bits of half-done arrays", base + receipt_bytes, 0);
+    check("half of the tasks are done",
+          count_done(deployment->core) == (uint32_t)ARRAYS * TASKS / 2);
+    json_decref(receipts);
+    json_decref(intents);
+}
+
+/* Tasks of the arrays run and end. */
+static void test_running(struct deployment *deployment, size_t base)
+{
+    add_arrays(deployment);
+    allocation_meter_reset_peak();
+    uint32_t most_live = run_tasks(deployment);
+    uint32_t done = count_done(deployment->core);
+    printf("     %u tasks done in %d rounds\n", done, ROUNDS);
+    check_peak(deployment, "a leader holds the tasks that run, not those that ended", base,
+               most_live);
+    check("tasks ran in many rounds", done > 10 * most_live && most_live >= MACHINES);
+}
+
+int main(int argc, char **argv)
+{
+    static const struct {
+        const char *name;
+        void (*run)(struct deployment *deployment, size_t base);
+    } kinds[] = {{"cancelled", test_cancelled},
+                 {"waiting", test_waiting},
+                 {"half-done", test_half_done},
+                 {"running", test_running}};
+    struct deployment deployment = {
+        .log = {BD_LOG_ERROR, "large-arrays"}, .machine_count = MACHINES, .is_cpu_only = true};
+    int ran = 0;
+    allocation_meter_install();
+    deployment_build(&deployment);
+    size_t base = allocation_meter_bytes();
+    for (size_t i = 0; argc == 2 && i < sizeof kinds / sizeof kinds[0]; i++) {
+        if (strcmp(argv[1], kinds[i].name) != 0)
+            continue;
+        kinds[i].run(&deployment, base);
+        ran++;
+    }
+    bd_core_free(deployment.core);
+    if (ran == 0)
+        return 2;
+    return failures ? 1 : 0;
+}
--- a/tests/profile_costs.c
+++ b/tests/profile_costs.c
@@ -32,11 +32,10 @@
     HASH_FIND_STR(deployment->core->machines, id, machine);
     for (uint32_t k = 0; machine && k < machine->nreservations; k++) {
         const struct bd_job *job = machine->reservations[k].job;
-        snprintf(name, sizeof name, "%s/%u", job->id, machine->reservations[k].task);
-        json_array_append_new(
-            tasks, json_pack("{s:s,s:I,s:s}", "chore", name, "try",
-                             (json_int_t)job->tasks[machine->reservations[k].task].attempt, "mood",
-                             "running"));
+        snprintf(name, sizeof name, "%s/%u", job->id, machine->reservations[k].task->index);
+        json_array_append_new(tasks, json_pack("{s:s,s:I,s:s}", "chore", name, "try",
+                                               (json_int_t)machine->reservations[k].task->attempt,
+                                               "mood", "running"));
     }
     json_t *heartbeat =
         json_pack("{s:s,s:s,s:s,s:s,s:b,s:I,s:I,s:I,s:n,s:o}", "hearth", id, "endpoint", addr,
--- a/tests/profile_deployment.c
+++ b/tests/profile_deployment.c
@@ -158,8 +158,8 @@
         const struct bd_job *job = machine->reservations[k].job;
         struct bd_reported_task *task = &tasks[heartbeat.task_count++];
         snprintf(task->job, sizeof task->job, "%s", job->id);
-        task->task = machine->reservations[k].task;
-        task->attempt = job->tasks[task->task].attempt;
+        task->task = machine->reservations[k].task->index;
+        task->attempt = machine->reservations[k].task->attempt;
         task->execution = BD_EXECUTION_RUNNING;
     }
     bd_worker_heartbeat_received(deployment->core, NULL, &heartbeat, "{}", 2);
@@ -226,10 +226,10 @@
         uint64_t attempt = 0;
         for (uint32_t k = 0; k < machine->nreservations; k++) {
             const struct bd_job *job = machine->reservations[k].job;
-            uint32_t task = machine->reservations[k].task;
-            if (!last || last_job != job || attempt != job->tasks[task].attempt) {
+            uint32_t task = machine->reservations[k].task->index;
+            if (!last || last_job != job || attempt != machine->reservations[k].task->attempt) {
                 last_job = job;
-                attempt = job->tasks[task].attempt;
+                attempt = machine->reservations[k].task->attempt;
                 last = json_array();
                 json_array_append_new(groups, json_pack("[s,I,s,o]", job->id, (json_int_t)attempt,
                                                         machine->id, last));
--- a/tests/scenario_drain.c
+++ b/tests/scenario_drain.c
@@ -230,12 +230,12 @@
     for (uint32_t k = 0;
          machine && k < machine->nreservations && heartbeat->task_count < SCENARIO_WORDS_MAX; k++) {
         const struct bd_job *job = machine->reservations[k].job;
-        const struct bd_task *task = &job->tasks[machine->reservations[k].task];
+        const struct bd_task *task = machine->reservations[k].task;
         if (task->state == BD_TASK_PLANNED)
             continue;
         struct bd_reported_task *reported = &tasks[heartbeat->task_count++];
         snprintf(reported->job, sizeof reported->job, "%s", job->id);
-        reported->task = machine->reservations[k].task;
+        reported->task = machine->reservations[k].task->index;
         reported->attempt = task->attempt;
         bool has_stopped = task->flags & BD_TASK_FLAG_STOP_REQUESTED &&
                            !scenario_find_flag(scenario, "ignore_stops");
--- a/tests/scenario_expect.c
+++ b/tests/scenario_expect.c
@@ -1,6 +1,7 @@
 /* The steps of scenarios that compare effects and state of the core with the expected ones. */
 #include "model/effect.h"
 #include "model/task.h"
+#include "model/task_table.h"
 #include "scenario_play.h"
 #include "wire/wire.h"
 #include <stdio.h>
@@ -114,7 +115,7 @@
         scenario_fail(scenario, "no such task");
         return;
     }
-    struct bd_task *task = &job->tasks[index];
+    const struct bd_task *task = bd_job_task(job, index);
     if (strcmp(state_names[task->state], scenario->words[2]) != 0) {
         scenario_fail(scenario, state_names[task->state]);
         return;
--- a/tests/sim_rules.c
+++ b/tests/sim_rules.c
@@ -1,6 +1,7 @@
 /* The rules that hold on every simulated day, at each step and at its end. */
 #include "model/job.h"
 #include "model/task.h"
+#include "model/task_table.h"
 #include "sim_day.h"
 #include "sim_drain.h"
 #include "simulation.h"
@@ -46,7 +47,7 @@
 {
     uint32_t count = 0;
     for (uint32_t i = 0; i < job->ntasks; i++) {
-        const struct bd_task *task = &job->tasks[i];
+        const struct bd_task *task = bd_job_task(job, i);
         count +=
             task->state == BD_TASK_CONFIRMED && (task->execution == BD_EXECUTION_RUNNING ||
                                                  task->execution == BD_EXECUTION_CHECKPOINTING);
