What fits a machine: one answer for admission, placement and autoscaling

Cause: the choice of the machine type allowed a task to exceed the type by 1e-9 of a quotient, packing by 1e-9 GB. pack_within_tier added machines of 64 GB without an end, and each got no task. Five places asked what fits a machine, with four tolerances; placement had 1e-6, so it would have put the task on a machine that its worker may refuse.

Change: bd_resources_fit and bd_resources_fit_count (model/resources.h) are asked everywhere. Quotas keep 1e-6 at placement and 1e-9 at admission. pack_within_tier ends if a machine gets no task.

--- a/src/autoscaling/demand.c
+++ b/src/autoscaling/demand.c
@@ -18,7 +18,6 @@
 #define ON_DEMAND_PRICE_FACTOR 2.0 /* for tasks that may use spot: leaves on-demand to others */
 #define ZONE_PRICE_FACTOR 1e-6     /* for each machine in the zone: prefers emptier zones */
 #define PRICE_TOLERANCE 1e-12
-#define BIN_FIT_TOLERANCE 1e-9 /* cores, GPUs or GB */
 
 /* ---- bins ---- */
 
@@ -42,21 +41,13 @@
     return bin;
 }
 
-static bool bin_fits(const struct bd_capacity_bin *bin, const struct bd_spec *spec)
-{
-    return spec->cpus <= bin->free.cpus + BIN_FIT_TOLERANCE &&
-           spec->gpus <= bin->free.gpus + BIN_FIT_TOLERANCE &&
-           spec->mem_gb <= bin->free.mem_gb + BIN_FIT_TOLERANCE;
-}
-
 /* Packs up to count tasks into the bin. Returns how many fit. */
 static uint32_t fill_bin(struct bd_capacity_bin *bin, const struct bd_spec *spec, uint32_t count)
 {
-    uint32_t packed = 0;
-    while (packed < count && bin_fits(bin, spec)) {
-        bd_resources_add(&bin->free, spec, -1);
-        packed++;
-    }
+    if (!bd_resources_fit(&bin->free, spec))
+        return 0;
+    uint32_t packed = bd_resources_fit_count(bin->free, spec, count);
+    bd_resources_add(&bin->free, spec, -(double)packed);
     return packed;
 }
 
@@ -139,7 +130,7 @@
 
 /* The price per hour and task on a machine that runs per_machine tasks, weighted by preference. */
 static double pool_price(const struct bd_demand *demand, const struct bd_spec *spec, int type,
-                         int zone, bool spot, int per_machine)
+                         int zone, bool spot, uint32_t per_machine)
 {
     const struct bd_machine_type *machine_type = &demand->core->types[type];
     double price = (spot ? machine_type->spot_price : machine_type->price) / per_machine;
@@ -149,18 +140,6 @@
     return price;
 }
 
-/* How many of count tasks fit on one empty machine of the type. */
-static int tasks_per_machine(const struct bd_core *core, const struct bd_spec *spec, int type,
-                             uint32_t count)
-{
-    if (!core->types[type].known)
-        return 0;
-    int fitting = bd_tasks_per_machine(&core->types[type], spec);
-    if (fitting < 1)
-        return 0;
-    return (uint32_t)fitting < count ? fitting : (int)count;
-}
-
 bool bd_demand_choose_pool(const struct bd_demand *demand, const struct bd_spec *spec,
                            uint32_t count, enum bd_cost_tier cost_tier, struct bd_pool_choice *out)
 {
@@ -169,7 +148,7 @@
     bool is_in_tier[BD_TYPES_MAX][2];
     bd_find_types_in_cost_tier(core, spec, cost_tier, is_in_tier);
     for (int type = 0; type < core->ntypes; type++) {
-        int per_machine = tasks_per_machine(core, spec, type, count);
+        uint32_t per_machine = bd_type_fit_count(&core->types[type], spec, count);
         if (per_machine == 0)
             continue;
         for (int zone = 0; zone < core->nzones; zone++) {
@@ -196,11 +175,12 @@
     bd_find_types_in_cost_tier(demand->core, spec, cost_tier, is_in_tier);
     for (int i = 0; i < demand->nbins && count > 0; i++) {
         struct bd_capacity_bin *bin = &demand->bins[i];
-        if (!is_in_tier[bin->type][bin->spot] || !bin_fits(bin, spec) ||
+        if (!is_in_tier[bin->type][bin->spot] ||
             !bd_placement_allowed(spec, bin->type, bin->zone, bin->spot))
             continue;
-        count -= fill_bin(bin, spec, count);
-        if (bin->machine)
+        uint32_t packed = fill_bin(bin, spec, count);
+        count -= packed;
+        if (packed > 0 && bin->machine)
             bin->machine->is_headroom = true;
     }
     return count;
@@ -212,11 +192,14 @@
                                  uint32_t count, enum bd_cost_tier cost_tier)
 {
     struct bd_pool_choice pool = {0};
+    uint32_t packed = 1;
     count = pack_into_bins(demand, spec, count, cost_tier);
-    while (count > 0 && bd_demand_choose_pool(demand, spec, count, cost_tier, &pool)) {
+    while (count > 0 && packed > 0 &&
+           bd_demand_choose_pool(demand, spec, count, cost_tier, &pool)) {
         struct bd_capacity_bin *bin = add_bin(demand, pool.type, pool.zone, pool.spot);
         bin->needs_request = true;
-        count -= fill_bin(bin, spec, count);
+        packed = fill_bin(bin, spec, count);
+        count -= packed;
     }
     return count;
 }
--- a/src/autoscaling/move_targets.c
+++ b/src/autoscaling/move_targets.c
@@ -45,12 +45,6 @@
     return !bd_type_is_expensive(core, spec, target->machine->type, target->machine->spot);
 }
 
-static bool has_capacity(const struct bd_move_target *target, const struct bd_spec *spec)
-{
-    return target->free.cpus >= spec->cpus && target->free.gpus >= spec->gpus &&
-           target->free.mem_gb >= spec->mem_gb;
-}
-
 /* Services on an expensive target without GPU work must use more than min_service_cpus cores. */
 static bool target_fits(const struct bd_core *core, const struct bd_spec *spec,
                         const struct bd_move_target *target, const struct bd_machine *source,
@@ -58,7 +52,7 @@
 {
     const struct bd_machine *machine = target->machine;
     if (machine == source || machine->consolidating || machine->zone != source->zone ||
-        !has_capacity(target, spec) ||
+        bd_resources_fit_count(target->free, spec, 1) == 0 ||
         !bd_placement_allowed(spec, machine->type, machine->zone, machine->spot))
         return false;
     bool is_cheap = is_cheap_target(core, spec, target);
--- a/src/jobs/submission_feasibility.c
+++ b/src/jobs/submission_feasibility.c
@@ -3,24 +3,23 @@
 #include "jobs/jobs_internal.h"
 #include "model/catalog.h"
 #include "model/core_state.h"
+#include "model/resources.h"
 #include "wire/wire.h"
 #include "wire/wire_jobs.h"
 #include <string.h>
 
-#define ROUNDING 1e-9 /* tolerance for amounts that were parsed from decimal numbers */
-
 /* Whether one task fits on a machine of the type, and the zone offers the type; zone -1: any. */
 static bool fits_type(const struct bd_machine_type *type, const struct bd_job_spec_text *spec,
                       int zone)
 {
-    return type->known && spec->cpus <= type->cpus + ROUNDING &&
-           spec->gpus <= type->gpus + ROUNDING && spec->mem_gb <= type->mem_gb + ROUNDING &&
-           (zone < 0 || (type->zones >> zone & 1));
+    struct bd_spec amounts = {.cpus = spec->cpus, .gpus = spec->gpus, .mem_gb = spec->mem_gb};
+    return bd_type_fit_count(type, &amounts, 1) > 0 && (zone < 0 || (type->zones >> zone & 1));
 }
 
+/* Whether the amount never fits the quota, even with no other task of the team. */
 static bool exceeds_quota(double quota, double amount)
 {
-    return quota > 0 && amount > quota + ROUNDING;
+    return quota > 0 && bd_amount_fit_count(quota, amount, BD_RESOURCE_TOLERANCE, 1) == 0;
 }
 
 static bool allows_type(const struct bd_job_spec_text *spec, const char *label)
--- a/src/model/resources.c
+++ b/src/model/resources.c
@@ -18,20 +18,31 @@
     resources->mem_gb += factor * spec->mem_gb;
 }
 
-uint32_t bd_amount_fit_count(double available, double need, uint32_t max)
+uint32_t bd_amount_fit_count(double available, double need, double tolerance, uint32_t max)
 {
-    if (need <= 0)
-        return max;
-    double count = floor((available + BD_RESOURCE_TOLERANCE) / need);
-    if (count <= 0)
+    if (!bd_amount_fits(available, need, tolerance))
         return 0;
+    if (need <= 0 || max <= 1)
+        return max;
+    double count = floor((available + tolerance) / need);
     return count < max ? (uint32_t)count : max;
 }
 
 uint32_t bd_resources_fit_count(struct bd_resources resources, const struct bd_spec *spec,
                                 uint32_t max)
 {
-    uint32_t count = bd_amount_fit_count(resources.cpus, spec->cpus, max);
-    count = bd_amount_fit_count(resources.gpus, spec->gpus, count);
-    return bd_amount_fit_count(resources.mem_gb, spec->mem_gb, count);
+    if (!bd_resources_fit(&resources, spec))
+        return 0;
+    if (max <= 1)
+        return max;
+    max = bd_amount_fit_count(resources.cpus, spec->cpus, BD_RESOURCE_TOLERANCE, max);
+    max = bd_amount_fit_count(resources.gpus, spec->gpus, BD_RESOURCE_TOLERANCE, max);
+    return bd_amount_fit_count(resources.mem_gb, spec->mem_gb, BD_RESOURCE_TOLERANCE, max);
+}
+
+uint32_t bd_type_fit_count(const struct bd_machine_type *type, const struct bd_spec *spec,
+                           uint32_t max)
+{
+    struct bd_resources empty = {type->cpus, type->gpus, type->mem_gb};
+    return type->known ? bd_resources_fit_count(empty, spec, max) : 0;
 }
--- a/src/scheduling/cost_model.c
+++ b/src/scheduling/cost_model.c
@@ -4,6 +4,7 @@
 #include "jobs/jobs.h"
 #include "model/catalog.h"
 #include "model/core_state.h"
+#include "model/resources.h"
 #include "scheduling/scheduling.h"
 #include "wire/wire.h"
 #include "wire/wire_jobs.h"
@@ -14,57 +15,58 @@
 #define EXPENSIVE_FACTOR 2.5 /* times the task's lowest on-demand price */
 #define SLACK_MIN_S 20.0     /* least slack with which an objective counts as attainable */
 #define GPU_YIELD_MIN_S 15.0 /* least time that arrays leave expensive machines to GPU tasks */
-#define ROUNDING 1e-9        /* tolerance of a quotient of amounts */
-#define TASKS_MAX 1e6        /* on one machine, for a task that requests no resources */
+#define TASKS_MAX 1000000u   /* on one machine, for a task that requests no resources */
 
 /* Run time of a job's slowest task, relative to the estimate, as planned for with objectives. */
 #define SLO_RUN_TIME_FACTOR 1.5
 
-int bd_tasks_per_machine(const struct bd_machine_type *type, const struct bd_spec *spec)
-{
-    double tasks = TASKS_MAX;
-    if (spec->cpus > 0)
-        tasks = fmin(tasks, floor(type->cpus / spec->cpus + ROUNDING));
-    if (spec->gpus > 0)
-        tasks = fmin(tasks, floor(type->gpus / spec->gpus + ROUNDING));
-    if (spec->mem_gb > 0)
-        tasks = fmin(tasks, floor(type->mem_gb / spec->mem_gb + ROUNDING));
-    return (int)tasks;
-}
-
-/* Price per hour of one task on a fully used machine; infinite: the task may not run there. */
-static double task_price(const struct bd_core *core, const struct bd_spec *spec, int type,
-                         bool spot)
+/* Price per hour of one task on a machine that is full with `tasks` of them; infinite: the task may
+ * not run there. */
+static double price_per_task(const struct bd_core *core, const struct bd_spec *spec, int type,
+                             bool spot, uint32_t tasks)
 {
     const struct bd_machine_type *machine_type = &core->types[type];
-    int tasks = machine_type->known ? bd_tasks_per_machine(machine_type, spec) : 0;
     if (tasks < 1 || !bd_type_allowed(spec, type) || (spot && !spec->spot))
         return INFINITY;
     return (spot ? machine_type->spot_price : machine_type->price) / tasks;
 }
 
-/* The price per task and hour above which a machine is expensive for the task. */
-static double expensive_price_limit(const struct bd_core *core, const struct bd_spec *spec)
+/* The prices per task and hour of all types, on demand and spot. */
+struct task_prices {
+    double by_type[BD_TYPES_MAX][2];
+    double expensive_above; /* the price above which a machine is expensive for the task */
+};
+
+static void find_task_prices(const struct bd_core *core, const struct bd_spec *spec,
+                             struct task_prices *prices)
 {
     double lowest = INFINITY;
-    for (int type = 0; type < core->ntypes; type++)
-        lowest = fmin(lowest, task_price(core, spec, type, false));
-    return EXPENSIVE_FACTOR * lowest;
+    for (int type = 0; type < core->ntypes; type++) {
+        uint32_t tasks = bd_type_fit_count(&core->types[type], spec, TASKS_MAX);
+        for (int spot = 0; spot < 2; spot++)
+            prices->by_type[type][spot] = price_per_task(core, spec, type, spot, tasks);
+        if (prices->by_type[type][0] < lowest)
+            lowest = prices->by_type[type][0];
+    }
+    prices->expensive_above = EXPENSIVE_FACTOR * lowest;
 }
 
 bool bd_type_is_expensive(const struct bd_core *core, const struct bd_spec *spec, int type,
                           bool spot)
 {
-    return task_price(core, spec, type, spot) > expensive_price_limit(core, spec);
+    struct task_prices prices;
+    find_task_prices(core, spec, &prices);
+    return prices.by_type[type][spot] > prices.expensive_above;
 }
 
 void bd_find_expensive_types(const struct bd_core *core, const struct bd_spec *spec,
                              bool is_expensive[BD_TYPES_MAX][2])
 {
-    double limit = expensive_price_limit(core, spec);
+    struct task_prices prices;
+    find_task_prices(core, spec, &prices);
     for (int type = 0; type < core->ntypes; type++)
         for (int spot = 0; spot < 2; spot++)
-            is_expensive[type][spot] = task_price(core, spec, type, spot) > limit;
+            is_expensive[type][spot] = prices.by_type[type][spot] > prices.expensive_above;
 }
 
 double bd_slo_slack_s(const struct bd_core *core, int job_class, double estimated_run_s,
@@ -84,7 +86,7 @@
 {
     double lead_s = 0;
     for (int type = 0; type < core->ntypes; type++)
-        if (task_price(core, spec, type, false) < INFINITY)
+        if (bd_type_allowed(spec, type) && bd_type_fit_count(&core->types[type], spec, 1) > 0)
             lead_s = fmax(lead_s, core->types[type].boot_s +
                                       spec->image_gb / core->types[type].fetch_gb_per_s);
     return lead_s;
--- a/src/scheduling/gpu_capacity.c
+++ b/src/scheduling/gpu_capacity.c
@@ -18,7 +18,7 @@
                                 int spot)
 {
     return bd_type_allowed(spec, type) && (spec->spot || !spot) &&
-           spec->gpus <= core->types[type].gpus &&
+           bd_type_fit_count(&core->types[type], spec, 1) > 0 &&
            spec->gpus >= core->cloud.largest_gpu_task[type][spot].gpus;
 }
 
@@ -64,7 +64,8 @@
     struct bd_resources rest = {type->cpus - machine->reserved_cpus - gpu_tasks * gpu_task->cpus, 0,
                                 type->mem_gb - machine->reserved_mem_gb -
                                     gpu_tasks * gpu_task->mem_gb};
-    return rest.cpus < 0 || rest.mem_gb < 0 ? 0 : bd_resources_fit_count(rest, spec, max_tasks);
+    bool is_exceeded = rest.cpus < -BD_RESOURCE_TOLERANCE || rest.mem_gb < -BD_RESOURCE_TOLERANCE;
+    return is_exceeded ? 0 : bd_resources_fit_count(rest, spec, max_tasks);
 }
 
 bool bd_gpu_use_is_known(const struct bd_core *core, const struct bd_machine *machine)
--- a/src/scheduling/job_order.c
+++ b/src/scheduling/job_order.c
@@ -53,9 +53,9 @@
         job->is_within_guaranteed_share =
             uses_share &&
             (share->cpus_guaranteed <= 0 ||
-             cpus[team] <= share->cpus_guaranteed + BD_RESOURCE_TOLERANCE) &&
+             cpus[team] <= share->cpus_guaranteed + BD_QUOTA_TOLERANCE) &&
             (share->gpus_guaranteed <= 0 ||
-             gpus[team] <= share->gpus_guaranteed + BD_RESOURCE_TOLERANCE);
+             gpus[team] <= share->gpus_guaranteed + BD_QUOTA_TOLERANCE);
     }
 }
 
--- a/src/scheduling/quotas.c
+++ b/src/scheduling/quotas.c
@@ -9,9 +9,11 @@
                                  double used_gpus, const struct bd_spec *spec, uint32_t max_tasks)
 {
     if (team->cpus_quota > 0)
-        max_tasks = bd_amount_fit_count(team->cpus_quota - used_cpus, spec->cpus, max_tasks);
+        max_tasks = bd_amount_fit_count(team->cpus_quota - used_cpus, spec->cpus,
+                                        BD_QUOTA_TOLERANCE, max_tasks);
     if (team->gpus_quota > 0)
-        max_tasks = bd_amount_fit_count(team->gpus_quota - used_gpus, spec->gpus, max_tasks);
+        max_tasks = bd_amount_fit_count(team->gpus_quota - used_gpus, spec->gpus,
+                                        BD_QUOTA_TOLERANCE, max_tasks);
     return max_tasks;
 }
 
--- a/src/scheduling/scheduling.h
+++ b/src/scheduling/scheduling.h
@@ -53,8 +53,6 @@
     BD_TIER_ANY
 };
 
-/* How many tasks with this spec fit on an empty machine of the type. */
-int bd_tasks_per_machine(const struct bd_machine_type *type, const struct bd_spec *spec);
 /* Whether a task costs much more on such a machine than on the cheapest on-demand machine. */
 bool bd_type_is_expensive(const struct bd_core *core, const struct bd_spec *spec, int type,
                           bool spot);
