Demand: plan at most 150 new machines in a pool and tick

What callers would see: with 40 waiting arrays of 100,000 tasks in a team without a limit on CPUs, each tick of the leader's autoscaler took 38 MB and packed 4,000,000 tasks into 250,000 machines; a controller has 56 or 72 MB and a small share of a core. Found by a test of ours.

Cause: the number of planned machines followed what users had submitted, though a request carries 50 machines and a pool has one request at a time.

Change: BD_POOL_NEW_MACHINES_MAX. Tasks beyond it wait for the pool's next requests and do not turn to more expensive types.

--- a/src/autoscaling/autoscaling_internal.h
+++ b/src/autoscaling/autoscaling_internal.h
@@ -9,6 +9,10 @@
 
 /* ---- demand (demand.c) ---- */
 
+/* New machines that demand plans in a pool in one tick: more than the requests of several ticks
+ * carry. Later ticks plan the machines for the rest of the tasks. */
+#define BD_POOL_NEW_MACHINES_MAX 150
+
 /* Capacity to pack tasks into: a machine that is up, booting, requested or to be requested. */
 struct bd_capacity_bin {
     int type, zone;
@@ -23,6 +27,7 @@
     struct bd_core *core;
     struct bd_capacity_bin *bins; /* owned; adding one may reallocate them */
     int nbins, bins_cap;
+    int new_machines[BD_TYPES_MAX][BD_ZONES_MAX][2]; /* bins that need a request, by pool */
     double machines_in_zone[BD_ZONES_MAX];
     double team_cpus[BD_TEAMS_MAX], team_gpus[BD_TEAMS_MAX]; /* in use, plus added pending tasks */
 };
--- a/src/autoscaling/demand.c
+++ b/src/autoscaling/demand.c
@@ -186,6 +186,20 @@
     return count;
 }
 
+/* Packs up to count tasks into a machine of the pool that is to be requested. Returns how many are
+ * packed, or wait for later requests since the pool's new machines are at their maximum. */
+static uint32_t pack_into_new_machine(struct bd_demand *demand, const struct bd_spec *spec,
+                                      uint32_t count, const struct bd_pool_choice *pool)
+{
+    int *new_machines = &demand->new_machines[pool->type][pool->zone][pool->spot];
+    if (*new_machines == BD_POOL_NEW_MACHINES_MAX)
+        return count;
+    ++*new_machines;
+    struct bd_capacity_bin *bin = add_bin(demand, pool->type, pool->zone, pool->spot);
+    bin->needs_request = true;
+    return fill_bin(bin, spec, count);
+}
+
 /* Packs count tasks into the bins, and then into machines to be requested. Returns how many fit
  * nowhere within the tier. */
 static uint32_t pack_within_tier(struct bd_demand *demand, const struct bd_spec *spec,
@@ -196,9 +210,7 @@
     count = pack_into_bins(demand, spec, count, cost_tier);
     while (count > 0 && packed > 0 &&
            bd_demand_choose_pool(demand, spec, count, cost_tier, &pool)) {
-        struct bd_capacity_bin *bin = add_bin(demand, pool.type, pool.zone, pool.spot);
-        bin->needs_request = true;
-        packed = fill_bin(bin, spec, count);
+        packed = pack_into_new_machine(demand, spec, count, &pool);
         count -= packed;
     }
     return count;
