Cancelled jobs: no specification is kept

What callers would see: a controller's memory limit reached after some ten thousand cancelled jobs. Their number is bounded by 12% of the memory, but each of them kept the JSON of its specification besides, some 2.4 KB, which the bound does not count.

Cause: only done jobs gave the specification back. It is needed to rewrite an active record; a final record is never written again.

Change: bd_job_release_record_spec, when a final record is applied or committed.

--- a/src/jobs/jobs.h
+++ b/src/jobs/jobs.h
@@ -54,6 +54,9 @@
 bool bd_job_cancellation_announced(const struct bd_core *core, const struct bd_job *job);
 /* Sets the job's state. Stops the tasks if the job is cancelled. */
 void bd_job_set_state(struct bd_core *core, struct bd_job *job, enum bd_job_state state);
+/* Frees the specification that is kept for rewriting the job's record. A final record is never
+ * rewritten. */
+void bd_job_release_record_spec(struct bd_job *job);
 /* Builds the cancelled record that replaces the job's active record. The caller owns the result. */
 json_t *bd_job_cancelled_record(const struct bd_job *job);
 
--- a/src/jobs/replica.c
+++ b/src/jobs/replica.c
@@ -35,6 +35,12 @@
     }
 }
 
+void bd_job_release_record_spec(struct bd_job *job)
+{
+    json_decref(job->record_spec);
+    job->record_spec = NULL;
+}
+
 void bd_job_set_state(struct bd_core *core, struct bd_job *job, enum bd_job_state state)
 {
     job->state = state;
@@ -42,10 +48,8 @@
         bd_ledger_remove_job(core, job);
     if (state == BD_JOB_CANCELLED)
         stop_tasks(core, job);
-    if (state == BD_JOB_DONE) {
-        json_decref(job->record_spec);
-        job->record_spec = NULL;
-    }
+    if (state == BD_JOB_DONE)
+        bd_job_release_record_spec(job);
 }
 
 static struct bd_job *add_job(struct bd_core *core, const char *id,
@@ -73,7 +77,7 @@
         return;
     bd_spec_resolve(core, &record->spec, &job->spec);
     job->has_spec = true;
-    if (record->state != BD_JOB_DONE)
+    if (record->state == BD_JOB_ACTIVE)
         job->record_spec = json_deep_copy(json_object_get(value, "job"));
 }
 
@@ -99,6 +103,7 @@
     if (record->state == BD_JOB_ACTIVE)
         return;
     bd_dag_cancellation_written(core, job);
+    bd_job_release_record_spec(job);
     if (job->state == record->state)
         return;
     job->ended_at = end_time(core, record);
--- a/src/leadership/commit_outcome.c
+++ b/src/leadership/commit_outcome.c
@@ -116,8 +116,7 @@
     job->ended_at = core->wall_s;
     bd_ledger_remove_job(core, job);
     bd_job_stop_tracking(job);
-    json_decref(job->record_spec);
-    job->record_spec = NULL;
+    bd_job_release_record_spec(job);
     bd_dag_job_ended(core, job); /* only now may its dependents start */
 }
 
@@ -138,6 +137,7 @@
     for (uint32_t i = 0; i < commit->ncancelled; i++) {
         commit->cancelled[i]->revision = store_revision;
         bd_dag_cancellation_written(core, commit->cancelled[i]);
+        bd_job_release_record_spec(commit->cancelled[i]);
     }
 }
 
--- a/tests/large_arrays.c
+++ b/tests/large_arrays.c
@@ -2,15 +2,18 @@
  * of tasks that users submitted instead of those that are alive: it exceeds its memory limit, and
  * every next leader does too.
  *
- * large-arrays KIND: adds ARRAYS arrays in the state KIND, lets another term begin, and compares
- * the peak of the allocated bytes with a budget per job, per task and per live task. */
+ * large-arrays KIND [ARRAYS]: adds arrays in the state KIND, 40 by default, lets another term
+ * begin, and compares the peak of the allocated bytes with a budget per job, per task and per live
+ * task. cancelled-jobs adds many cancelled jobs of one task instead. */
 #include "allocation_meter.h"
+#include "autoscaling/autoscaling.h"
 #include "core/core.h"
 #include "jobs/jobs.h"
 #include "leadership/leadership.h"
 #include "model/catalog.h"
 #include "model/effect.h"
 #include "model/leadership_state.h"
+#include "numbers.h"
 #include "profile.h"
 #include "wire/wire.h"
 #include "workers/workers.h"
@@ -18,7 +21,8 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define ARRAYS 40
+#define ARRAYS_DEFAULT 40
+#define CANCELLED_JOBS 5000
 #define TASKS 100000u
 #define MACHINES 40u
 #define ROUNDS 120 /* cycles in which tasks run and end */
@@ -28,8 +32,9 @@
 #define JOB_BYTES_MAX 8192.0 /* specification and state of a job */
 #define TASK_BITS_MAX 4.0    /* of a task that is not alive */
 #define LIVE_TASK_BYTES_MAX 1024.0
+#define CANCELLED_JOB_BYTES_MAX 1024.0
 
-static int failures;
+static int failures, arrays = ARRAYS_DEFAULT;
 
 static void check(const char *text, bool is_ok)
 {
@@ -51,7 +56,7 @@
 {
     double growth = (double)allocation_meter_peak() - (double)excluded;
     double budget =
-        ARRAYS * (JOB_BYTES_MAX + TASKS * TASK_BITS_MAX / 8) + live_tasks * LIVE_TASK_BYTES_MAX;
+        arrays * (JOB_BYTES_MAX + TASKS * TASK_BITS_MAX / 8) + live_tasks * LIVE_TASK_BYTES_MAX;
     printf("     %u jobs, %u live tasks: peak of %.0f bytes, at most %.0f\n",
            HASH_COUNT(deployment->core->jobs), live_tasks, growth, budget);
     check(text, growth <= budget);
@@ -68,15 +73,31 @@
     bd_core_leadership_acquired(deployment->core, &acquisition);
 }
 
+/* Begins a term without jobs. Returns the bytes that were allocated before it, as a follower. */
+static size_t begin_empty_term(struct deployment *deployment)
+{
+    json_t *receipts = json_array(), *intents = json_array();
+    bd_leadership_lost(deployment->core);
+    deployment_discard_effects(deployment);
+    size_t bytes = allocation_meter_bytes();
+    begin_term(deployment, receipts, intents);
+    bd_inventory_machines_received(deployment->core, NULL, 0, deployment->core->now);
+    for (uint32_t i = 0; i < deployment->machine_count; i++)
+        deployment_heartbeat(deployment, i);
+    json_decref(receipts);
+    json_decref(intents);
+    return bytes;
+}
+
 static void add_arrays(struct deployment *deployment)
 {
-    for (int i = 0; i < ARRAYS; i++)
+    for (int i = 0; i < arrays; i++)
         deployment_add_job(deployment, i, BD_JOB_ARRAY, TASKS, 2, 0, 4);
 }
 
-static void cancel_arrays(struct deployment *deployment)
+static void cancel_jobs(struct deployment *deployment, int jobs)
 {
-    for (int i = 0; i < ARRAYS; i++) {
+    for (int i = 0; i < jobs; i++) {
         char key[BD_LABEL_BYTES];
         snprintf(key, sizeof key, "j/job-%06d", i);
         json_t *value = bd_job_cancelled_record(bd_job_find(deployment->core, key + strlen("j/")));
@@ -92,7 +113,7 @@
     static char hex[BD_RECEIPT_CHUNK_TASKS / 4 + 1];
     json_t *receipts = json_array();
     memset(hex, '5', sizeof hex - 1);
-    for (int i = 0; i < ARRAYS; i++)
+    for (int i = 0; i < arrays; i++)
         for (uint32_t chunk = 0; chunk * BD_RECEIPT_CHUNK_TASKS < TASKS; chunk++) {
             char key[BD_LABEL_BYTES];
             snprintf(key, sizeof key, "r/job-%06d/%u", i, chunk);
@@ -172,7 +193,7 @@
     json_t *receipts = json_array(), *intents = json_array();
     bd_leadership_lost(deployment->core);
     add_arrays(deployment);
-    cancel_arrays(deployment);
+    cancel_jobs(deployment, arrays);
     allocation_meter_reset_peak();
     begin_term(deployment, receipts, intents);
     check_peak(deployment, "a new leader does not hold the tasks of cancelled arrays", base, 0);
@@ -191,7 +212,7 @@
     allocation_meter_reset_peak();
     begin_term(deployment, receipts, intents);
     check_peak(deployment, "a new leader does not hold tasks that wait", base, 0);
-    cancel_arrays(deployment);
+    cancel_jobs(deployment, arrays);
     check_peak(deployment, "nor while they are cancelled", base, 0);
     json_decref(receipts);
     json_decref(intents);
@@ -210,7 +231,7 @@
     begin_term(deployment, receipts, intents);
     check_peak(deployment, "a new leader holds bits of half-done arrays", base + receipt_bytes, 0);
     check("half of the tasks are done",
-          count_done(deployment->core) == (uint32_t)ARRAYS * TASKS / 2);
+          count_done(deployment->core) == (uint32_t)arrays * TASKS / 2);
     json_decref(receipts);
     json_decref(intents);
 }
@@ -226,6 +247,56 @@
     check_peak(deployment, "a leader holds the tasks that run, not those that ended", base,
                most_live);
     check("tasks ran in many rounds", done > 10 * most_live && most_live >= MACHINES);
+    deployment_run_cycle(deployment);
+    uint32_t live = count_live_tasks(deployment->core);
+    json_t *receipts = json_array();
+    size_t before_intents = allocation_meter_bytes();
+    json_t *intents = deployment_intents(deployment);
+    size_t intent_bytes = allocation_meter_bytes() - before_intents;
+    bd_leadership_lost(deployment->core);
+    allocation_meter_reset_peak();
+    begin_term(deployment, receipts, intents);
+    check_peak(deployment, "a new leader holds the tasks that run", base + intent_bytes, live);
+    check("the new leader holds each of them", count_live_tasks(deployment->core) == live);
+    json_decref(receipts);
+    json_decref(intents);
+}
+
+/* All tasks of the arrays are done, and the next leader reads that from the jobs' records. */
+static void test_ended(struct deployment *deployment, size_t base)
+{
+    json_t *receipts = json_array(), *intents = json_array();
+    add_arrays(deployment);
+    bd_leadership_lost(deployment->core);
+    for (int i = 0; i < arrays; i++) {
+        char key[BD_LABEL_BYTES];
+        snprintf(key, sizeof key, "j/job-%06d", i);
+        struct bd_job_record record = {
+            .state = BD_JOB_DONE, .tasks = TASKS, .submitted_at = 1000, .ended_at = 1001};
+        snprintf(record.spec.job_class, sizeof record.spec.job_class, "class-0");
+        json_t *value = bd_wire_write_job_record(&record);
+        struct bd_kv_change change = {key, value, ++deployment->revision};
+        bd_replica_apply(deployment->core, &change);
+        json_decref(value);
+    }
+    allocation_meter_reset_peak();
+    begin_term(deployment, receipts, intents);
+    check_peak(deployment, "a new leader does not hold the tasks of arrays that ended", base, 0);
+    json_decref(receipts);
+    json_decref(intents);
+}
+
+/* Guards against specifications that are kept for cancelled jobs, whose number alone is bounded. */
+static void test_cancelled_jobs(struct deployment *deployment, size_t base)
+{
+    bd_leadership_lost(deployment->core);
+    for (int i = 0; i < CANCELLED_JOBS; i++)
+        deployment_add_job(deployment, i, BD_JOB_ARRAY, 1, 2, 0, 4);
+    cancel_jobs(deployment, CANCELLED_JOBS);
+    double bytes = (double)(allocation_meter_bytes() - base) / CANCELLED_JOBS;
+    printf("     %d cancelled jobs: %.0f bytes each, at most %.0f\n", CANCELLED_JOBS, bytes,
+           CANCELLED_JOB_BYTES_MAX);
+    check("a cancelled job does not keep its specification", bytes <= CANCELLED_JOB_BYTES_MAX);
 }
 
 int main(int argc, char **argv)
@@ -233,17 +304,18 @@
     static const struct {
         const char *name;
         void (*run)(struct deployment *deployment, size_t base);
-    } kinds[] = {{"cancelled", test_cancelled},
-                 {"waiting", test_waiting},
-                 {"half-done", test_half_done},
-                 {"running", test_running}};
+    } kinds[] = {{"cancelled", test_cancelled}, {"waiting", test_waiting},
+                 {"half-done", test_half_done}, {"running", test_running},
+                 {"ended", test_ended},         {"cancelled-jobs", test_cancelled_jobs}};
     struct deployment deployment = {
         .log = {BD_LOG_ERROR, "large-arrays"}, .machine_count = MACHINES, .is_cpu_only = true};
     int ran = 0;
+    if (argc == 3)
+        arrays = parse_number(argv[2]);
     allocation_meter_install();
     deployment_build(&deployment);
-    size_t base = allocation_meter_bytes();
-    for (size_t i = 0; argc == 2 && i < sizeof kinds / sizeof kinds[0]; i++) {
+    size_t base = begin_empty_term(&deployment);
+    for (size_t i = 0; argc >= 2 && i < sizeof kinds / sizeof kinds[0]; i++) {
         if (strcmp(argv[1], kinds[i].name) != 0)
             continue;
         kinds[i].run(&deployment, base);
