Admission: a bound on the memory of unfinished jobs

What callers would see: a controller's memory limit reached by jobs that wait.

Change: jobs/unfinished_limit.c. Beyond half of the memory setting, counted as 8 KiB a job and 256 bytes a parent, a new submission gets 429 with Retry-After, as the protocol allows, and is logged. Accepted jobs, repeated submissions of known ones and cancellations are not affected. At 56 MB these are 3,584 jobs, at 72 MB 4,608.

--- a/src/jobs/admission.c
+++ b/src/jobs/admission.c
@@ -6,6 +6,7 @@
  * replica, then in the replica after a read barrier, and then, if final records have been evicted,
  * by a look-up of its record. The reply for an unknown parent is 422 only after all of these have
  * failed to find it. */
+#include "brambledoor/log.h"
 #include "jobs/jobs.h"
 #include "jobs/jobs_internal.h"
 #include "model/catalog.h"
@@ -23,6 +24,7 @@
  * before the others are found. */
 #define EXTRA_LOOKUPS_MAX 16u
 #define NOT_READY_RETRY_AFTER_S 1
+#define UNFINISHED_RETRY_AFTER_S 10
 
 /* What the replica knows of a submission's parents. */
 struct parents_status {
@@ -101,6 +103,15 @@
                               0);
 }
 
+/* There are as many unfinished jobs as the controllers' memory allows. */
+static void refuse_for_now(struct bd_core *core, const struct bd_admission *admission)
+{
+    bd_log_write(core->log, BD_LOG_INFO, "%s refused for now: too many unfinished jobs",
+                 admission->id);
+    bd_effect_reply_error(core, admission->request, 429, "too many unfinished jobs",
+                          UNFINISHED_RETRY_AFTER_S);
+}
+
 static void accept_or_reject(struct bd_core *core, struct bd_admission *admission,
                              const struct parents_status *parents)
 {
@@ -115,6 +126,8 @@
     else if (admission->parents && bd_peer_lacks_feature(core, BD_PEER_SUPPORTS_DEPENDENCIES))
         bd_effect_reply_error(core, request, 503, "an older controller serves beside this one",
                               BD_KV_OUTAGE_RETRY_AFTER_S);
+    else if (!bd_unfinished_jobs_fit(core))
+        refuse_for_now(core, admission);
     else
         accept_submission(core, admission, parents->has_cancelled);
 }
--- a/src/jobs/jobs_internal.h
+++ b/src/jobs/jobs_internal.h
@@ -35,11 +35,14 @@
 /* Emits the transaction that cancels the job. */
 void bd_user_cancel_emit(struct bd_core *core, void *request, const struct bd_job *job);
 
-/* ---- admission (submission_feasibility.c, admission.c, admission_record.c) ---- */
+/* ---- admission (submission_feasibility.c, unfinished_limit.c, admission.c, admission_record.c)
+ * ---- */
 
 /* Whether the job could run in an otherwise empty cluster: within its team's quota, and on the
  * known machine types and zones. */
 bool bd_submission_is_feasible(const struct bd_core *core, const struct bd_job_spec_text *spec);
+/* Whether the controllers' memory has room for another unfinished job (unfinished_limit.c). */
+bool bd_unfinished_jobs_fit(const struct bd_core *core);
 /* Starts the admission of a valid submission. Takes ownership of parents, which may be NULL. */
 void bd_admission_start(struct bd_core *core, void *request, const char *id,
                         const struct bd_job_record *record, json_t *parents);
--- a/tests/large_arrays.c
+++ b/tests/large_arrays.c
@@ -4,7 +4,7 @@
  *
  * large-arrays KIND [ARRAYS]: adds arrays in the state KIND, 40 by default, lets another term
  * begin, and compares the peak of the allocated bytes with a budget per job, per task and per live
- * task. cancelled-jobs adds many cancelled jobs of one task instead. */
+ * task. cancelled-jobs and unfinished-jobs add many jobs of one task instead. */
 #include "allocation_meter.h"
 #include "autoscaling/autoscaling.h"
 #include "core/core.h"
@@ -25,6 +25,8 @@
 #define CANCELLED_JOBS 5000
 #define TASKS 100000u
 #define MACHINES 40u
+#define UNFINISHED_RAM_MB 24
+#define UNFINISHED_JOBS_MAX 20000
 #define ROUNDS 120 /* cycles in which tasks run and end */
 #define TASKS_OF_MACHINE_MAX 128
 
@@ -299,14 +301,58 @@
     check("a cancelled job does not keep its specification", bytes <= CANCELLED_JOB_BYTES_MAX);
 }
 
+/* Submits a job of one task. Returns the kind of the first effect, which answers or accepts it, and
+ * its status if it is a reply. */
+static enum bd_effect_kind submit(struct deployment *deployment, int number, int *status)
+{
+    char body[640];
+    snprintf(
+        body, sizeof body,
+        "{\"id\":\"job-%06d\",\"kin\":\"class-0\",\"household\":\"team-0\",\"shape\":\"sweep\","
+        "\"rank\":\"standard\",\"chores\":1,\"vcpus\":2,\"accelerators\":0,\"memGb\":6,"
+        "\"seed\":\"img-0-0\",\"imageGb\":2,\"breeds\":null,\"glade\":null,\"together\":false,"
+        "\"scatter\":false,\"windfall\":true,\"guessS\":60,\"markS\":0,\"stowS\":0,"
+        "\"dueS\":null}",
+        number);
+    deployment_discard_effects(deployment);
+    bd_user_submit(deployment->core, NULL, body, strlen(body));
+    struct bd_effect *effect = bd_effects_take(deployment->core);
+    enum bd_effect_kind kind = effect ? effect->kind : BD_EFFECT_STEP_DOWN;
+    *status = effect && kind == BD_EFFECT_REPLY ? effect->status : 0;
+    bd_effect_free(effect);
+    return kind;
+}
+
+/* Guards against controllers that exceed their memory by the specifications of unfinished jobs. */
+static void test_unfinished_jobs(struct deployment *deployment, size_t base)
+{
+    int status = 0, jobs = 0;
+    deployment->settings.ram_mb = UNFINISHED_RAM_MB;
+    while (jobs < UNFINISHED_JOBS_MAX && submit(deployment, jobs, &status) == BD_EFFECT_USER_TXN)
+        deployment_add_job(deployment, jobs++, BD_JOB_ARRAY, 1, 2, 0, 4);
+    double bytes = (double)(allocation_meter_bytes() - base);
+    printf("     %d unfinished jobs at %d MB: %.0f bytes, then %d\n", jobs, UNFINISHED_RAM_MB,
+           bytes, status);
+    check("a job beyond the bound is refused for now", status == 429);
+    check("the bound keeps the jobs within half of the memory",
+          jobs > 1000 && bytes < UNFINISHED_RAM_MB * 1e6 / 2);
+    cancel_jobs(deployment, 1);
+    check("a job is accepted once another has ended",
+          submit(deployment, jobs, &status) == BD_EFFECT_USER_TXN);
+}
+
 int main(int argc, char **argv)
 {
     static const struct {
         const char *name;
         void (*run)(struct deployment *deployment, size_t base);
-    } kinds[] = {{"cancelled", test_cancelled}, {"waiting", test_waiting},
-                 {"half-done", test_half_done}, {"running", test_running},
-                 {"ended", test_ended},         {"cancelled-jobs", test_cancelled_jobs}};
+    } kinds[] = {{"cancelled", test_cancelled},
+                 {"waiting", test_waiting},
+                 {"half-done", test_half_done},
+                 {"running", test_running},
+                 {"ended", test_ended},
+                 {"cancelled-jobs", test_cancelled_jobs},
+                 {"unfinished-jobs", test_unfinished_jobs}};
     struct deployment deployment = {
         .log = {BD_LOG_ERROR, "large-arrays"}, .machine_count = MACHINES, .is_cpu_only = true};
     int ran = 0;
