--- a/tests/loopback_memory.c
+++ b/tests/loopback_memory.c
@@ -14,8 +14,9 @@
 
 #define MEMORY_JOBS 1500
 #define MEMORY_ARRAYS 1500
-#define MEMORY_TASKS_PER_ARRAY 10000 /* an array's tasks wait and cost nothing: it is like a job   \
-                                      */
+#define MEMORY_TASKS_PER_ARRAY                                                                     \
+    10000 /* an array's tasks wait and cost nothing: it is like a job                              \
+           */
 #define MEMORY_CONNECTIONS 200
 /* Upper bounds, tight enough to detect a doubled cost. */
 #define START_KB_MAX 3600
--- a/tests/sim_plan.c
+++ b/tests/sim_plan.c
@@ -111,6 +111,24 @@
     gsl_rng_free(rng);
 }
 
+void sim_plan_draw_arrays(struct sim_plan *plan, unsigned long seed)
+{
+    sim_plan_draw(plan, seed);
+    gsl_rng *rng = gsl_rng_alloc(gsl_rng_taus2);
+    if (!rng)
+        abort();
+    gsl_rng_set(rng, seed * 32452843 + 11);
+    plan->has_large_arrays = 1;
+    double at_s = 15;
+    while (at_s < LAST_FAULT_S && plan->nfaults < 60) {
+        struct sim_fault *fault = &plan->faults[plan->nfaults++];
+        *fault = (struct sim_fault){.at_s = at_s, .kind = "crash", .node = "leader"};
+        fault->first_value = 0.2 + 3 * gsl_rng_uniform(rng);
+        at_s += 5 + 20 * gsl_rng_uniform(rng);
+    }
+    gsl_rng_free(rng);
+}
+
 void sim_plan_draw_drains(struct sim_plan *plan, unsigned long seed)
 {
     static const char *const kinds[] = {"drain", "drain", "drain", "pause-drain", "cancel-drain"};
@@ -163,6 +181,8 @@
         return false;
     if (strcmp(name, "one-task-jobs") == 0)
         plan->has_one_task_jobs = (int)values[0];
+    else if (strcmp(name, "large-arrays") == 0)
+        plan->has_large_arrays = (int)values[0];
     else if (strcmp(name, "drains") == 0)
         plan->has_drains = (int)values[0];
     else if (strcmp(name, "machines") == 0)
--- a/tests/sim_plan.h
+++ b/tests/sim_plan.h
@@ -16,8 +16,8 @@
         double first_value, second_value; /* their meaning depends on the kind */
     } faults[PLAN_FAULTS_MAX];
     int nfaults, jobs, machines, services;
-    int has_one_task_jobs, has_drains; /* 0 or 1 */
-    uint32_t budgets[2];               /* by team */
+    int has_one_task_jobs, has_large_arrays, has_drains; /* 0 or 1 */
+    uint32_t budgets[2];                                 /* by team */
     double cancelled_share, image_fetch_s;
 };
 
@@ -27,6 +27,8 @@
 void sim_plan_draw(struct sim_plan *plan, unsigned long seed);
 /* As sim_plan_draw, with more services, and drains among the faults. */
 void sim_plan_draw_drains(struct sim_plan *plan, unsigned long seed);
+/* As sim_plan_draw, with large arrays that users cancel, and more leader changes. */
+void sim_plan_draw_arrays(struct sim_plan *plan, unsigned long seed);
 /* As sim_plan_draw, with delays in the controllers' own queues and processes as well. */
 void sim_plan_draw_delays(struct sim_plan *plan, unsigned long seed);
 #endif
--- a/tests/sim_rules.c
+++ b/tests/sim_rules.c
@@ -10,6 +10,11 @@
 
 #define WAIT_MAX_S 90.0 /* includes the expiry of an earlier lease */
 
+/* What a leader may hold for the tasks of a job, in bytes. */
+#define JOB_TASKS_BYTES_MAX 1024.0
+#define TASK_BITS_MAX 4.0
+#define LIVE_TASK_BYTES_MAX 1024.0
+
 /* Checks that after the last fault no job waits longer than WAIT_MAX_S while its team's quota
  * allows the job to start. */
 static void check_waiting(struct sim *sim, struct sim_job *job)
@@ -64,11 +69,28 @@
                           node->settings.node, count_running_tasks(job), job->nrunning);
 }
 
+/* Guards against a leader whose memory follows the tasks that were submitted, not those that are
+ * alive. */
+static void check_task_memory(struct sim *sim, const struct sim_node *node)
+{
+    for (const struct bd_job *job = node->core->jobs; job; job = job->hh.next) {
+        double bytes = job->tasks ? (double)bd_task_table_bytes(job->tasks) : 0;
+        double budget = JOB_TASKS_BYTES_MAX + job->ntasks * TASK_BITS_MAX / 8 +
+                        job->nplaced * LIVE_TASK_BYTES_MAX;
+        if (bytes > budget)
+            sim_violation(sim, "memory: %s at %s takes %.0f bytes for %u tasks, %u of them alive",
+                          job->id, node->settings.node, bytes, job->ntasks, job->nplaced);
+    }
+}
+
 void sim_check_rules(struct sim *sim)
 {
-    for (int i = 0; i < SIM_NODES; i++)
-        if (sim->nodes[i].core && sim->nodes[i].core->role == BD_LEADER)
-            check_running_counts(sim, &sim->nodes[i]);
+    for (int i = 0; i < SIM_NODES; i++) {
+        if (!sim->nodes[i].core || sim->nodes[i].core->role != BD_LEADER)
+            continue;
+        check_running_counts(sim, &sim->nodes[i]);
+        check_task_memory(sim, &sim->nodes[i]);
+    }
     for (int i = 0; i < sim->njobs; i++) {
         struct sim_job *job = &sim->jobs[i];
         check_waiting(sim, job);
--- a/tests/sim_users.c
+++ b/tests/sim_users.c
@@ -8,6 +8,7 @@
 #include <stdio.h>
 #include <string.h>
 
+#define LARGE_ARRAY_EVERY 4   /* of the jobs, by number, on a day with large arrays */
 #define UNANSWERED_MAX_S 75.0 /* a job without an answer for longer counts as forgotten */
 
 void sim_send_request(struct sim *sim, int job_index, int node, enum sim_request_kind kind)
@@ -168,6 +169,11 @@
         !(plan->has_drains && job->kind == BD_JOB_SERVICE))
         job->cancel_at =
             sim_random(sim) < 0.2 ? -1 : sim->now + delay_s + sim_uniform(sim, 0.1, 40);
+    if (plan->has_large_arrays && job->kind == BD_JOB_ARRAY && index % LARGE_ARRAY_EVERY == 0) {
+        job->tasks = (uint32_t)sim_uniform(sim, SIM_TASKS_MAX / 4.0, SIM_TASKS_MAX);
+        job->run_s = sim_uniform(sim, 0.5, 4);
+        job->cancel_at = sim->now + delay_s + sim_uniform(sim, 0.1, 90);
+    }
     for (int i = 0; i < SIM_TASKS_MAX; i++)
         job->machine[i] = -1;
     sim_schedule(sim, delay_s, SIM_USER_TIMER)->index = index;
--- a/tests/simulation.c
+++ b/tests/simulation.c
@@ -2,20 +2,22 @@
  * and the rules of the protocol are checked.
  *
  * - simulation FILE [SEEDS]: the day of a file, with the seeds 1 to SEEDS
- * - simulation random|delays|drains FROM N: N drawn days, from the seed FROM on
+ * - simulation random|arrays|delays|drains FROM N: N drawn days, from the seed FROM on
  * - simulation seed FILE|KIND SEED [debug]: one day, with a trace; debug: with the log too
  * - simulation digest FILE|KIND FROM N: the digest of each day's steps
  * - simulation steps FILE|KIND SEED: the steps of one day
  * - simulation checker: tests that the checker of drains detects violations
  *
- * Of the kinds of drawn days, `delays` adds delays inside the controllers (delay-sends,
- * process-pause) among hanging machines and cancellations, and `drains` adds drains.
+ * Of the kinds of drawn days, `arrays` adds large arrays and crashes of leaders, `delays` adds
+ * delays inside the controllers (delay-sends, process-pause) among hanging machines and
+ * cancellations, and `drains` adds drains.
  *
  * A line of a file is a setting or a fault. The settings:
  *
  * - jobs N: how many jobs are submitted
  * - cancelled-share SHARE: the share of the jobs that users cancel
  * - one-task-jobs 1: each job is one short task
+ * - large-arrays 1: some arrays have hundreds of tasks, and their users cancel them
  * - image-fetch-s SECONDS: how long each task fetches its image
  * - machines N: how many machines there are at the start
  * - services N: the first N jobs are services
@@ -147,8 +149,10 @@
 static const struct kind {
     const char *name;
     void (*draw)(struct sim_plan *, unsigned long seed);
-} kinds[] = {
-    {"random", sim_plan_draw}, {"drains", sim_plan_draw_drains}, {"delays", sim_plan_draw_delays}};
+} kinds[] = {{"random", sim_plan_draw},
+             {"arrays", sim_plan_draw_arrays},
+             {"drains", sim_plan_draw_drains},
+             {"delays", sim_plan_draw_delays}};
 
 static const struct kind *find_kind(const char *name)
 {
--- a/tests/simulation.h
+++ b/tests/simulation.h
@@ -20,7 +20,7 @@
 #define SIM_NODES 4
 #define SIM_MACHINES_MAX 160
 #define SIM_JOBS_MAX 700
-#define SIM_TASKS_MAX 8         /* per job */
+#define SIM_TASKS_MAX 1000      /* per job */
 #define SIM_SLOTS_MAX 400       /* tasks that a worker runs or remembers */
 #define SIM_COPY_DELAY_MAX_S 25 /* of a replayed heartbeat */
 #define SIM_VIOLATIONS_MAX 5    /* printed; the day ends when there are more */
