Machine sums: added up anew after as many removals as there are tasks

The sums are now corrected by subtraction and added up anew once the removals have reached the number of tasks: a constant cost a removal, and rounding errors of at most that many operations.

--- a/src/model/machine.h
+++ b/src/model/machine.h
@@ -93,9 +93,10 @@
     /* the share of the reserved amounts that services and GPU tasks hold, which do not end by
      * themselves before long */
     double pinned_cpus, pinned_gpus, pinned_mem_gb;
+    uint32_t removals_since_sum; /* of reservations, since their sums were last added up anew */
 
-    struct bd_cached_image images[BD_MACHINE_IMAGES_MAX]; /* most recently used first */
     int nimages;
+    struct bd_cached_image images[BD_MACHINE_IMAGES_MAX]; /* most recently used first */
     struct timespec fetches_done_at; /* expected end of all its image downloads */
 
     /* consecutive task failures, as machine_health.c counts them: those of one job count once, but
--- a/src/model/reservation.c
+++ b/src/model/reservation.c
@@ -16,27 +16,28 @@
     core->team_gpus[spec->team] += factor * spec->gpus;
 }
 
-static void add_machine_use(struct bd_machine *machine, const struct bd_spec *spec)
+static void add_machine_use(struct bd_machine *machine, const struct bd_spec *spec, double factor)
 {
     /* other tasks end by themselves before long */
     bool is_pinned = spec->kind == BD_JOB_SERVICE || spec->gpus > 0;
-    machine->reserved_cpus += spec->cpus;
-    machine->reserved_gpus += spec->gpus;
-    machine->reserved_mem_gb += spec->mem_gb;
+    machine->reserved_cpus += factor * spec->cpus;
+    machine->reserved_gpus += factor * spec->gpus;
+    machine->reserved_mem_gb += factor * spec->mem_gb;
     if (!is_pinned)
         return;
-    machine->pinned_cpus += spec->cpus;
-    machine->pinned_gpus += spec->gpus;
-    machine->pinned_mem_gb += spec->mem_gb;
+    machine->pinned_cpus += factor * spec->cpus;
+    machine->pinned_gpus += factor * spec->gpus;
+    machine->pinned_mem_gb += factor * spec->mem_gb;
 }
 
 /* Adds up the reservations anew, so that rounding errors do not accumulate. */
 static void sum_machine_use(struct bd_machine *machine)
 {
+    machine->removals_since_sum = 0;
     machine->reserved_cpus = machine->reserved_gpus = machine->reserved_mem_gb = 0;
     machine->pinned_cpus = machine->pinned_gpus = machine->pinned_mem_gb = 0;
     for (uint32_t i = 0; i < machine->nreservations; i++)
-        add_machine_use(machine, &machine->reservations[i].job->spec);
+        add_machine_use(machine, &machine->reservations[i].job->spec, 1);
 }
 
 static void grow_list(struct bd_machine *machine)
@@ -68,7 +69,7 @@
     if (machine->nreservations == machine->reservations_cap)
         grow_list(machine);
     machine->reservations[machine->nreservations++] = (struct bd_reservation){job, task};
-    add_machine_use(machine, &job->spec);
+    add_machine_use(machine, &job->spec, 1);
     add_team_use(core, &job->spec, 1);
 }
 
@@ -82,7 +83,11 @@
     if (!machine)
         return;
     remove_from_list(machine, task);
-    sum_machine_use(machine);
+    machine->removals_since_sum++;
+    if (machine->removals_since_sum >= machine->nreservations)
+        sum_machine_use(machine);
+    else
+        add_machine_use(machine, &job->spec, -1);
     if (machine->nreservations == 0)
         machine->idle_since = core->now;
 }
