Job fields: names and lists of any length that fits a body

Callers saw: 400 for a sound submission whose class or image name has 64 bytes or more, or whose list has more than 32 machine types; 400 in place of 422 for an unknown team of that length.

Change: a name that does not fit a label is replaced by its beginning and a hash of all of it. Of a longer list, the types that the cloud offers are kept: the others cannot be placed. Records stay as short as before, so the memory of unfinished jobs and the values in the store keep their bounds, and an older controller beside reads them (checked in drawn-requests).

--- a/src/jobs/submission.c
+++ b/src/jobs/submission.c
@@ -26,6 +26,14 @@
     struct bd_json_error json_error; /* reason: empty if the body is JSON */
 };
 
+/* Whether the cloud offers the machine type. */
+static bool is_offered_type(const void *arg, const char *label)
+{
+    const struct bd_core *core = arg;
+    int type = bd_type_find(core, label);
+    return type >= 0 && core->types[type].known;
+}
+
 static void read_submission(const struct bd_core *core, const char *body, size_t len,
                             struct submission *out)
 {
@@ -35,6 +43,8 @@
     out->invalid_field = json ? bd_wire_read_submission(json, out->id, &out->record.spec) : "body";
     if (!out->invalid_field && !bd_wire_read_parents(json, &out->parents))
         out->invalid_field = "awaits";
+    if (!out->invalid_field && out->record.spec.has_more_types)
+        bd_wire_select_types(json, is_offered_type, core, &out->record.spec);
     json_decref(json);
 }
 
--- a/src/model/catalog.c
+++ b/src/model/catalog.c
@@ -32,11 +32,19 @@
     return entry->index;
 }
 
-int bd_type_find_or_add(struct bd_core *core, const char *label)
+int bd_type_find(const struct bd_core *core, const char *label)
 {
     for (int i = 0; i < core->ntypes; i++)
         if (strcmp(core->types[i].label, label) == 0)
             return i;
+    return -1;
+}
+
+int bd_type_find_or_add(struct bd_core *core, const char *label)
+{
+    int known = bd_type_find(core, label);
+    if (known >= 0)
+        return known;
     if (core->ntypes == BD_TYPES_MAX)
         return -1;
     snprintf(core->types[core->ntypes].label, BD_LABEL_BYTES, "%s", label);
--- a/src/model/catalog.h
+++ b/src/model/catalog.h
@@ -21,6 +21,8 @@
 /* Returns the name's index; adds the name if it is new. */
 int bd_name_intern(struct bd_name_entry **table, const char *name);
 void bd_name_table_free(struct bd_name_entry **table);
+/* Returns the machine type's index; -1: unknown type. */
+int bd_type_find(const struct bd_core *core, const char *label);
 /* Returns the machine type's index; adds the type if it is new. -1: the table is full. */
 int bd_type_find_or_add(struct bd_core *core, const char *label);
 /* Returns the zone's index; -1: unknown zone. */
--- a/src/wire/wire_fields.c
+++ b/src/wire/wire_fields.c
@@ -4,9 +4,12 @@
 #include "wire/wire_internal.h"
 #include "wire/wire_limits.h"
 #include <math.h>
+#include <stdio.h>
 #include <string.h>
 
 #define AMOUNT_MAX 1e9
+#define NAME_START_BYTES 44 /* of a long name; the hash follows */
+#define HASH_PRIME 1099511628211u
 
 bool bd_wire_read_label(json_t *object, const char *key, char out[BD_LABEL_BYTES])
 {
@@ -17,6 +20,39 @@
     return true;
 }
 
+uint64_t bd_wire_hash_text(uint64_t hash, const char *text)
+{
+    for (const char *c = text; c && *c; c++)
+        hash = (hash ^ (unsigned char)*c) * HASH_PRIME;
+    return hash;
+}
+
+/* The largest length, at most `len`, at which the text ends with a whole character. */
+static size_t whole_characters(const char *text, size_t len)
+{
+    while (len > 0 && ((unsigned char)text[len] & 0xc0u) == 0x80u)
+        len--;
+    return len;
+}
+
+void bd_wire_shorten_name(const char *name, char out[BD_LABEL_BYTES])
+{
+    if (strlen(name) < BD_LABEL_BYTES)
+        strcpy(out, name);
+    else
+        snprintf(out, BD_LABEL_BYTES, "%.*s~%016llx", (int)whole_characters(name, NAME_START_BYTES),
+                 name, (unsigned long long)bd_wire_hash_text(BD_WIRE_HASH_BASIS, name));
+}
+
+bool bd_wire_read_name(json_t *object, const char *key, char out[BD_LABEL_BYTES])
+{
+    const char *name = json_string_value(json_object_get(object, key));
+    if (!name || !*name)
+        return false;
+    bd_wire_shorten_name(name, out);
+    return true;
+}
+
 bool bd_wire_read_amount(json_t *object, const char *key, double *out)
 {
     json_t *value = json_object_get(object, key);
--- a/src/wire/wire_internal.h
+++ b/src/wire/wire_internal.h
@@ -17,6 +17,17 @@
 
 /* Reads a string of 1 to BD_LABEL_BYTES - 1 bytes. */
 bool bd_wire_read_label(json_t *object, const char *key, char out[BD_LABEL_BYTES]);
+#define BD_WIRE_HASH_BASIS 1469598103934665603u
+
+/* Continues the hash (FNV-1a) with the text; NULL: an empty one. Hashes are stored, so the
+ * algorithm must not change.
+ */
+uint64_t bd_wire_hash_text(uint64_t hash, const char *text);
+/* Reads a string of 1 byte or more; see bd_wire_shorten_name. */
+bool bd_wire_read_name(json_t *object, const char *key, char out[BD_LABEL_BYTES]);
+/* Copies a name. One of BD_LABEL_BYTES or more is replaced by its beginning and a hash of all of
+ * it: a job's names of any length are told apart, but take no more memory than a label. */
+void bd_wire_shorten_name(const char *name, char out[BD_LABEL_BYTES]);
 /* Reads a number from 0 to 1e9. */
 bool bd_wire_read_amount(json_t *object, const char *key, double *out);
 bool bd_wire_read_bool(json_t *object, const char *key, bool *out);
--- a/src/wire/wire_job_spec.c
+++ b/src/wire/wire_job_spec.c
@@ -15,19 +15,45 @@
     spec->type_count = -1;
     if (bd_wire_is_missing_or_null(types))
         return true;
-    if (!json_is_array(types) || json_array_size(types) > BD_TYPES_MAX)
+    if (!json_is_array(types))
         return false;
     spec->type_count = 0;
     json_array_foreach(types, i, type)
     {
         const char *label = json_string_value(type);
-        if (!label || !*label || strlen(label) >= BD_LABEL_BYTES)
+        if (!label || !*label)
             return false;
-        strcpy(spec->types[spec->type_count++], label);
+        if (spec->type_count < BD_TYPES_MAX)
+            bd_wire_shorten_name(label, spec->types[spec->type_count++]);
+        else
+            spec->has_more_types = true;
     }
     return true;
 }
 
+static bool has_type(const struct bd_job_spec_text *spec, const char *label)
+{
+    for (int i = 0; i < spec->type_count; i++)
+        if (strcmp(spec->types[i], label) == 0)
+            return true;
+    return false;
+}
+
+void bd_wire_select_types(json_t *body, bool (*is_wanted)(const void *arg, const char *label),
+                          const void *arg, struct bd_job_spec_text *spec)
+{
+    json_t *type;
+    size_t i;
+    spec->type_count = 0;
+    json_array_foreach(json_object_get(body, KEY_MACHINE_TYPES), i, type)
+    {
+        char label[BD_LABEL_BYTES];
+        bd_wire_shorten_name(json_string_value(type), label);
+        if (spec->type_count < BD_TYPES_MAX && is_wanted(arg, label) && !has_type(spec, label))
+            strcpy(spec->types[spec->type_count++], label);
+    }
+}
+
 /* The readers below return NULL on success, or the name of the invalid field. */
 static const char *read_amounts(json_t *object, struct bd_job_spec_text *spec)
 {
@@ -69,7 +95,7 @@
 static const char *read_placement(json_t *object, struct bd_job_spec_text *spec)
 {
     if (!bd_wire_is_missing_or_null(json_object_get(object, KEY_ZONE)) &&
-        !bd_wire_read_label(object, KEY_ZONE, spec->zone))
+        !bd_wire_read_name(object, KEY_ZONE, spec->zone))
         return KEY_ZONE;
     if (!read_machine_types(object, spec))
         return KEY_MACHINE_TYPES;
@@ -86,9 +112,9 @@
 {
     uint64_t tasks = 0;
     memset(out, 0, sizeof *out);
-    if (!bd_wire_read_label(object, KEY_JOB_CLASS, out->job_class))
+    if (!bd_wire_read_name(object, KEY_JOB_CLASS, out->job_class))
         return KEY_JOB_CLASS;
-    if (!bd_wire_read_label(object, KEY_TEAM, out->team))
+    if (!bd_wire_read_name(object, KEY_TEAM, out->team))
         return KEY_TEAM;
     const char *invalid_field = read_kind_and_priority(object, out);
     if (invalid_field)
@@ -96,7 +122,7 @@
     if (!bd_wire_read_unsigned(object, KEY_TASK_COUNT, &tasks) || tasks < 1 || tasks > BD_TASKS_MAX)
         return KEY_TASK_COUNT;
     out->tasks = (uint32_t)tasks;
-    if (!bd_wire_read_label(object, KEY_IMAGE, out->image))
+    if (!bd_wire_read_name(object, KEY_IMAGE, out->image))
         return KEY_IMAGE;
     invalid_field = read_placement(object, out);
     return invalid_field ? invalid_field : read_amounts(object, out);
--- a/src/wire/wire_jobs.h
+++ b/src/wire/wire_jobs.h
@@ -23,7 +23,8 @@
     BD_PRIORITY_PRODUCTION
 };
 
-/* A job spec as submitted, with names not yet resolved to indices. Resources are per task. */
+/* A job spec as submitted, with names not yet resolved to indices; long ones are shortened, see
+ * bd_wire_shorten_name. Resources are per task. */
 struct bd_job_spec_text {
     char job_class[BD_LABEL_BYTES]; /* jobs of a class have similar run times and the same
                                        service-level objectives */
@@ -31,7 +32,8 @@
     char image[BD_LABEL_BYTES];
     char zone[BD_LABEL_BYTES]; /* required zone; empty: any */
     char types[BD_TYPES_MAX][BD_LABEL_BYTES];
-    int type_count; /* entries of `types`, the allowed machine types; -1: any type */
+    int type_count;      /* entries of `types`, the allowed machine types; -1: any type */
+    bool has_more_types; /* more types are allowed than fit into `types` */
     enum bd_job_kind kind;
     enum bd_priority priority;
     uint32_t tasks; /* 1 to BD_TASKS_MAX */
@@ -86,6 +88,9 @@
  * is the job id if that is valid, also when another field is not; otherwise it is empty. */
 const char *bd_wire_read_submission(json_t *body, char id[BD_JOB_ID_BYTES],
                                     struct bd_job_spec_text *out);
+/* Keeps in the spec only those of the submission's machine types that are wanted, each once. */
+void bd_wire_select_types(json_t *body, bool (*is_wanted)(const void *arg, const char *label),
+                          const void *arg, struct bd_job_spec_text *spec);
 /* Reads the parents in a submission into a new array of distinct job ids, or NULL if there are
  * none. Returns false and sets `out` to NULL if they are malformed or if out of memory. */
 bool bd_wire_read_parents(json_t *body, json_t **out);
--- a/src/wire/wire_store.c
+++ b/src/wire/wire_store.c
@@ -116,18 +116,16 @@
     return bd_json_written_bytes(value);
 }
 
-/* FNV-1a over the strings, with a comma after each. */
+/* Each string is followed by a comma. */
 uint64_t bd_wire_hash_names(json_t *names)
 {
-    const uint64_t prime = 1099511628211u;
-    uint64_t hash = 1469598103934665603u;
+    uint64_t hash = BD_WIRE_HASH_BASIS;
     json_t *name;
     size_t i;
     json_array_foreach(names, i, name)
     {
-        for (const char *c = json_string_value(name); c && *c; c++)
-            hash = (hash ^ (unsigned char)*c) * prime;
-        hash = (hash ^ ',') * prime;
+        hash = bd_wire_hash_text(hash, json_string_value(name));
+        hash = bd_wire_hash_text(hash, ",");
     }
     return hash;
 }
--- a/tests/drawn_requests.c
+++ b/tests/drawn_requests.c
@@ -35,7 +35,9 @@
         "😀 a/b",
         "with \"quotes\" and \\",
         "tab\tand\nline",
-        "a name of sixty-three bytes: the longest that fits into a label"};
+        "a name of sixty-three bytes: the longest that fits into a label",
+        "a name of sixty-four bytes or a little more, which no label can hold",
+        "日本語の長い名前は六十四バイトを超えるかもしれませんが、それでも名前です"};
     return names[spelling_draw(spelling, sizeof names / sizeof *names)];
 }
 
--- a/tests/drawn_submissions.c
+++ b/tests/drawn_submissions.c
@@ -1,4 +1,5 @@
 /* Drawn submissions against the pure core. */
+#include "base/json_reader.h"
 #include "base/json_writer.h"
 #include "base/timeutil.h"
 #include "brambledoor/log.h"
@@ -14,7 +15,7 @@
 
 #define TIME_S 1000.0
 #define STORE_REVISION UINT64_C(18446744073709551000) /* beyond 63 bits */
-#define MANY_TYPES 20
+#define MANY_TYPES 200
 
 static const struct bd_log silent_log = {BD_LOG_ERROR, "drawn"};
 
@@ -155,6 +156,25 @@
         draw_amount(spelling), "dueS", deadline, "awaits");
 }
 
+/* Whether an older controller, whose buffers hold labels, reads the job's record. */
+static bool is_readable_by_older(const char *txn)
+{
+    json_t *read = bd_json_read(txn, strcspn(txn, "\n"), NULL, NULL), *type;
+    json_t *operation = json_array_get(json_object_get(read, "apply"), 0);
+    json_t *spec = json_object_get(json_object_get(operation, "value"), "job");
+    json_t *types = json_object_get(spec, "breeds");
+    bool is_readable = json_string_length(json_object_get(spec, "kin")) < BD_LABEL_BYTES &&
+                       json_string_length(json_object_get(spec, "seed")) < BD_LABEL_BYTES &&
+                       json_array_size(types) <= BD_TYPES_MAX;
+    size_t i;
+    json_array_foreach(types, i, type)
+    {
+        is_readable = is_readable && json_string_length(type) < BD_LABEL_BYTES;
+    }
+    json_decref(read);
+    return is_readable;
+}
+
 /* Guards against a sound submission that is refused, or becomes another job than its plain form. */
 static void check_sound(struct spelling *spelling, json_t *submission)
 {
@@ -166,6 +186,8 @@
     drawn_check(drawn.status == plain.status && is_same(drawn.body, plain.body) &&
                     is_same(drawn.txn, plain.txn),
                 "its record and answer are those of its plain form", text);
+    drawn_check(drawn.txn && is_readable_by_older(drawn.txn),
+                "an older controller reads its record", text);
     unsigned jobs = HASH_COUNT(core->jobs);
     char *repeated_text = spelling_write(spelling, submission);
     struct outcome repeated = submit(core, repeated_text);
@@ -204,6 +226,8 @@
     {"household", NULL, 400},
     {"household", "null", 400},
     {"household", "\"nobody\"", 422},
+    {"household", "\"a team whose name has more than sixty-four bytes, as no team's name has\"",
+     422},
     {"shape", "\"ring\"", 400},
     {"shape", "\"gang\\u0000\"", 400},
     {"rank", "\"highest\"", 400},
