Admission: a record too large for now is not malformed

Callers saw: 400 "malformed: longer than can be kept", which is final, for a sound submission to a controller that had lowered its estimate of the store's limits after rejected transactions; on a follower until it restarted, since only the leader raised the estimate again.

Cause: the same class: a limit of our own was given as the user's mistake.

Change: while the limits are lowered the answer is 503 with Retry-After, and each admission raises them if they are due.

Why it works: 400 is now given for nothing but the body and its fields.

--- a/src/jobs/admission.c
+++ b/src/jobs/admission.c
@@ -12,6 +12,7 @@
 #include "model/catalog.h"
 #include "model/core_state.h"
 #include "model/effect.h"
+#include "model/kv_limits.h"
 #include "model/peers.h"
 #include "model/replica_state.h"
 #include "wire/frame.h"
@@ -25,6 +26,7 @@
 #define EXTRA_LOOKUPS_MAX 16u
 #define NOT_READY_RETRY_AFTER_S 1
 #define UNFINISHED_RETRY_AFTER_S 10
+#define TOO_LARGE_RETRY_AFTER_S 10 /* the time between two raises of the store's limits */
 
 /* What the replica knows of a submission's parents. */
 struct parents_status {
@@ -95,12 +97,15 @@
                               bool is_cancelled)
 {
     admission->record.state = is_cancelled ? BD_JOB_CANCELLED : BD_JOB_ACTIVE;
+    bd_kv_limits_raise_sizes(core);
     char *body = bd_admission_txns(core, admission);
     if (body)
         bd_user_txns_emit(core, admission->request, admission->id, body, BD_PURPOSE_STATUS);
+    else if (bd_kv_limits_values_are_lowered(core))
+        bd_effect_reply_error(core, admission->request, 503, "not ready", TOO_LARGE_RETRY_AFTER_S);
     else
-        bd_effect_reply_error(core, admission->request, 400, "malformed: longer than can be kept",
-                              0);
+        bd_effect_reply_error(core, admission->request, 422,
+                              "can never run: longer than can be kept", 0);
 }
 
 /* There are as many unfinished jobs as the controllers' memory allows. */
--- a/src/model/kv_limits.c
+++ b/src/model/kv_limits.c
@@ -76,6 +76,11 @@
            limits->kv_txn_ops_max < before.kv_txn_ops_max;
 }
 
+bool bd_kv_limits_values_are_lowered(const struct bd_core *core)
+{
+    return core->kv_limits.kv_value_bytes_max < bd_kv_limits_value_bytes(core->settings);
+}
+
 size_t bd_kv_limits_txn_ops(const struct bd_core *core)
 {
     size_t ops_per_s = (size_t)core->kv_limits.writes_per_s;
@@ -100,7 +105,7 @@
 
 /* The store may have raised its limit again, or a rejection may have had another cause. A raise too
  * far costs one rejected transaction, which is planned again. */
-static void raise_sizes(struct bd_core *core)
+void bd_kv_limits_raise_sizes(struct bd_core *core)
 {
     struct bd_kv_limits *limits = &core->kv_limits;
     const struct bd_settings *settings = core->settings;
@@ -151,7 +156,7 @@
 void bd_write_budget_refill(struct bd_core *core)
 {
     double rate = core->kv_limits.writes_per_s * LEADER_SHARE;
-    raise_sizes(core);
+    bd_kv_limits_raise_sizes(core);
     raise_rate(core);
     core->lead.write_budget += rate * bd_seconds_between(core->lead.write_budget_at, core->now);
     if (core->lead.write_budget > rate)
--- a/src/model/kv_limits.h
+++ b/src/model/kv_limits.h
@@ -24,6 +24,11 @@
 /* Lowers the size limits after a transaction was rejected as malformed (400); `what` names it in
  * the log. False: the limits are at their minimum, so the size was not the cause. */
 bool bd_kv_limits_lower_after_rejection(struct bd_core *core, const char *what);
+/* Raises the size limits again if there was no rejection for long enough. The leader does this at
+ * each tick, a follower before it writes a user's transaction. */
+void bd_kv_limits_raise_sizes(struct bd_core *core);
+/* Whether the size limit of a value is below that of the settings for now. */
+bool bd_kv_limits_values_are_lowered(const struct bd_core *core);
 /* The number of changes that one transaction may hold now; at most what the rate allows in a
  * second, since a larger one would always exceed the rate. */
 size_t bd_kv_limits_txn_ops(const struct bd_core *core);
