--- a/tests/sim_events.c
+++ b/tests/sim_events.c
@@ -1,8 +1,10 @@
 /* The event queue of a simulated day, its random numbers and its output. */
+#include "base/json_reader.h"
 #include "simulation.h"
 #include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 
 double sim_random(struct sim *sim)
 {
@@ -19,6 +21,24 @@
     return sim_random(sim) < 0.02 ? sim_uniform(sim, 0.05, 0.4) : sim_uniform(sim, 0.001, 0.006);
 }
 
+char *sim_spell(struct sim *sim, json_t *message)
+{
+    return sim->has_odd_spellings ? spelling_write(&sim->spelling, message)
+                                  : json_dumps(message, JSON_COMPACT);
+}
+
+json_t *sim_spell_and_read(struct sim *sim, json_t *message)
+{
+    if (!message || !sim->has_odd_spellings)
+        return json_incref(message);
+    char *text = sim_spell(sim, message);
+    json_t *read = bd_json_read(text, strlen(text), NULL, NULL);
+    if (!read)
+        sim_violation(sim, "unreadable: %.200s", text);
+    free(text);
+    return read;
+}
+
 void sim_trace(struct sim *sim, const char *fmt, ...)
 {
     va_list ap;
--- a/tests/sim_heartbeats.c
+++ b/tests/sim_heartbeats.c
@@ -30,7 +30,7 @@
                   addr, "breed", worker->type, "glade", worker->zone, "windfall", 0, "tenancy",
                   (json_int_t)worker->incarnation, "tally", (json_int_t)++worker->seq, "seal",
                   (json_int_t)worker->fencing_token, "warningS", "chores", list);
-    char *text = json_dumps(heartbeat, JSON_COMPACT);
+    char *text = sim_spell(sim, heartbeat);
     json_decref(heartbeat);
     return text;
 }
--- a/tests/sim_node.c
+++ b/tests/sim_node.c
@@ -154,12 +154,9 @@
     }
 }
 
-void sim_node_answered(struct sim *sim, struct sim_call *call, long status, json_t *answer)
+static void pass_answer(struct sim *sim, struct sim_node *node, struct sim_call *call, long status,
+                        json_t *answer)
 {
-    struct sim_node *node = &sim->nodes[call->node];
-    if (!node->core || node->epoch != call->epoch)
-        return;
-    sim_node_set_clock(sim, node);
     switch (call->purpose) {
     case SIM_FOR_LIST:
     case SIM_FOR_REFRESH:
@@ -191,6 +188,17 @@
     default:
         sim_election_answered(sim, node, call, status, answer);
     }
+}
+
+void sim_node_answered(struct sim *sim, struct sim_call *call, long status, json_t *answer)
+{
+    struct sim_node *node = &sim->nodes[call->node];
+    if (!node->core || node->epoch != call->epoch)
+        return;
+    json_t *read = sim_spell_and_read(sim, answer);
+    sim_node_set_clock(sim, node);
+    pass_answer(sim, node, call, status, read);
+    json_decref(read);
     sim_node_step(sim, node);
 }
 
--- a/tests/sim_plan.c
+++ b/tests/sim_plan.c
@@ -183,6 +183,8 @@
         plan->has_one_task_jobs = (int)values[0];
     else if (strcmp(name, "large-arrays") == 0)
         plan->has_large_arrays = (int)values[0];
+    else if (strcmp(name, "odd-spellings") == 0)
+        plan->has_odd_spellings = (int)values[0];
     else if (strcmp(name, "drains") == 0)
         plan->has_drains = (int)values[0];
     else if (strcmp(name, "machines") == 0)
--- a/tests/sim_plan.h
+++ b/tests/sim_plan.h
@@ -16,8 +16,8 @@
         double first_value, second_value; /* their meaning depends on the kind */
     } faults[PLAN_FAULTS_MAX];
     int nfaults, jobs, machines, services;
-    int has_one_task_jobs, has_large_arrays, has_drains; /* 0 or 1 */
-    uint32_t budgets[2];                                 /* by team */
+    int has_one_task_jobs, has_large_arrays, has_drains, has_odd_spellings; /* 0 or 1 */
+    uint32_t budgets[2];                                                    /* by team */
     double cancelled_share, image_fetch_s;
 };
 
--- a/tests/sim_receive.c
+++ b/tests/sim_receive.c
@@ -28,7 +28,7 @@
 
 static bool read_heartbeat(const char *text, struct bd_heartbeat *heartbeat)
 {
-    json_t *json = text ? json_loads(text, 0, NULL) : NULL;
+    json_t *json = text ? bd_wire_parse_heartbeat(text, strlen(text), NULL) : NULL;
     bool is_valid = json && bd_wire_read_heartbeat(json, heartbeat);
     json_decref(json);
     return is_valid;
--- a/tests/sim_users.c
+++ b/tests/sim_users.c
@@ -34,7 +34,9 @@
              job->id, job->team ? "b" : "a", kind_names[job->kind], priority_names[job->priority],
              job->tasks, job->cpus, job->is_invalid && job_index % 2 ? "" : "\"accelerators\":0,",
              job->zone);
-    event->text = strdup(text);
+    json_t *submission = json_loads(text, 0, NULL);
+    event->text = sim->has_odd_spellings ? sim_spell(sim, submission) : strdup(text);
+    json_decref(submission);
 }
 
 int sim_healthy_node(struct sim *sim)
--- a/tests/simulation.c
+++ b/tests/simulation.c
@@ -17,6 +17,8 @@
  * - jobs N: how many jobs are submitted
  * - cancelled-share SHARE: the share of the jobs that users cancel
  * - one-task-jobs 1: each job is one short task
+ * - odd-spellings 1: users, workers and the store spell their messages in drawn ways, with unknown
+ *   fields; so they do on all drawn days
  * - large-arrays 1: some arrays have hundreds of tasks, and their users cancel them
  * - image-fetch-s SECONDS: how long each task fetches its image
  * - machines N: how many machines there are at the start
@@ -133,6 +135,9 @@
     sim_day_begin(sim, plan, seed);
     sim->is_verbose = output != QUIET;
     sim->digest = digest;
+    /* digests compare versions, of which older ones do not read all spellings */
+    sim->has_odd_spellings = plan->has_odd_spellings && !digest;
+    sim->spelling = spelling_from_seed(seed);
     for (int i = 0; output == VERBOSE_WITH_LOG && i < SIM_NODES; i++)
         sim->nodes[i].log.level = BD_LOG_DEBUG;
     while (is_day_running(sim))
@@ -162,12 +167,18 @@
     return NULL;
 }
 
+static void draw_plan(struct sim_plan *plan, const struct kind *kind, unsigned long seed)
+{
+    kind->draw(plan, seed);
+    plan->has_odd_spellings = 1;
+}
+
 /* Draws the plan of a kind of day, or reads it from a file. Returns false if there is neither. */
 static bool load_plan(struct sim_plan *plan, const char *name, unsigned long seed)
 {
     const struct kind *kind = find_kind(name);
     if (kind)
-        kind->draw(plan, seed);
+        draw_plan(plan, kind, seed);
     return kind || sim_plan_read(plan, name);
 }
 
@@ -196,7 +207,7 @@
     int failed = 0;
     for (unsigned long seed = from; seed < from + count; seed++) {
         if (kind)
-            kind->draw(plan, seed);
+            draw_plan(plan, kind, seed);
         failed += play(plan, seed, QUIET, NULL) != 0;
     }
     return failed;
--- a/tests/simulation.h
+++ b/tests/simulation.h
@@ -10,6 +10,7 @@
 #include "drain/drain.h"
 #include "drain_check.h"
 #include "key_table.h"
+#include "spelling.h"
 #include "wire/frame.h"
 #include "wire/wire.h"
 #include "wire/wire_limits.h"
@@ -218,6 +219,8 @@
     struct drain_check check;
     bool drains_stand;      /* since a pause or a cancellation, no drain is active */
     uint32_t stops_left[2]; /* by team: replicas that may still be stopped while the drains stand */
+    struct spelling spelling;
+    bool has_odd_spellings; /* messages to the controllers are spelt in drawn ways */
     bool is_verbose;
     struct behaviour_digest *digest; /* NULL: steps are not digested */
 };
@@ -234,6 +237,11 @@
 /* Draws whether a command or an answer that is sent now is delayed by a fault. */
 bool sim_draw_command_delayed(struct sim *sim);
 double sim_network_delay(struct sim *sim); /* drawn, in seconds */
+/* Returns the text of a message to a controller, which the caller frees; spelt in a drawn way on a
+ * day with odd spellings. */
+char *sim_spell(struct sim *sim, json_t *message);
+/* Returns the message as a controller reads it, a new reference. NULL: no message. */
+json_t *sim_spell_and_read(struct sim *sim, json_t *message);
 
 /* key-value store, sim_store.c */
 void sim_store_call(struct sim *sim, struct sim_call *call, double timeout_s);
