--- a/src/base/json_reader.c
+++ b/src/base/json_reader.c
@@ -70,7 +70,7 @@
     return yajl_get_bytes_consumed(builder->parser);
 }
 
-/* Consumes the value, and puts it where the parse stands. */
+/* Consumes the value, and puts it into the open container, or at the root. */
 static int add_value(struct builder *builder, json_t *value)
 {
     json_t *parent = builder->depth > 0 ? builder->open[builder->depth - 1] : NULL;
@@ -147,19 +147,23 @@
 
 /* ---- containers and members ---- */
 
+/* Whether the container at which the parse stands is skipped; one that is too deep is replaced. */
+static bool skip_container(struct builder *builder)
+{
+    bool is_skipped = builder->skips_value || builder->skipped_depth > 0;
+    if (!is_skipped && builder->depth < builder->depth_max)
+        return false;
+    if (!is_skipped)
+        (void)add_value(builder, json_object());
+    builder->skips_value = false;
+    builder->skipped_depth++;
+    builder->token_end = end_of_token(builder);
+    return true;
+}
+
 /* Consumes the container. */
 static int open_container(struct builder *builder, json_t *container)
 {
-    bool is_too_deep = builder->depth == builder->depth_max;
-    if (builder->skips_value || builder->skipped_depth > 0 || is_too_deep) {
-        json_decref(container);
-        if (is_too_deep && !builder->skips_value && builder->skipped_depth == 0)
-            (void)add_value(builder, json_object());
-        builder->skips_value = false;
-        builder->skipped_depth++;
-        builder->token_end = end_of_token(builder);
-        return CONTINUE;
-    }
     (void)add_value(builder, container);
     builder->open[builder->depth++] = container;
     return CONTINUE;
@@ -178,12 +182,12 @@
 
 static int on_start_object(void *context)
 {
-    return open_container(context, json_object());
+    return skip_container(context) ? CONTINUE : open_container(context, json_object());
 }
 
 static int on_start_array(void *context)
 {
-    return open_container(context, json_array());
+    return skip_container(context) ? CONTINUE : open_container(context, json_array());
 }
 
 /* Whether the message's reader uses a member of this name. */
