API server: deadlines for requests and answers, and room for complete ones

Callers saw: while some hundreds of connections sent half a header or half a body and then nothing, /up and every new request of that controller went unanswered for as long as they stayed; a byte now and then kept one open for ever.

Cause: users, workers and the load balancer share one limit of connections, and only an idle connection was timed out, after 120 s.

Change: adapters/api_connections.c watches each connection: a request has a deadline from its first byte, an answer one from when it is ready (the new operators' settings request-s and answer-s). The log counts each connection closed with its reason.

--- a/include/brambledoor/settings.h
+++ b/include/brambledoor/settings.h
@@ -102,7 +102,9 @@
     double headroom_share;      /* headroom, as a multiple of what the objectives require */
     /* An idle machine is returned after this many boot times of its machine type. */
     double idle_boot_times;
-    struct bd_drain_rules *draining; /* owned, freed with free(); NULL: draining is off */
+    struct timespec request_deadline; /* from a request's first byte to its last */
+    struct timespec answer_deadline;  /* until a client has read the answer to its request */
+    struct bd_drain_rules *draining;  /* owned, freed with free(); NULL: draining is off */
 };
 
 /* Reads the platform's file into `settings`, whose previous content is overwritten, and sets the
--- a/src/adapters/api_server.c
+++ b/src/adapters/api_server.c
@@ -1,4 +1,5 @@
 #include "adapters/api_server.h"
+#include "adapters/api_connections.h"
 #include "adapters/api_route.h"
 #include "adapters/event.h"
 #include "adapters/json_response.h"
@@ -38,6 +39,7 @@
  * connection is then suspended, and only the owner thread may use the request. */
 struct request {
     struct bd_request_origin origin; /* first: see model/effect.h; all zero: not forwarded */
+    struct bd_api_server *server;
     struct MHD_Connection *connection;
     char *body;
     size_t body_len, body_capacity;
@@ -52,29 +54,39 @@
 
 /* Lives as long as the process. */
 struct bd_api_server {
-    struct MHD_Daemon *daemon;         /* runs the polling thread */
+    struct MHD_Daemon *daemon; /* runs the polling thread */
+    struct bd_connections *connections;
     atomic_int pending_requests;       /* posted to the owner thread and not answered yet */
     size_t body_bytes, body_bytes_max; /* of all requests' bodies; polling thread only */
 };
 
 /* ---- replies ---- */
 
+/* The watched connection. NULL: it is not watched. */
+static struct bd_connection *watched(struct MHD_Connection *connection)
+{
+    return MHD_get_connection_info(connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT)->socket_context;
+}
+
 /* Takes ownership of body. */
-static enum MHD_Result send_reply(struct MHD_Connection *connection, int status, char *body,
+static enum MHD_Result send_reply(const struct request *request, int status, char *body,
                                   int retry_after_s)
 {
+    struct bd_connection *connection = watched(request->connection);
     struct bd_json_response response = {status, body, retry_after_s, false};
     /* a new connection lets the load balancer send the retry to another controller */
-    response.closes_connection = status == MHD_HTTP_SERVICE_UNAVAILABLE;
-    return bd_json_response_send(connection, &response);
+    response.closes_connection =
+        status == MHD_HTTP_SERVICE_UNAVAILABLE || bd_connection_is_surplus(connection);
+    bd_connection_answer_began(request->server->connections, connection);
+    return bd_json_response_send(request->connection, &response);
 }
 
-static enum MHD_Result send_error(struct MHD_Connection *connection, int status,
-                                  const char *message, int retry_after_s)
+static enum MHD_Result send_error(const struct request *request, int status, const char *message,
+                                  int retry_after_s)
 {
     char body[128];
     snprintf(body, sizeof body, "{\"error\":\"%s\"}", message);
-    return send_reply(connection, status, strdup(body), retry_after_s);
+    return send_reply(request, status, strdup(body), retry_after_s);
 }
 
 static enum bd_timing timing_of(enum bd_event_kind kind)
@@ -104,7 +116,7 @@
     char *body = request->reply_body;
     request->reply_body = NULL;
     request->reply_len = body ? strlen(body) : 0;
-    return send_reply(request->connection, request->reply_status, body, request->retry_after_s);
+    return send_reply(request, request->reply_status, body, request->retry_after_s);
 }
 
 /* ---- bodies ---- */
@@ -180,28 +192,27 @@
 {
     request->is_health_check = true;
     if (strcmp(method, "GET") != 0)
-        return send_error(request->connection, MHD_HTTP_METHOD_NOT_ALLOWED, "wrong method", 0);
+        return send_error(request, MHD_HTTP_METHOD_NOT_ALLOWED, "wrong method", 0);
     if (!atomic_load(&node->is_healthy))
-        return send_error(request->connection, MHD_HTTP_SERVICE_UNAVAILABLE, "not ready",
-                          BUSY_RETRY_S);
-    return send_reply(request->connection, MHD_HTTP_OK, strdup("{\"up\":true}"), 0);
+        return send_error(request, MHD_HTTP_SERVICE_UNAVAILABLE, "not ready", BUSY_RETRY_S);
+    return send_reply(request, MHD_HTTP_OK, strdup("{\"up\":true}"), 0);
 }
 
 static enum MHD_Result handle_request(struct bd_node *node, struct request *request,
                                       const char *method, const char *url)
 {
-    struct MHD_Connection *connection = request->connection;
+    bd_connection_request_received(node->api_server->connections, watched(request->connection));
     if (strcmp(url, BD_PATH_HEALTH) == 0)
         return reply_health(node, request, method);
     struct bd_api_route route = bd_api_find_route(method, url);
     if (route.error_status == MHD_HTTP_NOT_FOUND)
-        return send_error(connection, route.error_status, "no such path", 0);
+        return send_error(request, route.error_status, "no such path", 0);
     if (route.error_status)
-        return send_error(connection, route.error_status, "wrong method", 0);
+        return send_error(request, route.error_status, "wrong method", 0);
     if (request->body_too_large)
-        return send_error(connection, MHD_HTTP_CONTENT_TOO_LARGE, "body over 64 KiB", 0);
+        return send_error(request, MHD_HTTP_CONTENT_TOO_LARGE, "body over 64 KiB", 0);
     if (request->body_memory_exhausted || !may_admit(node, route.kind))
-        return send_error(connection, MHD_HTTP_SERVICE_UNAVAILABLE, "busy", BUSY_RETRY_S);
+        return send_error(request, MHD_HTTP_SERVICE_UNAVAILABLE, "busy", BUSY_RETRY_S);
     return post_to_owner(node, request, &route);
 }
 
@@ -220,6 +231,7 @@
         request = calloc(1, sizeof *request);
         if (!request)
             return MHD_NO;
+        request->server = node->api_server;
         request->connection = connection;
         *context = request;
         return MHD_YES;
@@ -260,10 +272,25 @@
                                enum MHD_ConnectionNotificationCode code)
 {
     struct bd_node *node = arg;
-    (void)connection;
-    (void)context;
-    if (code == MHD_CONNECTION_NOTIFY_STARTED)
+    struct bd_connections *connections = node->api_server->connections;
+    if (code == MHD_CONNECTION_NOTIFY_STARTED) {
         bd_count_connections(bd_metrics_counter(node->metrics, BD_TRAFFIC_HEARTBEAT), 1);
+        int socket =
+            MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd;
+        *context = bd_connection_opened(connections, socket);
+    } else {
+        bd_connection_closed(connections, *context);
+        *context = NULL;
+    }
+}
+
+/* Called once the first line of a request is received. Returns the request's first context. */
+static void *request_began(void *arg, const char *url, struct MHD_Connection *connection)
+{
+    const struct bd_node *node = arg;
+    (void)url;
+    bd_connection_request_began(node->api_server->connections, watched(connection));
+    return NULL;
 }
 
 static void request_completed(void *arg, struct MHD_Connection *connection, void **context,
@@ -271,8 +298,8 @@
 {
     struct bd_node *node = arg;
     struct request *request = *context;
-    (void)connection;
     (void)code;
+    bd_connection_request_ended(node->api_server->connections, watched(connection));
     if (!request)
         return;
     node->api_server->body_bytes -= request->body_len;
@@ -300,10 +327,10 @@
         node, MHD_OPTION_SOCK_ADDR, (struct sockaddr *)address, MHD_OPTION_CONNECTION_LIMIT,
         connections_max(&node->settings), MHD_OPTION_CONNECTION_TIMEOUT, CONNECTION_IDLE_S,
         MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_MEMORY_BYTES,
-        MHD_OPTION_NOTIFY_COMPLETED, request_completed, node, MHD_OPTION_NOTIFY_CONNECTION,
-        connection_changed, node, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u,
-        MHD_OPTION_LISTEN_BACKLOG_SIZE, LISTEN_BACKLOG, MHD_OPTION_THREAD_STACK_SIZE,
-        (size_t)BD_THREAD_STACK_BYTES, MHD_OPTION_END);
+        MHD_OPTION_URI_LOG_CALLBACK, request_began, node, MHD_OPTION_NOTIFY_COMPLETED,
+        request_completed, node, MHD_OPTION_NOTIFY_CONNECTION, connection_changed, node,
+        MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u, MHD_OPTION_LISTEN_BACKLOG_SIZE, LISTEN_BACKLOG,
+        MHD_OPTION_THREAD_STACK_SIZE, (size_t)BD_THREAD_STACK_BYTES, MHD_OPTION_END);
 }
 
 int bd_api_start(struct bd_node *node)
@@ -316,6 +343,10 @@
         return -1;
     node->api_server = server;
     server->body_bytes_max = (size_t)(node->settings.ram_mb * BODY_MEMORY_SHARE * BD_BYTES_PER_MB);
+    server->connections =
+        bd_connections_new(&node->settings, node->metrics, connections_max(&node->settings));
+    if (!server->connections)
+        return -1;
     server->daemon = start_daemon(node, &address);
     return server->daemon ? 0 : -1;
 }
--- a/src/base/metrics.c
+++ b/src/base/metrics.c
@@ -15,6 +15,7 @@
 
 struct bd_metrics {
     struct bd_counter counters[BD_TRAFFIC_KINDS];
+    atomic_uint closed[BD_CLOSINGS];
     gsl_histogram *histograms[BD_TIMINGS];
     double longest_s[BD_TIMINGS]; /* exact maximum; the histogram only gives its bin */
 };
@@ -23,6 +24,8 @@
     "heartbeat", "status-read",    "submission",  "cancellation", "health",
     "invalid",   "refresh",        "commit",      "user-txn",     "election",
     "cloud",     "direct-command", "peer-status", "forward"};
+static const char *const closing_names[BD_CLOSINGS] = {"request-deadline", "answer-deadline",
+                                                       "room"};
 static const char *const timing_names[BD_TIMINGS] = {
     "queue", "heartbeat", "status-read", "submission", "cancellation",
     "cycle", "commit",    "start",       "failover",   "direct-command"};
@@ -89,6 +92,12 @@
         atomic_fetch_add(&counter->connections, connections);
 }
 
+void bd_count_closed(struct bd_metrics *metrics, enum bd_closing reason)
+{
+    if (metrics)
+        atomic_fetch_add(&metrics->closed[reason], 1);
+}
+
 void bd_count_write(struct bd_counter *counter)
 {
     if (counter)
@@ -124,6 +133,15 @@
                  connections / interval_s, writes / interval_s);
 }
 
+static void report_closed(struct bd_metrics *metrics, const struct bd_log *log)
+{
+    for (size_t i = 0; i < BD_CLOSINGS; i++) {
+        unsigned closed = atomic_exchange(&metrics->closed[i], 0);
+        if (closed > 0)
+            bd_log_write(log, BD_LOG_INFO, "closed %s: %u connections", closing_names[i], closed);
+    }
+}
+
 /* Returns the upper edge of the bin that contains the quantile, limited to the longest duration, in
  * milliseconds. `total` is the number of durations. */
 static double quantile_ms(const struct bd_metrics *metrics, enum bd_timing timing, double fraction,
@@ -169,6 +187,7 @@
         return;
     for (size_t i = 0; i < BD_TRAFFIC_KINDS; i++)
         report_traffic(&metrics->counters[i], traffic_names[i], log, interval_s);
+    report_closed(metrics, log);
     for (size_t i = 0; i < BD_TIMINGS; i++)
         report_timing(metrics, (enum bd_timing)i, log);
     report_memory(log);
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -41,6 +41,14 @@
     atomic_ullong writes;      /* system calls that sent bytes */
 };
 
+/* Why the API server closed a connection. */
+enum bd_closing {
+    BD_CLOSING_REQUEST_DEADLINE, /* a request was not complete in time */
+    BD_CLOSING_ANSWER_DEADLINE,  /* the client did not read the answer in time */
+    BD_CLOSING_ROOM,             /* others needed the connection, which had no complete request */
+    BD_CLOSINGS                  /* number of reasons */
+};
+
 enum bd_timing {
     BD_TIMING_QUEUE, /* from the arrival of an event to its handling by the event loop */
     /* from the arrival of a request to its reply */
@@ -71,6 +79,8 @@
 void bd_count_message(struct bd_counter *counter, size_t bytes_out, size_t bytes_in);
 /* Counts opened connections. */
 void bd_count_connections(struct bd_counter *counter, unsigned connections);
+/* Counts a connection that the API server closed. If `metrics` is NULL, nothing is counted. */
+void bd_count_closed(struct bd_metrics *metrics, enum bd_closing reason);
 /* Counts one system call that sent bytes. */
 void bd_count_write(struct bd_counter *counter);
 
--- a/src/runtime/operators_file.c
+++ b/src/runtime/operators_file.c
@@ -14,6 +14,7 @@
 
 #define FILE_BYTES_MAX 65536u
 #define MESSAGE_BYTES 96
+#define DEADLINE_MIN_S 1.0 /* the interval at which deadlines are checked */
 
 static void check_content(struct bd_settings_reader *reader, const char *content, size_t size)
 {
@@ -57,6 +58,12 @@
         settings->headroom_share = number;
     else if (strcmp(name, "idle-boots") == 0)
         settings->idle_boot_times = number;
+    else if (strcmp(name, "request-s") == 0 && number >= DEADLINE_MIN_S)
+        settings->request_deadline = bd_secs(number);
+    else if (strcmp(name, "answer-s") == 0 && number >= DEADLINE_MIN_S)
+        settings->answer_deadline = bd_secs(number);
+    else if (strcmp(name, "request-s") == 0 || strcmp(name, "answer-s") == 0)
+        bd_settings_report_error(reader, name, "must be a number of at least 1");
     else
         bd_settings_report_error(reader, name, "unknown field");
 }
--- a/src/runtime/settings.c
+++ b/src/runtime/settings.c
@@ -18,6 +18,9 @@
 #define SOCKETS_MIN 128.0
 #define HEADROOM_SHARE_DEFAULT 1.6
 #define IDLE_BOOTS_DEFAULT 0.7
+/* Users give a request up after 5 s, workers after 4 s. */
+#define REQUEST_DEADLINE_DEFAULT_S 10.0
+#define ANSWER_DEADLINE_DEFAULT_S 10.0
 #define CANCEL_MARGIN_S 1.0 /* cancel_s must exceed lease_s by at least this */
 #define HEARTBEAT_INTERVAL_MIN_S 0.01
 #define LEASE_MIN_S 0.1
@@ -261,6 +264,8 @@
     memset(settings, 0, sizeof *settings);
     settings->headroom_share = HEADROOM_SHARE_DEFAULT;
     settings->idle_boot_times = IDLE_BOOTS_DEFAULT;
+    settings->request_deadline = bd_secs(REQUEST_DEADLINE_DEFAULT_S);
+    settings->answer_deadline = bd_secs(ANSWER_DEADLINE_DEFAULT_S);
     json_t *root = json_load_file(path, 0, &json_error);
     if (!root) {
         snprintf(error, error_size, "%s: line %d: %s", path, json_error.line, json_error.text);
--- a/tests/inputs_settings.c
+++ b/tests/inputs_settings.c
@@ -176,6 +176,13 @@
     inputs_check(read_operators("(spare-share much)", error, sizeof error, settings) == -1 &&
                      strstr(error, "spare-share"),
                  "operators: not a number");
+    inputs_check(read_operators("(request-s 3) (answer-s 4)", error, sizeof error, settings) == 0 &&
+                     bd_to_secs(settings->request_deadline) == 3.0 &&
+                     bd_to_secs(settings->answer_deadline) == 4.0,
+                 "operators: deadlines of requests and answers");
+    inputs_check(read_operators("(request-s 0)", error, sizeof error, settings) == -1 &&
+                     strstr(error, "request-s"),
+                 "operators: no time for a request");
     inputs_check(read_operators("(no-such 1)", error, sizeof error, settings) == -1 &&
                      strstr(error, "no-such"),
                  "operators: unknown field");
--- a/tests/loopback.c
+++ b/tests/loopback.c
@@ -31,6 +31,7 @@
 static const struct mode upgrade = {"upgrade", test_rolling_upgrade, 29, true};
 static const struct mode named_modes[] = {{"faults", test_faults, 6, true},
                                           {"overload", test_overload, 6, false},
+                                          {"slow-clients", test_slow_clients, 6, false},
                                           {"memory", test_memory, 6, false},
                                           {"memory-backlog", test_memory_after_backlog, 6, false}};
 
@@ -59,8 +60,8 @@
                     "the node still runs at the end");
 }
 
-/* loopback PROGRAM [faults|overload|memory|memory-backlog|OLDER_PROGRAM]; loopback PROGRAM capture
- * DIRECTORY */
+/* loopback PROGRAM [faults|overload|slow-clients|memory|memory-backlog|OLDER_PROGRAM]; loopback
+ * PROGRAM capture DIRECTORY */
 int main(int argc, char **argv)
 {
     struct loopback test = {0};
@@ -82,6 +83,8 @@
         nodes_finish(&test);
         return status;
     }
+    for (int i = 0; i < NODES && mode->run == test_slow_clients; i++)
+        slow_clients_write_operators_file(&test, i);
     for (int i = 0; i < NODES; i++)
         nodes_start_program(&test, i, test.older_program);
     mode->run(&test);
--- a/tests/loopback_tests.h
+++ b/tests/loopback_tests.h
@@ -18,6 +18,10 @@
 void test_rolling_upgrade(struct loopback *test); /* loopback_upgrade.c */
 void test_faults(struct loopback *test);          /* loopback_faults.c */
 void test_overload(struct loopback *test);        /* loopback_overload.c */
+/* loopback_slow_clients.c */
+void test_slow_clients(struct loopback *test);
+/* Writes the node's operators' file with short deadlines, which the node then starts with. */
+void slow_clients_write_operators_file(struct loopback *test, int node);
 /* loopback_memory.c */
 void test_memory(struct loopback *test);
 void test_memory_after_backlog(struct loopback *test);
