Simulation: late commands, rentals and returns, machines back within a second

New faults: late-commands (direct commands executed up to cancel_s and 30 s later), late-cloud (rentals and returns executed after the answer was given up) and machine-restart (back under its name within a second, with a new session).

--- a/tests/sim_effects.c
+++ b/tests/sim_effects.c
@@ -9,6 +9,9 @@
 #include <stdlib.h>
 #include <string.h>
 
+#define CLOUD_TIMEOUT_S 2.0
+#define CLOUD_LATE_MAX_S 40.0
+
 static void send_reply(struct sim *sim, struct sim_node *node, struct bd_effect *effect)
 {
     struct sim_request *request = effect->request;
@@ -67,13 +70,25 @@
     effect->body = NULL;
 }
 
-static void call_cloud(struct sim *sim, struct sim_node *node, struct bd_effect *effect)
+static void schedule_cloud(struct sim *sim, struct sim_node *node, const struct bd_effect *effect,
+                           double delay_s, enum sim_cloud_outcome outcome)
 {
-    struct sim_event *event =
-        sim_node_schedule(sim, node, sim_uniform(sim, 0.1, 0.4), SIM_CLOUD_ANSWER);
+    struct sim_event *event = sim_node_schedule(sim, node, delay_s, SIM_CLOUD_ANSWER);
     event->flag = effect->kind == BD_EFFECT_SCALE_OUT;
-    event->text = effect->body;
-    effect->body = NULL;
+    event->status = outcome;
+    event->text = strdup(effect->body);
+}
+
+/* The cloud executes the request and answers it, or executes it after its answer was given up. */
+static void call_cloud(struct sim *sim, struct sim_node *node, struct bd_effect *effect)
+{
+    if (sim_draw_share(sim, sim->late_cloud_share, sim->late_cloud_until)) {
+        schedule_cloud(sim, node, effect, CLOUD_TIMEOUT_S, SIM_CLOUD_UNANSWERED);
+        schedule_cloud(sim, node, effect, sim_uniform(sim, CLOUD_TIMEOUT_S, CLOUD_LATE_MAX_S),
+                       SIM_CLOUD_LATE);
+    } else {
+        schedule_cloud(sim, node, effect, sim_uniform(sim, 0.1, 0.4), SIM_CLOUD_ANSWERED);
+    }
 }
 
 /* Identifies who awaits the reply; 0: none. */
--- a/tests/sim_events.c
+++ b/tests/sim_events.c
@@ -89,6 +89,11 @@
     return again;
 }
 
+bool sim_draw_share(struct sim *sim, double share, double until)
+{
+    return sim->now < until && sim_random(sim) < share;
+}
+
 bool sim_draw_command_delayed(struct sim *sim)
 {
     return sim->now < sim->commands_delayed_until && sim_random(sim) < 0.3;
--- a/tests/sim_faults.c
+++ b/tests/sim_faults.c
@@ -8,6 +8,8 @@
 #include "simulation.h"
 #include <string.h>
 
+#define LATE_MAX_S 90.0 /* until a late command or call of the cloud is executed */
+
 /* Returns a controller by its number, the leader, or a random one for "any" or without a leader. */
 static int find_node(struct sim *sim, const char *name)
 {
@@ -43,6 +45,8 @@
             worker->outbound_cut_until = until;
         else if (strcmp(fault->kind, "die") == 0)
             sim_worker_remove(sim, worker);
+        else if (strcmp(fault->kind, "machine-restart") == 0)
+            sim_worker_restart(sim, worker, fault->second_value);
         else {
             worker->cut_until = until;
             worker->is_cut_buffered = strcmp(fault->kind, "cut-buffered") == 0;
@@ -107,7 +111,13 @@
         sim->zones_cut_until = until;
     else if (is_kind(fault, "delay-commands"))
         sim->commands_delayed_until = until;
-    else if (is_kind(fault, "replay") || is_kind(fault, "replay-failover")) {
+    else if (is_kind(fault, "late-commands")) {
+        sim->late_commands_share = fault->first_value;
+        sim->late_commands_until = sim->now + fault->second_value;
+    } else if (is_kind(fault, "late-cloud")) {
+        sim->late_cloud_share = fault->first_value;
+        sim->late_cloud_until = sim->now + fault->second_value;
+    } else if (is_kind(fault, "replay") || is_kind(fault, "replay-failover")) {
         sim->replay_share = fault->first_value;
         sim->replay_until = sim->now + fault->second_value;
         sim->replays_at_failover = is_kind(fault, "replay-failover");
@@ -172,6 +182,8 @@
         return 1;
     if (is_kind(fault, "replay"))
         return fault->second_value + SIM_COPY_DELAY_MAX_S;
+    if (is_kind(fault, "late-commands") || is_kind(fault, "late-cloud"))
+        return fault->second_value + LATE_MAX_S;
     bool is_share = is_kind(fault, "late-writes") || is_kind(fault, "lost-answers") ||
                     is_kind(fault, "replay-failover");
     return is_share || fault->second_value > 0 ? fault->second_value : fault->first_value;
--- a/tests/sim_plan.c
+++ b/tests/sim_plan.c
@@ -22,11 +22,11 @@
 }
 
 /* Faults that take a share of the messages and a duration. */
-static const char *const share_faults[] = {"late-writes", "lost-answers", "replay",
-                                           "replay-failover"};
+static const char *const share_faults[] = {"late-writes",     "lost-answers",  "replay",
+                                           "replay-failover", "late-commands", "late-cloud"};
 /* Faults that take a number of machines and a duration. */
-static const char *const machine_faults[] = {"hang", "inbound-cut",  "outbound-cut",
-                                             "cut",  "cut-buffered", "die"};
+static const char *const machine_faults[] = {"hang",         "inbound-cut", "outbound-cut",   "cut",
+                                             "cut-buffered", "die",         "machine-restart"};
 
 static bool is_one_of(const char *kind, const char *const *kinds, size_t count)
 {
@@ -111,6 +111,38 @@
     gsl_rng_free(rng);
 }
 
+void sim_plan_draw_late(struct sim_plan *plan, unsigned long seed)
+{
+    static const char *const kinds[] = {"late-commands", "late-cloud",      "machine-restart",
+                                        "cancel",        "machine-restart", "crash",
+                                        "burst"};
+    sim_plan_draw(plan, seed);
+    gsl_rng *rng = gsl_rng_alloc(gsl_rng_taus2);
+    if (!rng)
+        abort();
+    gsl_rng_set(rng, seed * 15485863 + 13);
+    plan->cancelled_share = 0.4;
+    double at_s = 15;
+    while (at_s < LAST_FAULT_S && plan->nfaults < 80) {
+        struct sim_fault *fault = &plan->faults[plan->nfaults++];
+        const char *kind = kinds[gsl_rng_uniform_int(rng, sizeof kinds / sizeof *kinds)];
+        double draw = gsl_rng_uniform(rng);
+        *fault =
+            (struct sim_fault){.at_s = at_s, .node = "leader", .first_value = 1 + floor(4 * draw)};
+        snprintf(fault->kind, sizeof fault->kind, "%s", kind);
+        if (strcmp(kind, "late-commands") == 0 || strcmp(kind, "late-cloud") == 0) {
+            fault->first_value = 0.2 + 0.6 * draw;
+            fault->second_value = 5 + 20 * gsl_rng_uniform(rng);
+        } else if (strcmp(kind, "machine-restart") == 0) {
+            fault->second_value = 0.1 + 0.9 * gsl_rng_uniform(rng);
+        } else if (strcmp(kind, "crash") == 0) {
+            fault->first_value = 0.2 + 3 * draw;
+        }
+        at_s += 2 + 10 * gsl_rng_uniform(rng);
+    }
+    gsl_rng_free(rng);
+}
+
 void sim_plan_draw_arrays(struct sim_plan *plan, unsigned long seed)
 {
     sim_plan_draw(plan, seed);
--- a/tests/sim_plan.h
+++ b/tests/sim_plan.h
@@ -31,4 +31,7 @@
 void sim_plan_draw_arrays(struct sim_plan *plan, unsigned long seed);
 /* As sim_plan_draw, with delays in the controllers' own queues and processes as well. */
 void sim_plan_draw_delays(struct sim_plan *plan, unsigned long seed);
+/* As sim_plan_draw, with direct commands, rentals and returns that are executed late, and machines
+ * that restart within a second. */
+void sim_plan_draw_late(struct sim_plan *plan, unsigned long seed);
 #endif
--- a/tests/sim_receive.c
+++ b/tests/sim_receive.c
@@ -15,9 +15,11 @@
 #include <string.h>
 
 #define COMMAND_TIMEOUT_S 1.5
-#define PROVISIONED_MAX 2 /* per request */
-#define RETURNED_MAX 128  /* per request */
-#define LIST_LAG_S 3      /* from provisioning a machine until the cloud lists it */
+#define LATE_COMMAND_MIN_S 2.0
+#define LATE_COMMAND_MARGIN_S 30.0 /* beyond cancel_s */
+#define PROVISIONED_MAX 2          /* per request */
+#define RETURNED_MAX 128           /* per request */
+#define LIST_LAG_S 3               /* from provisioning a machine until the cloud lists it */
 
 static bool is_cut_between(const struct sim *sim, int a, int b)
 {
@@ -122,10 +124,12 @@
         return;
     }
     command->references = 2;
-    bool is_delayed = sim_draw_command_delayed(sim);
-    struct sim_event *arrival = sim_node_schedule(
-        sim, node, sim_network_delay(sim) + (is_delayed ? sim_uniform(sim, 0.5, 6) : 0),
-        SIM_COMMAND_ARRIVAL);
+    double delay_s = sim_network_delay(sim);
+    if (sim_draw_share(sim, sim->late_commands_share, sim->late_commands_until))
+        delay_s = sim_uniform(sim, LATE_COMMAND_MIN_S, sim->cancel_s + LATE_COMMAND_MARGIN_S);
+    else if (sim_draw_command_delayed(sim))
+        delay_s += sim_uniform(sim, 0.5, 6);
+    struct sim_event *arrival = sim_node_schedule(sim, node, delay_s, SIM_COMMAND_ARRIVAL);
     arrival->index = command->worker;
     arrival->text = event->text;
     arrival->data = command;
@@ -204,29 +208,38 @@
     }
 }
 
+/* Passes the answer of the cloud to the core that asked. status 0: there was none. */
+static void pass_cloud_answer(struct sim_node *node, json_t *request, bool is_scale_out,
+                              long status, char (*names)[BD_LABEL_BYTES], int count)
+{
+    if (is_scale_out) {
+        bd_core_scale_out_completed(node->core, json_string_value(json_object_get(request, "plea")),
+                                    status, names, count);
+        return;
+    }
+    char(*returned)[BD_LABEL_BYTES] = calloc(RETURNED_MAX, sizeof *returned);
+    count = bd_wire_read_machine_names(request, returned, RETURNED_MAX);
+    bd_scale_in_completed(node->core, returned, count, status == 200);
+    free(returned);
+}
+
 void sim_cloud_answered(struct sim *sim, struct sim_event *event)
 {
     struct sim_node *node = &sim->nodes[event->node];
     json_t *request = json_loads(event->text, 0, NULL);
     char names[PROVISIONED_MAX][BD_LABEL_BYTES];
     bool is_scale_out = event->flag;
+    long status = 0;
     int count = 0;
-    if (is_scale_out)
+    if (event->status != SIM_CLOUD_UNANSWERED && is_scale_out)
         count = provision(sim, request, names);
-    else
+    else if (event->status != SIM_CLOUD_UNANSWERED)
         return_machines(sim, request);
-    if (node->core && node->epoch == event->epoch) {
+    if (event->status == SIM_CLOUD_ANSWERED)
+        status = is_scale_out && count == 0 ? 503 : 200;
+    if (event->status != SIM_CLOUD_LATE && node->core && node->epoch == event->epoch) {
         sim_node_set_clock(sim, node);
-        if (is_scale_out) {
-            bd_core_scale_out_completed(node->core,
-                                        json_string_value(json_object_get(request, "plea")),
-                                        count ? 200 : 503, names, count);
-        } else {
-            char(*returned)[BD_LABEL_BYTES] = calloc(RETURNED_MAX, sizeof *returned);
-            count = bd_wire_read_machine_names(request, returned, RETURNED_MAX);
-            bd_scale_in_completed(node->core, returned, count, true);
-            free(returned);
-        }
+        pass_cloud_answer(node, request, is_scale_out, status, names, count);
         sim_node_step(sim, node);
     }
     json_decref(request);
--- a/tests/sim_rules.c
+++ b/tests/sim_rules.c
@@ -1,4 +1,6 @@
 /* The rules that hold on every simulated day, at each step and at its end. */
+#include "leadership/leadership.h"
+#include "model/catalog.h"
 #include "model/job.h"
 #include "model/task.h"
 #include "model/task_table.h"
@@ -8,7 +10,8 @@
 #include "wire/wire.h"
 #include "wire/wire_workers.h"
 
-#define WAIT_MAX_S 90.0 /* includes the expiry of an earlier lease */
+#define KNOWN_MARGIN_S 5.0 /* for reports and halts on their way */
+#define WAIT_MAX_S 90.0    /* includes the expiry of an earlier lease */
 
 /* What a leader may hold for the tasks of a job, in bytes. */
 #define JOB_TASKS_BYTES_MAX 1024.0
@@ -83,8 +86,53 @@
     }
 }
 
+/* The newest leader that holds a valid lease. NULL: none. A process that is paused does not see its
+ * lease end. */
+static struct bd_core *current_leader(const struct sim *sim)
+{
+    struct bd_core *leader = NULL;
+    for (int i = 0; i < SIM_NODES; i++) {
+        struct bd_core *core = sim->nodes[i].core;
+        if (core && sim->now >= sim->nodes[i].paused_until && bd_leadership_lease_valid(core) &&
+            (!leader || core->lead.term > leader->lead.term))
+            leader = core;
+    }
+    return leader;
+}
+
+static bool is_known_to(struct bd_core *leader, const struct sim *sim, const struct sim_slot *slot)
+{
+    const struct bd_job *job = bd_job_find(leader, sim->jobs[slot->job].id);
+    if (!job || !job->tasks || slot->task >= job->ntasks)
+        return false;
+    const struct bd_task *task = bd_job_task(job, slot->task);
+    return task->attempt == slot->attempt && task->state != BD_TASK_PENDING;
+}
+
+/* Guards against a task that runs while no controller knows of it: its machine's lease is renewed
+ * only by a leader that does, so it is known or over a lease after a leader is there. */
+static void check_known_tasks(struct sim *sim)
+{
+    struct bd_core *leader = current_leader(sim);
+    for (int i = 0; i < sim->nworkers; i++) {
+        struct sim_worker *worker = &sim->workers[i];
+        for (int k = 0; !worker->is_removed && k < worker->nslots; k++) {
+            struct sim_slot *slot = &worker->slots[k];
+            if (!leader || slot->execution != BD_EXECUTION_RUNNING ||
+                is_known_to(leader, sim, slot))
+                slot->unknown_since = 0;
+            else if (slot->unknown_since <= 0)
+                slot->unknown_since = sim->now;
+            else if (sim->now - slot->unknown_since > sim->lease_s + KNOWN_MARGIN_S)
+                sim_violation(sim, "unknown: %s/%u runs on %s, and the leader does not know it",
+                              sim->jobs[slot->job].id, slot->task, worker->id);
+        }
+    }
+}
+
 void sim_check_rules(struct sim *sim)
 {
+    check_known_tasks(sim);
     for (int i = 0; i < SIM_NODES; i++) {
         if (!sim->nodes[i].core || sim->nodes[i].core->role != BD_LEADER)
             continue;
--- a/tests/sim_tasks.c
+++ b/tests/sim_tasks.c
@@ -172,9 +172,12 @@
             worker->slots[i].execution != BD_EXECUTION_EXITED)
             earlier = &worker->slots[i];
     struct sim_slot *slot = &worker->slots[worker->nslots++];
-    *slot = (struct sim_slot){job,          task,
-                              attempt,      BD_EXECUTION_FETCHING_IMAGE,
-                              BD_EXIT_NONE, sim->now + sim->image_fetch_s};
+    *slot = (struct sim_slot){.job = job,
+                              .task = task,
+                              .attempt = attempt,
+                              .execution = BD_EXECUTION_FETCHING_IMAGE,
+                              .exit_reason = BD_EXIT_NONE,
+                              .phase_ends_at = sim->now + sim->image_fetch_s};
     if (earlier) {
         slot->execution = BD_EXECUTION_EXITED;
         slot->exit_reason = BD_EXIT_BUSY;
--- a/tests/sim_worker.c
+++ b/tests/sim_worker.c
@@ -33,6 +33,18 @@
     return sim->nworkers++;
 }
 
+void sim_worker_restart(struct sim *sim, struct sim_worker *worker, double seconds)
+{
+    sim_kill_tasks(sim, worker);
+    worker->incarnation++;
+    worker->up_at = worker->lease_renewed_at = sim->now + seconds;
+    worker->next_heartbeat_at = worker->up_at;
+    worker->awaits_answer = false;
+    worker->pending_seq = 0; /* drops answers to the earlier incarnation */
+    if (sim_random(sim) < 0.5)
+        worker->fencing_token = 0;
+}
+
 void sim_worker_remove(struct sim *sim, struct sim_worker *worker)
 {
     if (worker->is_removed)
--- a/tests/simulation.c
+++ b/tests/simulation.c
@@ -2,7 +2,7 @@
  * and the rules of the protocol are checked.
  *
  * - simulation FILE [SEEDS]: the day of a file, with the seeds 1 to SEEDS
- * - simulation random|arrays|delays|drains FROM N: N drawn days, from the seed FROM on
+ * - simulation random|arrays|delays|drains|late FROM N: N drawn days, from the seed FROM on
  * - simulation seed FILE|KIND SEED [debug]: one day, with a trace; debug: with the log too
  * - simulation digest FILE|KIND FROM N: the digest of each day's steps
  * - simulation steps FILE|KIND SEED: the steps of one day
@@ -10,7 +10,8 @@
  *
  * Of the kinds of drawn days, `arrays` adds large arrays and crashes of leaders, `delays` adds
  * delays inside the controllers (delay-sends, process-pause) among hanging machines and
- * cancellations, and `drains` adds drains.
+ * cancellations, `drains` adds drains, and `late` adds direct commands and calls of the cloud that
+ * are executed late, and machines that restart.
  *
  * A line of a file is a setting or a fault. The settings:
  *
@@ -44,6 +45,9 @@
  * - isolate NODE FOR: cuts the controller off from the others and from the store
  * - zone-cut FOR: cuts the zones off from each other
  * - delay-commands FOR: some commands and answers are delayed
+ * - late-commands SHARE FOR: this share of the direct commands is not answered, and executed up to
+ *   cancel_s and 30 s later
+ * - late-cloud SHARE FOR: this share of the rentals and returns is not answered, and executed later
  * - replay SHARE FOR: copies of heartbeats arrive later
  * - replay-failover SHARE FOR: copies of heartbeats reach all controllers as the next leader starts
  *
@@ -53,6 +57,7 @@
  * - inbound-cut N FOR, outbound-cut N FOR, cut N FOR
  * - cut-buffered N FOR: the cut delivers at its end what it stopped
  * - die N
+ * - machine-restart N FOR: the tasks end, and the machine is back with a new session
  *
  * Faults of controllers:
  *
@@ -157,7 +162,8 @@
 } kinds[] = {{"random", sim_plan_draw},
              {"arrays", sim_plan_draw_arrays},
              {"drains", sim_plan_draw_drains},
-             {"delays", sim_plan_draw_delays}};
+             {"delays", sim_plan_draw_delays},
+             {"late", sim_plan_draw_late}};
 
 static const struct kind *find_kind(const char *name)
 {
--- a/tests/simulation.h
+++ b/tests/simulation.h
@@ -99,6 +99,12 @@
                    SIM_FOR_LOOKUP
 };
 
+enum sim_cloud_outcome {                       /* status of SIM_CLOUD_ANSWER */
+                         SIM_CLOUD_ANSWERED,   /* executed now, and answered */
+                         SIM_CLOUD_UNANSWERED, /* the answer is given up */
+                         SIM_CLOUD_LATE        /* executed now, and not answered */
+};
+
 struct sim_call { /* a controller's call of the key-value store */
     enum sim_op op;
     enum sim_purpose purpose;
@@ -144,6 +150,7 @@
     enum bd_execution_state execution;
     enum bd_exit_reason exit_reason;
     double phase_ends_at; /* end of the fetch, of the wait for the gang, or of the run */
+    double unknown_since; /* since when it runs and the leader does not know it; 0: it does */
 };
 
 struct sim_worker {
@@ -201,6 +208,9 @@
     double lost_answers_share, lost_answers_until, late_writes_share, late_writes_until;
     /* network */
     double peers_cut_until[SIM_NODES], zones_cut_until, commands_delayed_until;
+    double late_commands_share, late_commands_until;
+    /* cloud */
+    double late_cloud_share, late_cloud_until;
     double replay_share, replay_until;
     bool replays_at_failover;    /* copies arrive when the next leader starts */
     char *saved_heartbeats[256]; /* the copies for replays_at_failover */
@@ -234,6 +244,8 @@
 struct sim_event *sim_schedule(struct sim *sim, double delay_s, enum sim_event_kind kind);
 /* Schedules a copy of the event, which takes over the event's text. */
 struct sim_event *sim_reschedule(struct sim *sim, struct sim_event *event, double delay_s);
+/* Draws whether a fault of this share that lasts until `until` applies now. */
+bool sim_draw_share(struct sim *sim, double share, double until);
 /* Draws whether a command or an answer that is sent now is delayed by a fault. */
 bool sim_draw_command_delayed(struct sim *sim);
 double sim_network_delay(struct sim *sim); /* drawn, in seconds */
@@ -284,6 +296,8 @@
 /* Delivers the saved copies of heartbeats to all controllers, as a new leader starts. */
 void sim_replay_saved_heartbeats(struct sim *sim);
 void sim_workers_tick(struct sim *sim);
+/* Ends the machine's tasks and its session; it is back under its name after `seconds`. */
+void sim_worker_restart(struct sim *sim, struct sim_worker *worker, double seconds);
 /* Ends the machine and its tasks, for good. */
 void sim_worker_remove(struct sim *sim, struct sim_worker *worker);
 /* Returns the job with the id. NULL: there is no such job. */
