loopback-spellings: sound submissions in drawn spellings to real controllers

36 submissions, each repeated in another spelling at another node: accepted once, known when repeated, done, each run once; two broken forms of each get 400.

--- a/tests/loopback.c
+++ b/tests/loopback.c
@@ -32,6 +32,7 @@
 static const struct mode named_modes[] = {{"faults", test_faults, 6, true},
                                           {"overload", test_overload, 6, false},
                                           {"slow-clients", test_slow_clients, 6, false},
+                                          {"spellings", test_spellings, 36, false},
                                           {"memory", test_memory, 6, false},
                                           {"memory-backlog", test_memory_after_backlog, 6, false}};
 
@@ -60,8 +61,8 @@
                     "the node still runs at the end");
 }
 
-/* loopback PROGRAM [faults|overload|slow-clients|memory|memory-backlog|OLDER_PROGRAM]; loopback
- * PROGRAM capture DIRECTORY */
+/* loopback PROGRAM [faults|overload|slow-clients|spellings|memory|memory-backlog|OLDER_PROGRAM];
+ * loopback PROGRAM capture DIRECTORY */
 int main(int argc, char **argv)
 {
     struct loopback test = {0};
--- a/tests/loopback_tests.h
+++ b/tests/loopback_tests.h
@@ -18,6 +18,7 @@
 void test_rolling_upgrade(struct loopback *test); /* loopback_upgrade.c */
 void test_faults(struct loopback *test);          /* loopback_faults.c */
 void test_overload(struct loopback *test);        /* loopback_overload.c */
+void test_spellings(struct loopback *test);       /* loopback_spellings.c */
 /* loopback_slow_clients.c */
 void test_slow_clients(struct loopback *test);
 /* Writes the node's operators' file with short deadlines, which the node then starts with. */
