--- a/review/lib2/world.c
+++ b/review/lib2/world.c
@@ -161,7 +161,7 @@
 
 /* A port that a controller will listen on, below the range from which the system takes ports. Blocks
  * of ten are kept apart by a socket that stays bound to the block's last port. */
-static int free_port(void)
+int free_port(void)
 {
     static int base, used;
     for (int i = 0; base == 0 && i < 2000; i++) {
@@ -1108,6 +1108,8 @@
     struct job *j = &W.jobs[t->job];
     if (t->mood == EXITED)
         return;
+    if (t->mood == RUNNING && W.on_halt)
+        W.on_halt(m, t);
     if (t->mood == SAVING) {
         if (mercy == 0)
             task_exit(m, t, "stopped");
@@ -1279,6 +1281,8 @@
         return;
     record("%s: lease over, session %llu ends, %d tasks killed", m->id,
            (unsigned long long)m->tenancy, machine_tasks(m));
+    if (W.on_lease_end)
+        W.on_lease_end(m);
     m->ntasks = 0;
     m->tenancy++;
     m->lease_from = now;
@@ -1347,6 +1351,11 @@
         execute(m, json_object_get(body, "bids"));
         return;
     }
+    if (status == 413) {
+        W.reports_refused++;
+        record("%s: hearth-%d answers its report of %zu bytes with 413", m->id, r->node,
+               r->out_len);
+    }
     const char *steward = json_string_value(json_object_get(body, "steward"));
     int to = status == 421 && steward ? atoi(steward + strlen("hearth-")) : -1;
     if (to >= 0 && to < NODES && to != m->node) {
--- a/review/lib2/world.h
+++ b/review/lib2/world.h
@@ -14,7 +14,7 @@
 #define TEAMS_MAX 8
 #define MACHINES_MAX 256
 #define JOBS_MAX 2048
-#define MACHINE_TASKS_MAX 128
+#define MACHINE_TASKS_MAX 2048
 #define IMAGES_MAX 32
 
 struct machine_type {
@@ -153,6 +153,11 @@
     void (*on_cloud_change)(int node, const char *path, json_t *body);
     /* called after a task started on a machine (its image is there); may be NULL */
     void (*on_task_start)(struct machine *machine, struct task *task);
+    /* called when a command stops a task that runs; may be NULL */
+    void (*on_halt)(struct machine *machine, struct task *task);
+    /* called when a worker's lease ends, before its tasks are killed; may be NULL */
+    void (*on_lease_end)(struct machine *machine);
+    int reports_refused; /* answered 413 */
     /* store */
     uint64_t ring;
 };
@@ -176,6 +181,7 @@
 void node_kill(int node, double back_after_s); /* 0: it stays down */
 void node_freeze(int node);
 void node_resume(int node);
+int free_port(void); /* that nothing listens on; at most three beside the controllers' own */
 int store_leader(void); /* the node that the leader's key names, -1: none */
 uint64_t store_leader_mark(void);
 bool store_has_key(const char *key);
