--- a/review/lib2/world.c
+++ b/review/lib2/world.c
@@ -1384,6 +1384,8 @@
 {
     static const char *const shapes[] = {"sweep", "gang", "service"};
     json_t *breeds = j->breeds ? json_array() : json_null();
+    for (int i = 0; j->breeds && i < j->other_breeds; i++)
+        json_array_append_new(breeds, json_sprintf("other-%d", i + 1));
     for (int i = 0; j->breeds && i < W.site->ntypes; i++)
         if (j->breeds >> i & 1)
             json_array_append_new(breeds, json_string(W.site->types[i].name));
--- a/review/lib2/world.h
+++ b/review/lib2/world.h
@@ -99,6 +99,7 @@
     char image[24];
     double image_gb;
     uint32_t breeds; /* 0: any */
+    int other_breeds; /* names before them in the list that this cloud does not offer */
     int glade;       /* -1: any */
     bool together, scatter, windfall;
     double run_s, guess_s, mark_s, stow_s;
