--- a/review/lib2/case6.c
+++ b/review/lib2/case6.c
@@ -133,6 +133,7 @@
 {
     for (int i = 0; i < NODES; i++)
         unlink(operators[i]);
+    rmdir(W.dir);
     return status;
 }
 
